--- /dev/null
+++ b/packages/consensus/log_store_base.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "consensus/raft_type.h"
+#include "kernel/error_type.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace acaciahill {
+
+/// What a data folder holds.
+struct StoredLog
+{
+  /// Random id of the folder, made when it was created.
+  std::string diskId_;
+  HardState hardState_;
+  Snapshot snapshot_;
+  std::vector<LogEntry> entries_;
+
+  bool operator==(const StoredLog&) const = default;
+};
+
+/// Durable storage of one voter. Each Save returns after its data is synced.
+/// After an error the store refuses everything; the process has to end.
+class LogStore
+{
+public:
+  LogStore() = default;
+  LogStore(const LogStore&) = delete;
+  LogStore& operator=(const LogStore&) = delete;
+  virtual ~LogStore() = default;
+
+  virtual Result<Done> Save(const SaveHardState& aAction) = 0;
+  virtual Result<Done> Save(const SaveEntries& aAction) = 0;
+  virtual Result<Done> Save(const SaveSnapshot& aAction) = 0;
+};
+
+/// An open data folder: what it held, and the store to go on with.
+struct OpenedLog
+{
+  StoredLog stored_;
+  std::unique_ptr<LogStore> store_;
+};
+
+/// File operations of the log store, so that tests can make them fail. Paths
+/// are plain file paths.
+class FileSystem
+{
+public:
+  FileSystem() = default;
+  FileSystem(const FileSystem&) = delete;
+  FileSystem& operator=(const FileSystem&) = delete;
+  virtual ~FileSystem() = default;
+
+  /// Reads a whole file. Errors: IoError, also when it does not exist.
+  virtual Result<std::string> Read(const std::string& aPath) = 0;
+  virtual bool Exists(const std::string& aPath) = 0;
+  /// Appends to a file, which is created when missing, and syncs it.
+  virtual Result<Done> AppendSynced(const std::string& aPath,
+                                    const std::string& aBytes) = 0;
+  /// Replaces a file's content as a whole: a reader after a crash sees the old
+  /// content or the new one. The folder is synced too.
+  virtual Result<Done> ReplaceSynced(const std::string& aPath,
+                                     const std::string& aBytes) = 0;
+  /// Cuts a file to a length and syncs it.
+  virtual Result<Done> TruncateSynced(const std::string& aPath,
+                                      std::uint64_t aLength) = 0;
+  virtual Result<Done> MakeFolder(const std::string& aPath) = 0;
+};
+
+/// The file system of the operating system.
+FileSystem&
+OsFileSystem();
+
+/// Opens a data folder. A folder that does not exist or is empty is created
+/// with aNewDiskId. A torn tail of the log is cut off; damage before it is
+/// CorruptLog, a damaged snapshot is CorruptSnapshot.
+Result<OpenedLog>
+OpenFileLog(FileSystem& aFiles,
+            const std::string& aFolder,
+            const std::string& aNewDiskId);
+
+} // namespace acaciahill
--- /dev/null
+++ b/packages/kernel/os_clock_func.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "kernel/time_type.h"
+
+#include <string>
+
+namespace acaciahill {
+
+/// The monotonic clock of the operating system.
+MonotonicTime
+MonotonicNow();
+
+/// Wall-clock time as ISO 8601 in UTC with milliseconds, for log lines only.
+std::string
+WallClockText();
+
+} // namespace acaciahill
--- /dev/null
+++ b/packages/kernel/test/error_test.cpp
@@ -0,0 +1,31 @@
+#include "kernel/error_func.h"
+#include "kernel/table/error_table.h"
+
+#include <catch2/catch.hpp>
+
+#include <set>
+
+using namespace acaciahill;
+
+// Guards against a kind without a row, which would be answered as internal.
+TEST_CASE("every error kind has one row with a unique name")
+{
+  std::set<std::string_view> names;
+  int expected = 1;
+  for (const auto& row : detail::kErrorTable) {
+    CHECK(static_cast<int>(row.kind_) == expected++);
+    CHECK(names.insert(row.name_).second);
+    CHECK(ErrorKindFromName(row.name_) == row.kind_);
+  }
+  CHECK(expected == static_cast<int>(ErrorKind::Internal) + 1);
+}
+
+// Guards against an answer that tells a caller "not run" with a status that
+// HTTP clients read as success.
+TEST_CASE("no error kind answers with a success status")
+{
+  for (const auto& row : detail::kErrorTable) {
+    CHECK(row.httpStatus_ >= 400);
+    CHECK(row.exitCode_ > 0);
+  }
+}
--- /dev/null
+++ b/packages/membership/directory.cpp
@@ -0,0 +1,126 @@
+#include "membership/directory_base.h"
+
+#include <algorithm>
+
+namespace acaciahill {
+
+Directory::Directory(std::string aSelf)
+  : self_(std::move(aSelf))
+{
+}
+
+bool
+Directory::Hear(const TargetEvidence& aEvidence)
+{
+  const auto known = targets_.find(aEvidence.number_);
+  if (known != targets_.end()) {
+    const auto& old = known->second;
+    if (aEvidence.incarnation_ < old.incarnation_) {
+      return false;
+    }
+    if (aEvidence.incarnation_ == old.incarnation_ &&
+        aEvidence.madeAt_ <= old.madeAt_) {
+      return false;
+    }
+  }
+  targets_.insert_or_assign(aEvidence.number_, aEvidence);
+  return true;
+}
+
+void
+Directory::HearNode(const NodeStatus& aStatus)
+{
+  const auto known = nodes_.find(aStatus.node_);
+  if (known != nodes_.end() && aStatus.madeAt_ <= known->second.madeAt_) {
+    return;
+  }
+  nodes_.insert_or_assign(aStatus.node_, aStatus);
+}
+
+void
+Directory::Merge(const DirectoryDigest& aDigest)
+{
+  for (const auto& evidence : aDigest.targets_) {
+    Hear(evidence);
+  }
+  for (const auto& status : aDigest.nodes_) {
+    // A node knows itself best.
+    if (status.node_ != self_) {
+      HearNode(status);
+    }
+  }
+}
+
+DirectoryDigest
+Directory::MakeDigest(MonotonicTime aNow,
+                      Millis aMaxAge,
+                      const std::vector<std::uint32_t>& aNumbers) const
+{
+  DirectoryDigest digest;
+  for (const auto& [number, evidence] : targets_) {
+    const bool wanted =
+      aNumbers.empty() ||
+      std::find(aNumbers.begin(), aNumbers.end(), number) != aNumbers.end();
+    if (wanted && aNow - evidence.madeAt_ <= aMaxAge) {
+      digest.targets_.push_back(evidence);
+    }
+  }
+  for (const auto& [node, status] : nodes_) {
+    if (aNow - status.madeAt_ <= aMaxAge) {
+      digest.nodes_.push_back(status);
+    }
+  }
+  return digest;
+}
+
+std::optional<TargetEvidence>
+Directory::Find(std::uint32_t aNumber) const
+{
+  const auto found = targets_.find(aNumber);
+  if (found == targets_.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+std::optional<NodeStatus>
+Directory::FindNode(const std::string& aNode) const
+{
+  const auto found = nodes_.find(aNode);
+  if (found == nodes_.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+void
+Directory::Retain(const std::map<std::string, VmRecord>& aVms,
+                  const std::map<std::string, NodeRecord>& aNodes)
+{
+  std::vector<std::uint32_t> numbers;
+  numbers.reserve(aVms.size());
+  for (const auto& [id, vm] : aVms) {
+    numbers.push_back(vm.number_);
+  }
+  std::sort(numbers.begin(), numbers.end());
+  std::erase_if(targets_, [&numbers](const auto& aItem) {
+    return !std::binary_search(numbers.begin(), numbers.end(), aItem.first);
+  });
+  std::erase_if(nodes_, [&aNodes, this](const auto& aItem) {
+    return aItem.first != self_ && !aNodes.contains(aItem.first);
+  });
+}
+
+bool
+MayRoute(const VmRecord& aVm,
+         const std::optional<TargetEvidence>& aEvidence,
+         MonotonicTime aNow,
+         Millis aLease)
+{
+  return aVm.phase_ == VmPhase::Active && aEvidence.has_value() &&
+         aEvidence->incarnation_ == aVm.identity_.incarnation_ &&
+         aEvidence->epoch_ == aVm.epoch_ && !aEvidence->draining_ &&
+         aNow - aEvidence->madeAt_ <= aLease;
+}
+
+} // namespace acaciahill
--- /dev/null
+++ b/packages/membership/directory_type.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "kernel/time_type.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace acaciahill {
+
+/// What a target last said of itself, and when: madeAt_ is the time on this
+/// node's monotonic clock at which the target made the statement, or later only
+/// by the time the statement travelled.
+struct TargetEvidence
+{
+  std::uint32_t number_ = 0;
+  std::uint64_t incarnation_ = 0;
+  /// Highest assignment epoch that the target has seen.
+  std::uint64_t epoch_ = 0;
+  bool draining_ = false;
+  /// Requests and tasks running on the target, from all entry VMs.
+  std::uint32_t running_ = 0;
+  MonotonicTime madeAt_{};
+
+  bool operator==(const TargetEvidence&) const = default;
+};
+
+/// What a node last said of itself.
+struct NodeStatus
+{
+  std::string node_;
+  std::uint64_t appliedIndex_ = 0;
+  std::uint64_t tableVersion_ = 0;
+  /// Requests in flight to targets that drain, by target number. Targets with
+  /// none are left out.
+  std::map<std::uint32_t, std::uint32_t> inFlight_;
+  MonotonicTime madeAt_{};
+
+  bool operator==(const NodeStatus&) const = default;
+};
+
+/// What one node passes to another. Times are on the receiver's clock.
+struct DirectoryDigest
+{
+  std::vector<TargetEvidence> targets_;
+  std::vector<NodeStatus> nodes_;
+
+  bool operator==(const DirectoryDigest&) const = default;
+};
+
+} // namespace acaciahill
--- /dev/null
+++ b/packages/state/fleet_base.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "state/command_type.h"
+#include "state/fleet_type.h"
+
+#include <deque>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace acaciahill {
+
+/// Answers up to this many bytes are kept with their claim and replayed.
+inline constexpr std::size_t kClaimAnswerLimit = 2048;
+/// Logical time for which a claim is kept after it began.
+inline constexpr std::uint64_t kClaimLifeMs = 24ULL * 3600 * 1000;
+/// Claims held at most; more are refused with ClaimLimit.
+inline constexpr std::size_t kClaimLimit = 200000;
+/// Results kept for resends, oldest dropped first.
+inline constexpr std::size_t kResultLimit = 10000;
+/// Decisions kept for each subject, oldest dropped first.
+inline constexpr std::size_t kDecisionsPerSubject = 20;
+
+/// The replicated state. Every replica applies the same commands in the same
+/// order and holds the same value; there is no clock and no I/O in it.
+class Fleet
+{
+public:
+  Fleet() = default;
+
+  /// Applies one committed command at a log index. A command whose request id
+  /// was seen before changes nothing and returns its first result.
+  CommandResult Apply(const CommandEnvelope& aEnvelope, std::uint64_t aIndex);
+
+  /// What Apply would refuse now; nothing when it would be carried out.
+  std::optional<Error> Check(const Command& aCommand) const;
+
+  std::uint64_t AppliedIndex() const { return appliedIndex_; }
+  /// Logical time in ms: the sum of the elapsed times of all commands.
+  std::uint64_t LogicalMs() const { return logicalMs_; }
+  const PoolTable& Table() const { return table_; }
+  const std::map<std::string, VmRecord>& Vms() const { return vms_; }
+  const std::map<std::string, Permit>& Permits() const { return permits_; }
+  const std::map<std::string, Wave>& Waves() const { return waves_; }
+  const std::map<std::string, Claim>& Claims() const { return claims_; }
+  const std::map<std::string, NodeRecord>& Nodes() const { return nodes_; }
+  const std::map<std::string, JobRecord>& Jobs() const { return jobs_; }
+  const std::map<std::string, TaskRecord>& Tasks() const { return tasks_; }
+  const std::map<std::string, TeamQuota>& Quotas() const { return quotas_; }
+  /// Total of completed moves, for the measure "moves".
+  std::uint64_t MoveCount() const { return moveCount_; }
+
+  /// The last decisions on a subject, oldest first.
+  std::vector<DecisionRecord> DecisionsOn(const std::string& aSubject) const;
+
+  /// The whole state as CBOR.
+  std::string EncodeSnapshot() const;
+
+  /// Reads EncodeSnapshot's form. Errors: CorruptSnapshot.
+  static Result<Fleet> DecodeSnapshot(std::string_view aBytes);
+
+  bool operator==(const Fleet&) const = default;
+
+private:
+  friend struct FleetCodec;
+  friend class FleetEditor;
+
+  std::uint64_t appliedIndex_ = 0;
+  std::uint64_t logicalMs_ = 0;
+  std::uint32_t nextVmNumber_ = 1;
+  std::uint64_t moveCount_ = 0;
+  PoolTable table_;
+  std::map<std::string, VmRecord> vms_;
+  std::map<std::string, Permit> permits_;
+  std::map<std::string, Wave> waves_;
+  std::map<std::string, Claim> claims_;
+  std::map<std::string, NodeRecord> nodes_;
+  std::map<std::string, JobRecord> jobs_;
+  std::map<std::string, TaskRecord> tasks_;
+  std::map<std::string, TeamQuota> quotas_;
+  std::map<std::string, CommandResult> results_;
+  std::deque<std::string> resultOrder_;
+  std::map<std::string, std::deque<DecisionRecord>> decisions_;
+};
+
+/// A command envelope as CBOR, the form in which log entries hold it.
+std::string
+EncodeEnvelope(const CommandEnvelope& aEnvelope);
+
+/// Reads EncodeEnvelope's form. Errors: BadRequest.
+Result<CommandEnvelope>
+DecodeEnvelope(std::string_view aBytes);
+
+/// A command result as CBOR.
+std::string
+EncodeResult(const CommandResult& aResult);
+
+/// Reads EncodeResult's form. Errors: BadRequest.
+Result<CommandResult>
+DecodeResult(std::string_view aBytes);
+
+} // namespace acaciahill
--- /dev/null
+++ b/tests/support/catch2_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
