--- /dev/null
+++ b/packages/state/fleet.cpp
@@ -0,0 +1,209 @@
+#include "state/fleet_base.h"
+
+#include "state/fleet_editor_base.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace acaciahill {
+
+namespace {
+
+constexpr std::size_t kRequestIdLimit = 256;
+
+// The claim that made a BeginClaim fail, for the caller.
+std::optional<Claim>
+FoundClaim(const Fleet& aFleet, const Command& aCommand)
+{
+  const auto* begin = std::get_if<BeginClaim>(&aCommand);
+  if (!begin) {
+    return std::nullopt;
+  }
+  const auto found = aFleet.Claims().find(begin->key_);
+  if (found == aFleet.Claims().end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+} // namespace
+
+CommandResult
+Fleet::Apply(const CommandEnvelope& aEnvelope, std::uint64_t aIndex)
+{
+  return FleetEditor(*this).Run(aEnvelope, aIndex);
+}
+
+std::optional<Error>
+Fleet::Check(const Command& aCommand) const
+{
+  return std::visit(
+    [this](const auto& aOne) { return FleetEditor::Check(*this, aOne); },
+    aCommand);
+}
+
+std::vector<DecisionRecord>
+Fleet::DecisionsOn(const std::string& aSubject) const
+{
+  const auto found = decisions_.find(aSubject);
+  if (found == decisions_.end()) {
+    return {};
+  }
+  return { found->second.begin(), found->second.end() };
+}
+
+std::int64_t
+Fleet::OpenTasks(const std::string& aJob) const
+{
+  const auto found = openTasks_.find(aJob);
+  return found == openTasks_.end() ? 0 : found->second;
+}
+
+TeamUse
+Fleet::UseOf(const std::string& aTeam) const
+{
+  const auto found = teamUse_.find(aTeam);
+  return found == teamUse_.end() ? TeamUse{} : found->second;
+}
+
+CommandResult
+FleetEditor::Run(const CommandEnvelope& aEnvelope, std::uint64_t aIndex)
+{
+  fleet_.appliedIndex_ = aIndex;
+  // The time of a resend has passed, too, though its command does not run
+  // again.
+  Advance(aEnvelope.elapsedMs_);
+  if (const auto kept = fleet_.results_.find(aEnvelope.requestId_);
+      kept != fleet_.results_.end()) {
+    return kept->second;
+  }
+  const bool isIdUsable = !aEnvelope.requestId_.empty() &&
+                          aEnvelope.requestId_.size() <= kRequestIdLimit;
+  CommandResult result;
+  if (isIdUsable) {
+    result = RunNew(aEnvelope.command_);
+  } else {
+    result.error_ = Refuse(ErrorKind::BadRequest,
+                           "a command needs a request id of 1 to ",
+                           kRequestIdLimit,
+                           " bytes");
+  }
+  result.tableVersion_ = fleet_.table_.version_;
+  result.index_ = aIndex;
+  if (isIdUsable) {
+    Keep(aEnvelope.requestId_, result);
+  }
+  return result;
+}
+
+CommandResult
+FleetEditor::RunNew(const Command& aCommand)
+{
+  CommandResult result;
+  result.error_ = fleet_.Check(aCommand);
+  if (!result.error_) {
+    result.text_ =
+      std::visit([this](const auto& aOne) { return Apply(aOne); }, aCommand);
+    return result;
+  }
+  result.claim_ = FoundClaim(fleet_, aCommand);
+  for (const auto& subject : SubjectsOf(aCommand)) {
+    DecideOnce(subject, Concat("refused: ", result.error_->detail_));
+  }
+  return result;
+}
+
+void
+FleetEditor::Advance(std::uint64_t aElapsedMs)
+{
+  const auto left =
+    std::numeric_limits<std::uint64_t>::max() - fleet_.logicalMs_;
+  fleet_.logicalMs_ += std::min(aElapsedMs, left);
+  ExpireClaims();
+}
+
+void
+FleetEditor::Keep(const std::string& aRequestId, const CommandResult& aResult)
+{
+  fleet_.results_.emplace(aRequestId, aResult);
+  fleet_.resultOrder_.push_back(aRequestId);
+  while (fleet_.resultOrder_.size() > kResultLimit) {
+    fleet_.results_.erase(fleet_.resultOrder_.front());
+    fleet_.resultOrder_.pop_front();
+  }
+}
+
+void
+FleetEditor::Decide(const std::string& aSubject, const std::string& aText)
+{
+  auto& records = fleet_.decisions_[aSubject];
+  records.push_back({ fleet_.logicalMs_, aSubject, aText });
+  if (records.size() > kDecisionsPerSubject) {
+    records.pop_front();
+  }
+  LimitSubjects();
+}
+
+void
+FleetEditor::DecideOnce(const std::string& aSubject, const std::string& aText)
+{
+  const auto records = fleet_.decisions_.find(aSubject);
+  if (records == fleet_.decisions_.end() ||
+      records->second.back().text_ != aText) {
+    Decide(aSubject, aText);
+  }
+}
+
+void
+FleetEditor::DecideAll(std::initializer_list<std::string> aSubjects,
+                       const std::string& aText)
+{
+  for (const auto& subject : aSubjects) {
+    Decide(subject, aText);
+  }
+}
+
+void
+FleetEditor::LimitSubjects()
+{
+  if (fleet_.decisions_.size() <= kSubjectLimit) {
+    return;
+  }
+  fleet_.decisions_.erase(std::min_element(
+    fleet_.decisions_.begin(),
+    fleet_.decisions_.end(),
+    [](const auto& aLeft, const auto& aRight) {
+      return aLeft.second.back().atMs_ < aRight.second.back().atMs_;
+    }));
+}
+
+std::vector<std::string>
+FleetEditor::SubjectsOf(const Command& aCommand) const
+{
+  std::string vm;
+  std::string wave;
+  if (const auto* move = std::get_if<BeginMove>(&aCommand)) {
+    vm = move->vm_;
+  } else if (const auto* grant = std::get_if<GrantPermit>(&aCommand)) {
+    vm = grant->vm_;
+    wave = grant->wave_;
+  } else if (const auto* stop = std::get_if<ConfirmStop>(&aCommand)) {
+    const auto permit = fleet_.permits_.find(stop->permit_);
+    if (permit != fleet_.permits_.end()) {
+      vm = permit->second.vm_;
+      wave = permit->second.wave_;
+    }
+  }
+  // Only what exists is a subject, so that wrong names do not fill the memory.
+  std::vector<std::string> subjects;
+  if (const auto known = fleet_.vms_.find(vm); known != fleet_.vms_.end()) {
+    subjects.push_back(Concat("vm:", vm));
+    subjects.push_back(Concat("pool:", known->second.pool_));
+  }
+  if (fleet_.waves_.count(wave) != 0) {
+    subjects.push_back(Concat("wave:", wave));
+  }
+  return subjects;
+}
+
+} // namespace acaciahill
--- a/packages/state/fleet_base.h
+++ b/packages/state/fleet_base.h
@@ -5,8 +5,10 @@
 
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace acaciahill {
 
@@ -21,6 +23,21 @@
 /// Decisions kept for each subject, oldest dropped first.
 inline constexpr std::size_t kDecisionsPerSubject = 20;
 
+/// Waves and jobs kept after they ended, oldest dropped first.
+inline constexpr std::size_t kEndedWaveLimit = 100;
+inline constexpr std::size_t kEndedJobLimit = 1000;
+/// Subjects with decisions; the one that was silent for longest is dropped.
+inline constexpr std::size_t kSubjectLimit = 20000;
+
+/// What a team holds at once: the declared sizes of its tasks that are placed.
+struct TeamUse
+{
+  std::int64_t milliCores_ = 0;
+  std::int64_t memoryMb_ = 0;
+
+  bool operator==(const TeamUse&) const = default;
+};
+
 /// The replicated state. Every replica applies the same commands in the same
 /// order and holds the same value; there is no clock and no I/O in it.
 class Fleet
@@ -47,6 +64,10 @@
   const std::map<std::string, JobRecord>& Jobs() const { return jobs_; }
   const std::map<std::string, TaskRecord>& Tasks() const { return tasks_; }
   const std::map<std::string, TeamQuota>& Quotas() const { return quotas_; }
+  /// Tasks of a job that neither completed nor failed; 0 for an unknown job.
+  std::int64_t OpenTasks(const std::string& aJob) const;
+  /// What a team holds now, to compare with its quota.
+  TeamUse UseOf(const std::string& aTeam) const;
   /// Total of completed moves, for the measure "moves".
   std::uint64_t MoveCount() const { return moveCount_; }
 
@@ -81,6 +102,15 @@
   std::map<std::string, CommandResult> results_;
   std::deque<std::string> resultOrder_;
   std::map<std::string, std::deque<DecisionRecord>> decisions_;
+  // Claims by the time at which they expire; derived from claims_.
+  std::set<std::pair<std::uint64_t, std::string>> claimOrder_;
+  // Derived from tasks_: open tasks by job, held sizes by team. Entries of 0
+  // are left out.
+  std::map<std::string, std::int64_t> openTasks_;
+  std::map<std::string, TeamUse> teamUse_;
+  // Waves and jobs that ended, oldest first.
+  std::deque<std::string> endedWaves_;
+  std::deque<std::string> endedJobs_;
 };
 
 /// A command envelope as CBOR, the form in which log entries hold it.
--- /dev/null
+++ b/packages/state/fleet_codec.cpp
@@ -0,0 +1,324 @@
+#include "state/fleet_base.h"
+
+#include "state/json_io_base.h"
+#include "state/task_use_func.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace acaciahill {
+
+namespace {
+
+// Raised when the form of snapshots changes; an older program refuses a newer
+// snapshot in place of misreading it.
+constexpr std::uint64_t kSnapshotVersion = 1;
+
+template<typename T>
+Result<T>
+DecodeCbor(std::string_view aBytes, std::string_view aWhat)
+{
+  const auto json = detail::ParseCbor(aBytes);
+  if (!json) {
+    return Refuse(ErrorKind::BadRequest,
+                  aWhat,
+                  " of ",
+                  aBytes.size(),
+                  " bytes is not valid CBOR");
+  }
+  return detail::ReadJson<T>(*json);
+}
+
+// A result together with the request id it is kept under.
+struct KeptResult
+{
+  std::string requestId_;
+  CommandResult result_;
+};
+
+template<typename Io, detail::Either<KeptResult> T>
+void
+Fields(Io& aIo, T& aValue)
+{
+  aIo("request_id", aValue.requestId_);
+  aIo("result", aValue.result_);
+}
+
+// The members of Fleet as lists, which are keyed again when they are read.
+struct Snapshot
+{
+  std::uint64_t version_ = 0;
+  std::uint64_t appliedIndex_ = 0;
+  std::uint64_t logicalMs_ = 0;
+  std::uint32_t nextVmNumber_ = 0;
+  std::uint64_t moveCount_ = 0;
+  std::uint64_t tableVersion_ = 0;
+  std::vector<PoolRow> rows_;
+  std::vector<VmRecord> vms_;
+  std::vector<Permit> permits_;
+  std::vector<Wave> waves_;
+  std::vector<Claim> claims_;
+  std::vector<NodeRecord> nodes_;
+  std::vector<JobRecord> jobs_;
+  std::vector<TaskRecord> tasks_;
+  std::vector<TeamQuota> quotas_;
+  std::vector<KeptResult> results_;
+  std::vector<DecisionRecord> decisions_;
+  std::vector<std::string> endedWaves_;
+  std::vector<std::string> endedJobs_;
+};
+
+template<typename Io, detail::Either<Snapshot> T>
+void
+Fields(Io& aIo, T& aValue)
+{
+  aIo("version", aValue.version_);
+  aIo("applied_index", aValue.appliedIndex_);
+  aIo("logical_ms", aValue.logicalMs_);
+  aIo("next_vm_number", aValue.nextVmNumber_);
+  aIo("move_count", aValue.moveCount_);
+  aIo("table_version", aValue.tableVersion_);
+  aIo("rows", aValue.rows_);
+  aIo("vms", aValue.vms_);
+  aIo("permits", aValue.permits_);
+  aIo("waves", aValue.waves_);
+  aIo("claims", aValue.claims_);
+  aIo("nodes", aValue.nodes_);
+  aIo("jobs", aValue.jobs_);
+  aIo("tasks", aValue.tasks_);
+  aIo("quotas", aValue.quotas_);
+  aIo("results", aValue.results_);
+  aIo("decisions", aValue.decisions_);
+  aIo("ended_waves", aValue.endedWaves_);
+  aIo("ended_jobs", aValue.endedJobs_);
+}
+
+template<typename T>
+std::vector<T>
+ValuesOf(const std::map<std::string, T>& aMap)
+{
+  std::vector<T> values;
+  values.reserve(aMap.size());
+  for (const auto& [key, value] : aMap) {
+    values.push_back(value);
+  }
+  return values;
+}
+
+// Keys values by a member; false when a key occurs twice.
+template<typename T, typename Key>
+bool
+KeyBy(std::vector<T>& aValues, Key aKey, std::map<std::string, T>& aMap)
+{
+  for (auto& value : aValues) {
+    auto key = std::invoke(aKey, value);
+    if (!aMap.emplace(std::move(key), std::move(value)).second) {
+      return false;
+    }
+  }
+  return true;
+}
+
+const std::string&
+VmId(const VmRecord& aVm)
+{
+  return aVm.identity_.id_;
+}
+
+} // namespace
+
+struct FleetCodec
+{
+  static Snapshot ToSnapshot(const Fleet& aFleet)
+  {
+    Snapshot snapshot{ kSnapshotVersion,
+                       aFleet.appliedIndex_,
+                       aFleet.logicalMs_,
+                       aFleet.nextVmNumber_,
+                       aFleet.moveCount_,
+                       aFleet.table_.version_,
+                       ValuesOf(aFleet.table_.rows_),
+                       ValuesOf(aFleet.vms_),
+                       ValuesOf(aFleet.permits_),
+                       ValuesOf(aFleet.waves_),
+                       ValuesOf(aFleet.claims_),
+                       ValuesOf(aFleet.nodes_),
+                       ValuesOf(aFleet.jobs_),
+                       ValuesOf(aFleet.tasks_),
+                       ValuesOf(aFleet.quotas_),
+                       {},
+                       {},
+                       { aFleet.endedWaves_.begin(), aFleet.endedWaves_.end() },
+                       { aFleet.endedJobs_.begin(), aFleet.endedJobs_.end() } };
+    for (const auto& id : aFleet.resultOrder_) {
+      snapshot.results_.push_back({ id, aFleet.results_.at(id) });
+    }
+    for (const auto& [subject, records] : aFleet.decisions_) {
+      snapshot.decisions_.insert(
+        snapshot.decisions_.end(), records.begin(), records.end());
+    }
+    return snapshot;
+  }
+
+  // Fills a fleet; false when the lists contradict themselves or each other.
+  static bool FromSnapshot(Snapshot aSnapshot, Fleet& aFleet)
+  {
+    aFleet.appliedIndex_ = aSnapshot.appliedIndex_;
+    aFleet.logicalMs_ = aSnapshot.logicalMs_;
+    aFleet.nextVmNumber_ = aSnapshot.nextVmNumber_;
+    aFleet.moveCount_ = aSnapshot.moveCount_;
+    aFleet.table_.version_ = aSnapshot.tableVersion_;
+    const bool areKeysUnique =
+      KeyBy(aSnapshot.rows_, &PoolRow::pool_, aFleet.table_.rows_) &&
+      KeyBy(aSnapshot.vms_, VmId, aFleet.vms_) &&
+      KeyBy(aSnapshot.permits_, &Permit::id_, aFleet.permits_) &&
+      KeyBy(aSnapshot.waves_, &Wave::id_, aFleet.waves_) &&
+      KeyBy(aSnapshot.claims_, &Claim::key_, aFleet.claims_) &&
+      KeyBy(aSnapshot.nodes_, &NodeRecord::id_, aFleet.nodes_) &&
+      KeyBy(aSnapshot.jobs_, &JobRecord::id_, aFleet.jobs_) &&
+      KeyBy(aSnapshot.tasks_, &TaskRecord::id_, aFleet.tasks_) &&
+      KeyBy(aSnapshot.quotas_, &TeamQuota::team_, aFleet.quotas_);
+    if (!areKeysUnique) {
+      return false;
+    }
+    for (auto& kept : aSnapshot.results_) {
+      aFleet.resultOrder_.push_back(kept.requestId_);
+      if (!aFleet.results_.emplace(kept.requestId_, std::move(kept.result_))
+             .second) {
+        return false;
+      }
+    }
+    for (auto& decision : aSnapshot.decisions_) {
+      aFleet.decisions_[decision.subject_].push_back(std::move(decision));
+    }
+    for (const auto& [key, claim] : aFleet.claims_) {
+      aFleet.claimOrder_.emplace(claim.expiresAtMs_, key);
+    }
+    aFleet.endedWaves_ = { aSnapshot.endedWaves_.begin(),
+                           aSnapshot.endedWaves_.end() };
+    aFleet.endedJobs_ = { aSnapshot.endedJobs_.begin(),
+                          aSnapshot.endedJobs_.end() };
+    if (!IsConsistent(aFleet)) {
+      return false;
+    }
+    for (const auto& [id, task] : aFleet.tasks_) {
+      detail::CountTask(task,
+                        aFleet.jobs_.at(task.job_),
+                        1,
+                        aFleet.openTasks_,
+                        aFleet.teamUse_);
+    }
+    return true;
+  }
+
+private:
+  static bool IsPermitOf(const Fleet& aFleet, const VmRecord& aVm)
+  {
+    const auto permit = aFleet.permits_.find(aVm.permit_);
+    return aVm.permit_.empty() || (permit != aFleet.permits_.end() &&
+                                   permit->second.vm_ == aVm.identity_.id_);
+  }
+
+  static bool IsConsistent(const Fleet& aFleet)
+  {
+    for (const auto& [id, vm] : aFleet.vms_) {
+      if (aFleet.table_.rows_.count(vm.pool_) == 0 ||
+          (!vm.moveTo_.empty() && aFleet.table_.rows_.count(vm.moveTo_) == 0) ||
+          !IsPermitOf(aFleet, vm) || vm.number_ >= aFleet.nextVmNumber_) {
+        return false;
+      }
+    }
+    for (const auto& [id, permit] : aFleet.permits_) {
+      const auto vm = aFleet.vms_.find(permit.vm_);
+      if (vm == aFleet.vms_.end() || vm->second.permit_ != id ||
+          aFleet.waves_.count(permit.wave_) == 0) {
+        return false;
+      }
+    }
+    return AreJobsConsistent(aFleet) && AreEndsConsistent(aFleet);
+  }
+
+  static bool AreJobsConsistent(const Fleet& aFleet)
+  {
+    std::size_t tasks = 0;
+    for (const auto& [id, job] : aFleet.jobs_) {
+      for (std::int64_t i = 0; i < job.tasks_; ++i, ++tasks) {
+        const auto task = aFleet.tasks_.find(Concat(id, "/", i));
+        if (task == aFleet.tasks_.end() || task->second.job_ != id) {
+          return false;
+        }
+      }
+    }
+    return tasks == aFleet.tasks_.size();
+  }
+
+  static bool AreEndsConsistent(const Fleet& aFleet)
+  {
+    const auto isWave = [&](const auto& aId) {
+      return aFleet.waves_.count(aId) != 0;
+    };
+    const auto isJob = [&](const auto& aId) {
+      return aFleet.jobs_.count(aId) != 0;
+    };
+    return std::all_of(
+             aFleet.endedWaves_.begin(), aFleet.endedWaves_.end(), isWave) &&
+           std::all_of(
+             aFleet.endedJobs_.begin(), aFleet.endedJobs_.end(), isJob);
+  }
+};
+
+std::string
+Fleet::EncodeSnapshot() const
+{
+  return detail::DumpCbor(
+    detail::JsonWriter::ToJson(FleetCodec::ToSnapshot(*this)));
+}
+
+Result<Fleet>
+Fleet::DecodeSnapshot(std::string_view aBytes)
+{
+  auto snapshot = DecodeCbor<Snapshot>(aBytes, "a snapshot");
+  if (!IsOk(snapshot)) {
+    return Error{ ErrorKind::CorruptSnapshot, ErrorOf(snapshot).detail_ };
+  }
+  if (const auto version = ValueOf(snapshot).version_;
+      version != kSnapshotVersion) {
+    return Refuse(ErrorKind::CorruptSnapshot,
+                  "snapshot form ",
+                  version,
+                  " is not known; this program reads form ",
+                  kSnapshotVersion);
+  }
+  Fleet fleet;
+  if (!FleetCodec::FromSnapshot(ValueOf(std::move(snapshot)), fleet)) {
+    return Refuse(ErrorKind::CorruptSnapshot,
+                  "the parts of the snapshot contradict each other");
+  }
+  return fleet;
+}
+
+std::string
+EncodeEnvelope(const CommandEnvelope& aEnvelope)
+{
+  return detail::DumpCbor(detail::JsonWriter::ToJson(aEnvelope));
+}
+
+Result<CommandEnvelope>
+DecodeEnvelope(std::string_view aBytes)
+{
+  return DecodeCbor<CommandEnvelope>(aBytes, "a command");
+}
+
+std::string
+EncodeResult(const CommandResult& aResult)
+{
+  return detail::DumpCbor(detail::JsonWriter::ToJson(aResult));
+}
+
+Result<CommandResult>
+DecodeResult(std::string_view aBytes)
+{
+  return DecodeCbor<CommandResult>(aBytes, "a result");
+}
+
+} // namespace acaciahill
--- a/packages/state/table_func.h
+++ b/packages/state/table_func.h
@@ -24,11 +24,21 @@
          std::string_view aColumn,
          std::string_view aValue);
 
+/// Checks each cell of a row on its own. Errors: BadRequest for the name,
+/// OutOfRange with the wrong value and the allowed range.
+Result<Done>
+CheckCells(const PoolRow& aRow);
+
 /// Errors within one row that no single cell shows, such as a min_available
 /// over size; Done when it is sound.
 Result<Done>
 CheckRow(const PoolRow& aRow);
 
+/// Errors between rows: two rows of one pool (BadRequest), more than one spare
+/// pool (InvalidState). Checks each row with CheckCells and CheckRow, too.
+Result<Done>
+CheckRows(const std::vector<PoolRow>& aRows);
+
 /// The table as CSV with a header line.
 std::string
 TableToCsv(const PoolTable& aTable);
--- /dev/null
+++ b/packages/state/task_use_func.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "state/fleet_base.h"
+
+/// What the state derives from its tasks.
+namespace acaciahill::detail {
+
+/// True while a VM holds the task under a lease.
+inline bool
+IsHeld(const TaskRecord& aTask)
+{
+  switch (aTask.phase_) {
+    case TaskPhase::Placed:
+    case TaskPhase::Running:
+    case TaskPhase::Throttled:
+    case TaskPhase::Stopping:
+      return true;
+    case TaskPhase::Waiting:
+    case TaskPhase::Completed:
+    case TaskPhase::Failed:
+      break;
+  }
+  return false;
+}
+
+/// True until the task completed or failed.
+inline bool
+IsUnfinished(const TaskRecord& aTask)
+{
+  return aTask.phase_ == TaskPhase::Waiting || IsHeld(aTask);
+}
+
+/// Adds a task to the counts (aSign 1) or takes it out of them (aSign -1).
+inline void
+CountTask(const TaskRecord& aTask,
+          const JobRecord& aJob,
+          std::int64_t aSign,
+          std::map<std::string, std::int64_t>& aOpenTasks,
+          std::map<std::string, TeamUse>& aTeamUse)
+{
+  if (IsUnfinished(aTask)) {
+    auto& open = aOpenTasks[aJob.id_];
+    open += aSign;
+    if (open == 0) {
+      aOpenTasks.erase(aJob.id_);
+    }
+  }
+  if (IsHeld(aTask)) {
+    auto& use = aTeamUse[aJob.team_];
+    use.milliCores_ += aSign * aJob.milliCores_;
+    use.memoryMb_ += aSign * aJob.memoryMb_;
+    if (use == TeamUse{}) {
+      aTeamUse.erase(aJob.team_);
+    }
+  }
+}
+
+} // namespace acaciahill::detail
