--- /dev/null
+++ b/packages/relay/relay_type.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "kernel/error_type.h"
+#include "kernel/time_type.h"
+#include "state/command_type.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace acaciahill {
+
+/// Limits and addresses of the callers' port.
+struct RelaySettings
+{
+  /// Numeric address and port to listen on; port 0 takes any free one.
+  std::string listen_ = "127.0.0.1:0";
+  /// Connections of callers at once; more are answered node_overloaded and
+  /// closed.
+  std::int64_t maxConnections_ = 512;
+  std::int64_t maxHeaderBytes_ = 16 * 1024;
+  std::int64_t maxRequestBytes_ = 1024 * 1024;
+  std::int64_t maxAnswerBytes_ = 8 * 1024 * 1024;
+  /// Bytes of requests and answers held at once over all connections.
+  std::int64_t maxBufferedBytes_ = 48 * 1024 * 1024;
+  /// A caller that sends no byte for this long is disconnected.
+  Millis idleTimeout_{ 30000 };
+  /// Longest time for reading one whole request, against slow senders.
+  Millis readTimeout_{ 10000 };
+  Millis connectTimeout_{ 500 };
+  /// Longest deadline that a caller may ask for.
+  Millis maxDeadline_{ 60000 };
+  /// Availability zone of this node.
+  std::string zone_;
+  std::string node_;
+
+  bool operator==(const RelaySettings&) const = default;
+};
+
+/// The claim was committed for this owner; the request may be sent.
+struct ClaimGranted
+{
+  std::string owner_;
+
+  bool operator==(const ClaimGranted&) const = default;
+};
+
+/// ClaimGranted; or the claim that an earlier request holds; or the reason why
+/// none was committed, with which the request is refused.
+using ClaimReply = std::variant<ClaimGranted, Claim, Error>;
+
+/// Commits claims on Idempotency-Keys in the replicated log.
+class ClaimGate
+{
+public:
+  ClaimGate() = default;
+  ClaimGate(const ClaimGate&) = delete;
+  ClaimGate& operator=(const ClaimGate&) = delete;
+  virtual ~ClaimGate() = default;
+
+  /// Claims a key for one attempt of this node. Blocks until the claim is
+  /// committed or the deadline has passed. An error means that the request
+  /// must not be sent; it then did not run through this claim.
+  virtual ClaimReply Begin(const std::string& aKey,
+                           std::uint64_t aFingerprint,
+                           MonotonicTime aDeadline) = 0;
+
+  /// Ends a claim. Returns at once; the gate goes on trying until it is
+  /// committed.
+  virtual void End(const EndClaim& aEnd) = 0;
+};
+
+/// What a target said of its assignment in an answer's or a probe's headers
+/// (Acaciahill-Epoch, Acaciahill-Draining, Acaciahill-Incarnation).
+struct TargetEcho
+{
+  std::string vm_;
+  std::uint64_t epoch_ = 0;
+  bool draining_ = false;
+  /// 0 when the target did not say.
+  std::uint64_t incarnation_ = 0;
+  /// When the request that it answers was sent: the statement is not older.
+  MonotonicTime sentAt_{};
+
+  bool operator==(const TargetEcho&) const = default;
+};
+
+/// Takes what targets say of their assignment. Called from many threads.
+class TargetEchoSink
+{
+public:
+  TargetEchoSink() = default;
+  TargetEchoSink(const TargetEchoSink&) = delete;
+  TargetEchoSink& operator=(const TargetEchoSink&) = delete;
+  virtual ~TargetEchoSink() = default;
+
+  virtual void Hear(const TargetEcho& aEcho) = 0;
+};
+
+} // namespace acaciahill
--- a/packages/routing/router_type.h
+++ b/packages/routing/router_type.h
@@ -28,6 +28,9 @@
   std::int64_t connections_ = 0;
   /// Work running there from all entry VMs, as last announced.
   std::uint32_t announcedRunning_ = 0;
+  /// Nothing may be sent to it after this time: the evidence of its assignment
+  /// is too old then.
+  MonotonicTime validUntil_{};
 
   bool operator==(const TargetView&) const = default;
 };
@@ -128,6 +131,9 @@
   int attempt_ = 1;
   /// The attempt must end by then.
   MonotonicTime timeout_{};
+  /// Nothing may be sent after this time. The shell checks it again right
+  /// before the first byte, as the process may have been frozen in between.
+  MonotonicTime validUntil_{};
 
   bool operator==(const DispatchRequest&) const = default;
 };
