--- /dev/null
+++ b/packages/daemon/daemon_settings_type.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "consensus/raft_type.h"
+#include "kernel/error_type.h"
+#include "kernel/log_func.h"
+#include "kernel/time_type.h"
+#include "relay/relay_type.h"
+
+#include <map>
+#include <string>
+
+namespace acaciahill {
+
+/// The settings of acaciahilld, checked and typed.
+struct DaemonSettings
+{
+  std::string node_;
+  std::string zone_;
+  std::string cluster_;
+  bool voter_ = false;
+  std::string dataDir_;
+
+  std::string listenAnnounce_;
+  std::string listenAdmin_;
+  std::string listenPeers_;
+  std::string advertisePeers_;
+  std::string advertiseAdmin_;
+  /// Peer addresses of all voters by node id.
+  std::map<std::string, std::string> voters_;
+
+  RaftTiming raft_;
+  Millis announceInterval_{ 2000 };
+  Millis routingLease_{ 5000 };
+  Millis lostAfter_{ 60000 };
+  Millis availableFor_{ 5000 };
+  Millis stopGrace_{ 30000 };
+  std::uint64_t snapshotEntries_ = 2000;
+
+  /// Base URL of the platform; empty when there is none.
+  std::string platformUrl_;
+  std::string traceFile_;
+  LogSettings log_;
+  RelaySettings relay_;
+
+  bool operator==(const DaemonSettings&) const = default;
+};
+
+/// Reads and checks a settings file. Errors: BadSetting with a line for each
+/// fault.
+Result<DaemonSettings>
+LoadDaemonSettings(const std::string& aPath);
+
+} // namespace acaciahill
--- /dev/null
+++ b/packages/daemon/directory_service.cpp
@@ -0,0 +1,52 @@
+#include "daemon/directory_service_base.h"
+
+#include "kernel/os_clock_func.h"
+
+namespace acaciahill {
+
+DirectoryService::DirectoryService(const std::string& aSelf,
+                                   std::uint64_t aBoot,
+                                   Millis aMaxAge)
+  : directory_(aSelf)
+  , exchange_(aSelf, aBoot)
+  , maxAge_(aMaxAge)
+{}
+
+bool
+DirectoryService::Hear(const TargetEvidence& aEvidence)
+{
+  const std::lock_guard lock(mutex_);
+  return directory_.Hear(aEvidence);
+}
+
+void
+DirectoryService::HearNode(const NodeStatus& aStatus)
+{
+  const std::lock_guard lock(mutex_);
+  directory_.HearNode(aStatus);
+}
+
+DigestMessage
+DirectoryService::MakeDigestFor(const std::string& aPeer)
+{
+  const std::lock_guard lock(mutex_);
+  return exchange_.MakeFor(aPeer, directory_, MonotonicNow(), maxAge_);
+}
+
+void
+DirectoryService::AcceptDigest(const std::string& aPeer,
+                               const DigestMessage& aDigest)
+{
+  const std::lock_guard lock(mutex_);
+  exchange_.Accept(aPeer, aDigest, MonotonicNow(), directory_);
+}
+
+void
+DirectoryService::Retain(const std::map<std::string, VmRecord>& aVms,
+                         const std::map<std::string, NodeRecord>& aNodes)
+{
+  const std::lock_guard lock(mutex_);
+  directory_.Retain(aVms, aNodes);
+}
+
+} // namespace acaciahill
--- /dev/null
+++ b/packages/daemon/directory_service_base.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "kernel/service_registry_base.h"
+#include "membership/digest_exchange_base.h"
+
+#include <functional>
+#include <mutex>
+#include <string>
+
+namespace acaciahill {
+
+/// Name under which the service is registered.
+inline constexpr const char* kDirectoryServiceName = "directory";
+
+/// The node's directory, shared by its threads.
+class DirectoryService : public Service
+{
+public:
+  /// Statements older than aMaxAge are not passed on.
+  DirectoryService(const std::string& aSelf,
+                   std::uint64_t aBoot,
+                   Millis aMaxAge);
+
+  Result<Done> Start() override { return Done{}; }
+  void Stop() override {}
+
+  bool Hear(const TargetEvidence& aEvidence);
+  void HearNode(const NodeStatus& aStatus);
+
+  DigestMessage MakeDigestFor(const std::string& aPeer);
+  void AcceptDigest(const std::string& aPeer, const DigestMessage& aDigest);
+
+  /// Runs a function on the directory under its lock.
+  template<typename F>
+  auto Read(F&& aFunction) const
+  {
+    const std::lock_guard lock(mutex_);
+    return aFunction(static_cast<const Directory&>(directory_));
+  }
+
+  void Retain(const std::map<std::string, VmRecord>& aVms,
+              const std::map<std::string, NodeRecord>& aNodes);
+
+private:
+  mutable std::mutex mutex_;
+  Directory directory_;
+  DigestExchange exchange_;
+  Millis maxAge_;
+};
+
+} // namespace acaciahill
--- /dev/null
+++ b/packages/daemon/http_server_base.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "kernel/error_type.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace acaciahill {
+
+/// A whole request to one of the daemon's own HTTP ports.
+struct HttpCall
+{
+  std::string method_;
+  /// Path without the query, decoded.
+  std::string path_;
+  std::map<std::string, std::string> query_;
+  std::string body_;
+  /// Time since the kernel received the last byte of the request: how long the
+  /// process was too busy, or frozen, to read it.
+  std::int64_t waitedMs_ = 0;
+};
+
+/// The answer to an HttpCall.
+struct HttpAnswer
+{
+  int status_ = 200;
+  std::string contentType_ = "application/json";
+  std::string body_;
+  std::vector<std::pair<std::string, std::string>> headers_;
+};
+
+/// An answer for an error, in the form of docs/admin-api.md.
+HttpAnswer
+ErrorAnswerOf(const Error& aError);
+
+/// A small HTTP server for announcements and operators: whole bodies with a
+/// Content-Length only, one request for each connection.
+class HttpServer
+{
+public:
+  using Handler = std::function<HttpAnswer(const HttpCall&)>;
+
+  HttpServer(Handler aHandler, int aMaxThreads, std::int64_t aMaxBodyBytes);
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+  ~HttpServer();
+
+  /// Errors: IoError when the address cannot be bound.
+  Result<Done> Start(const std::string& aAddress);
+
+  /// Returns when the requests in work are answered.
+  void Stop();
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+} // namespace acaciahill
--- /dev/null
+++ b/packages/daemon/main.cpp
@@ -0,0 +1,198 @@
+#include "consensus/log_store_base.h"
+#include "daemon/admin_service_base.h"
+#include "daemon/announce_service_base.h"
+#include "daemon/daemon_settings_type.h"
+#include "daemon/directory_service_base.h"
+#include "daemon/planner_service_base.h"
+#include "daemon/random_func.h"
+#include "daemon/relay_service_base.h"
+#include "daemon/replica_service_base.h"
+#include "daemon/trace_service_base.h"
+#include "kernel/error_func.h"
+#include "kernel/log_func.h"
+#include "kernel/metrics_base.h"
+
+#include <cxxopts.hpp>
+
+#include <csignal>
+#include <iostream>
+
+namespace acaciahill {
+
+namespace {
+
+int
+Fail(const Error& aError)
+{
+  std::cerr << Describe(aError) << '\n';
+  return AnswerOf(aError.kind_).exitCode_;
+}
+
+/// The disk id of a voter's first data folder. All voters know it of each
+/// other, so that the first voter set needs no exchange.
+std::string
+GenesisDisk(const DaemonSettings& aSettings, const std::string& aNode)
+{
+  return "genesis-" + aSettings.cluster_ + "-" + aNode;
+}
+
+/// Creates the data folder of a voter of a new cluster.
+int
+InitFolder(const DaemonSettings& aSettings)
+{
+  if (!aSettings.voter_) {
+    return Fail({ ErrorKind::BadSetting,
+                  "--init is for nodes with node.role = voter" });
+  }
+  if (OsFileSystem().Exists(aSettings.dataDir_ + "/disk_id")) {
+    return Fail({ ErrorKind::InvalidState,
+                  "the data folder " + aSettings.dataDir_ +
+                    " exists already; a voter that lost its disk is started "
+                    "without --init, and the others admit it" });
+  }
+  auto opened = OpenFileLog(OsFileSystem(),
+                            aSettings.dataDir_,
+                            GenesisDisk(aSettings, aSettings.node_));
+  if (!IsOk(opened)) {
+    return Fail(ErrorOf(opened));
+  }
+  Snapshot first;
+  for (const auto& [node, address] : aSettings.voters_) {
+    first.voters_.voters_.push_back({ node, GenesisDisk(aSettings, node) });
+  }
+  const auto saved =
+    std::get<0>(opened).store_->Save(SaveSnapshot{ first, true });
+  if (!IsOk(saved)) {
+    return Fail(ErrorOf(saved));
+  }
+  std::cout << "created the data folder " << aSettings.dataDir_ << " of voter "
+            << aSettings.node_ << '\n';
+  return 0;
+}
+
+/// Waits for SIGTERM or SIGINT, which must be blocked in all threads.
+void
+WaitForStop(const sigset_t& aSignals)
+{
+  int signal = 0;
+  ::sigwait(&aSignals, &signal);
+  LogInfo("stopping", { { "signal", signal } });
+}
+
+int
+Serve(const DaemonSettings& aSettings)
+{
+  // Threads inherit the mask, so that only WaitForStop takes these signals.
+  sigset_t signals;
+  ::sigemptyset(&signals);
+  ::sigaddset(&signals, SIGTERM);
+  ::sigaddset(&signals, SIGINT);
+  ::pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+
+  if (const auto logging = StartLog(aSettings.log_); !IsOk(logging)) {
+    return Fail(ErrorOf(logging));
+  }
+  Metrics metrics;
+  ServiceRegistry registry;
+  // Evidence older than the lease is of no use to others either, but what
+  // planners call available may be older.
+  const auto digestAge =
+    2 * std::max(aSettings.routingLease_, aSettings.availableFor_);
+  auto traces =
+    std::make_unique<TraceService>(aSettings.traceFile_, aSettings.node_);
+  auto& traceSink = *traces;
+  registry.Add(kTraceServiceName, std::move(traces));
+  registry.Add(kDirectoryServiceName,
+               std::make_unique<DirectoryService>(
+                 aSettings.node_, RandomNumber(), digestAge));
+  registry.Add(
+    kReplicaServiceName,
+    std::make_unique<ReplicaService>(aSettings, registry, metrics));
+  registry.Add(
+    kAnnounceServiceName,
+    std::make_unique<AnnounceService>(aSettings, registry, metrics));
+  registry.Add(
+    kRelayServiceName,
+    std::make_unique<RelayService>(aSettings, registry, traceSink, metrics));
+  registry.Add(
+    kPlannerServiceName,
+    std::make_unique<PlannerService>(aSettings, registry, metrics));
+  registry.Add(kAdminServiceName,
+               std::make_unique<AdminService>(aSettings, registry, metrics));
+
+  const auto started = registry.StartAll();
+  if (!IsOk(started)) {
+    LogError("cannot start", { { "error", Describe(ErrorOf(started)) } });
+    return Fail(ErrorOf(started));
+  }
+  LogInfo("serving",
+          { { "callers", aSettings.relay_.listen_ },
+            { "announce", aSettings.listenAnnounce_ },
+            { "admin", aSettings.listenAdmin_ },
+            { "peers", aSettings.listenPeers_ } });
+  WaitForStop(signals);
+  // Readiness goes first, so that the load balancer sends no new callers while
+  // requests in flight are finished; the admin port answers until the end.
+  registry.Find<AdminService>(kAdminServiceName).SetStopping();
+  registry.Find<RelayService>(kRelayServiceName).Drain();
+  registry.StopAll();
+  LogInfo("stopped");
+  FlushLog();
+  return 0;
+}
+
+int
+Run(int aCount, char** aArguments)
+{
+  cxxopts::Options options(
+    "acaciahilld", "Fleet capacity and maintenance manager: the daemon");
+  options.add_options()("config", "settings file", cxxopts::value<std::string>())(
+    "check-config",
+    "check a settings file and exit",
+    cxxopts::value<std::string>())(
+    "init", "create the data folder of a voter of a new cluster and exit")(
+    "help", "print this text");
+  const auto parsed = options.parse(aCount, aArguments);
+  if (parsed.count("help") > 0 || aCount == 1) {
+    std::cout << options.help()
+              << "\nExamples:\n"
+                 "  acaciahilld --check-config /etc/acaciahill/entry.ini\n"
+                 "  acaciahilld --init --config /etc/acaciahill/voter.ini\n"
+                 "  acaciahilld --config /etc/acaciahill/entry.ini\n";
+    return 0;
+  }
+  const bool checkOnly = parsed.count("check-config") > 0;
+  if (!checkOnly && parsed.count("config") == 0) {
+    return Fail({ ErrorKind::BadRequest, "give --config FILE; see --help" });
+  }
+  const auto path =
+    parsed[checkOnly ? "check-config" : "config"].as<std::string>();
+  const auto settings = LoadDaemonSettings(path);
+  if (!IsOk(settings)) {
+    return Fail(ErrorOf(settings));
+  }
+  if (checkOnly) {
+    std::cout << path << ": no faults\n";
+    return 0;
+  }
+  if (parsed.count("init") > 0) {
+    return InitFolder(ValueOf(settings));
+  }
+  return Serve(ValueOf(settings));
+}
+
+} // namespace
+
+} // namespace acaciahill
+
+int
+main(int aCount, char** aArguments)
+{
+  try {
+    return acaciahill::Run(aCount, aArguments);
+  } catch (const std::exception& error) {
+    std::cerr << "acaciahilld: " << error.what() << '\n';
+    return 2;
+  }
+}
--- /dev/null
+++ b/packages/daemon/peer_codec.cpp
@@ -0,0 +1,331 @@
+#include "daemon/peer_codec_func.h"
+
+#include "consensus/raft_base.h"
+
+#include <algorithm>
+
+namespace acaciahill {
+
+namespace {
+
+constexpr std::uint32_t kDrainingFlag = 1;
+
+std::uint32_t
+ToAge(Millis aAge)
+{
+  const auto count = std::clamp<std::int64_t>(aAge.count(), 0, UINT32_MAX);
+  return static_cast<std::uint32_t>(count);
+}
+
+void
+PutDigest(const DigestMessage& aDigest, wire::Digest& aWire)
+{
+  for (const auto& [evidence, age] : aDigest.targets_) {
+    aWire.add_target_number(evidence.number_);
+    aWire.add_target_incarnation(evidence.incarnation_);
+    aWire.add_target_epoch(evidence.epoch_);
+    aWire.add_target_running(evidence.running_);
+    aWire.add_target_age_ms(ToAge(age));
+    aWire.add_target_flags(evidence.draining_ ? kDrainingFlag : 0);
+  }
+  for (const auto& [status, age] : aDigest.nodes_) {
+    auto& node = *aWire.add_nodes();
+    node.set_node(status.node_);
+    node.set_applied(status.appliedIndex_);
+    node.set_table_version(status.tableVersion_);
+    node.set_age_ms(ToAge(age));
+    for (const auto& [number, count] : status.inFlight_) {
+      node.add_draining_target(number);
+      node.add_in_flight(count);
+    }
+    for (const auto& [pool, load] : status.loads_) {
+      node.add_load_pool(pool);
+      node.add_load_in_flight(load.inFlight_);
+      node.add_load_queued(load.queued_);
+      node.add_load_refused(load.refused_);
+    }
+  }
+  aWire.set_clock_ms(aDigest.clockMs_);
+  aWire.set_boot(aDigest.boot_);
+  aWire.set_echo_clock_ms(aDigest.echoClockMs_);
+  aWire.set_echo_boot(aDigest.echoBoot_);
+  aWire.set_echo_age_ms(ToAge(aDigest.echoAge_));
+}
+
+DigestMessage
+TakeDigest(const wire::Digest& aWire)
+{
+  DigestMessage digest;
+  // Columns of different lengths come from a faulty sender; the common part is
+  // read.
+  const int count = std::min({ aWire.target_number_size(),
+                               aWire.target_incarnation_size(),
+                               aWire.target_epoch_size(),
+                               aWire.target_running_size(),
+                               aWire.target_age_ms_size(),
+                               aWire.target_flags_size() });
+  for (int i = 0; i < count; ++i) {
+    digest.targets_.push_back(
+      { { aWire.target_number(i),
+          aWire.target_incarnation(i),
+          aWire.target_epoch(i),
+          (aWire.target_flags(i) & kDrainingFlag) != 0,
+          aWire.target_running(i),
+          MonotonicTime{} },
+        Millis(aWire.target_age_ms(i)) });
+  }
+  for (const auto& node : aWire.nodes()) {
+    NodeStatus status;
+    status.node_ = node.node();
+    status.appliedIndex_ = node.applied();
+    status.tableVersion_ = node.table_version();
+    const int targets =
+      std::min(node.draining_target_size(), node.in_flight_size());
+    for (int i = 0; i < targets; ++i) {
+      status.inFlight_[node.draining_target(i)] = node.in_flight(i);
+    }
+    const int pools = std::min({ node.load_pool_size(),
+                                 node.load_in_flight_size(),
+                                 node.load_queued_size(),
+                                 node.load_refused_size() });
+    for (int i = 0; i < pools; ++i) {
+      status.loads_[node.load_pool(i)] = { node.load_in_flight(i),
+                                           node.load_queued(i),
+                                           node.load_refused(i) };
+    }
+    digest.nodes_.push_back({ status, Millis(node.age_ms()) });
+  }
+  digest.clockMs_ = aWire.clock_ms();
+  digest.boot_ = aWire.boot();
+  digest.echoClockMs_ = aWire.echo_clock_ms();
+  digest.echoBoot_ = aWire.echo_boot();
+  digest.echoAge_ = Millis(aWire.echo_age_ms());
+  return digest;
+}
+
+void
+PutEntry(const LogEntry& aEntry, wire::Entry& aWire)
+{
+  aWire.set_index(aEntry.index_);
+  aWire.set_term(aEntry.term_);
+  aWire.set_kind(static_cast<std::uint32_t>(aEntry.kind_));
+  aWire.set_data(aEntry.data_);
+}
+
+LogEntry
+TakeEntry(const wire::Entry& aWire)
+{
+  return { aWire.index(),
+           aWire.term(),
+           static_cast<EntryKind>(aWire.kind()),
+           aWire.data() };
+}
+
+void
+PutVoter(const VoterId& aVoter, wire::Voter& aWire)
+{
+  aWire.set_node(aVoter.node_);
+  aWire.set_disk(aVoter.disk_);
+}
+
+VoterId
+TakeVoter(const wire::Voter& aWire)
+{
+  return { aWire.node(), aWire.disk() };
+}
+
+/// Writes the body of a message into the envelope's matching field.
+struct BodyWriter
+{
+  wire::RaftEnvelope& envelope_;
+
+  void operator()(const VoteRequest& aBody) const
+  {
+    auto& wire = *envelope_.mutable_vote_request();
+    PutVoter(aBody.candidate_, *wire.mutable_candidate());
+    wire.set_last_index(aBody.lastIndex_);
+    wire.set_last_term(aBody.lastTerm_);
+    wire.set_pre_vote(aBody.preVote_);
+  }
+
+  void operator()(const VoteReply& aBody) const
+  {
+    auto& wire = *envelope_.mutable_vote_reply();
+    PutVoter(aBody.voter_, *wire.mutable_voter());
+    wire.set_granted(aBody.granted_);
+    wire.set_pre_vote(aBody.preVote_);
+  }
+
+  void operator()(const AppendRequest& aBody) const
+  {
+    auto& wire = *envelope_.mutable_append_request();
+    wire.set_previous_index(aBody.previousIndex_);
+    wire.set_previous_term(aBody.previousTerm_);
+    for (const auto& entry : aBody.entries_) {
+      PutEntry(entry, *wire.add_entries());
+    }
+    wire.set_commit_index(aBody.commitIndex_);
+    wire.set_round(aBody.round_);
+  }
+
+  void operator()(const AppendReply& aBody) const
+  {
+    auto& wire = *envelope_.mutable_append_reply();
+    PutVoter(aBody.voter_, *wire.mutable_voter());
+    wire.set_success(aBody.success_);
+    wire.set_match_index(aBody.matchIndex_);
+    wire.set_conflict_index(aBody.conflictIndex_);
+    wire.set_round(aBody.round_);
+  }
+
+  void operator()(const SnapshotRequest& aBody) const
+  {
+    auto& wire = *envelope_.mutable_snapshot_request();
+    wire.set_last_index(aBody.snapshot_.lastIndex_);
+    wire.set_last_term(aBody.snapshot_.lastTerm_);
+    wire.set_configuration(EncodeVoters(aBody.snapshot_.voters_));
+    wire.set_data(aBody.snapshot_.data_);
+    wire.set_round(aBody.round_);
+  }
+};
+
+std::optional<RaftMessage>
+TakeMessage(const wire::RaftEnvelope& aEnvelope)
+{
+  RaftMessage message;
+  message.from_ = aEnvelope.from();
+  message.to_ = aEnvelope.to();
+  message.term_ = aEnvelope.term();
+  switch (aEnvelope.message_case()) {
+    case wire::RaftEnvelope::kVoteRequest: {
+      const auto& wire = aEnvelope.vote_request();
+      message.body_ = VoteRequest{ TakeVoter(wire.candidate()),
+                                   wire.last_index(),
+                                   wire.last_term(),
+                                   wire.pre_vote() };
+      return message;
+    }
+    case wire::RaftEnvelope::kVoteReply: {
+      const auto& wire = aEnvelope.vote_reply();
+      message.body_ =
+        VoteReply{ TakeVoter(wire.voter()), wire.granted(), wire.pre_vote() };
+      return message;
+    }
+    case wire::RaftEnvelope::kAppendRequest: {
+      const auto& wire = aEnvelope.append_request();
+      AppendRequest body{
+        wire.previous_index(), wire.previous_term(), {}, 0, 0
+      };
+      for (const auto& entry : wire.entries()) {
+        body.entries_.push_back(TakeEntry(entry));
+      }
+      body.commitIndex_ = wire.commit_index();
+      body.round_ = wire.round();
+      message.body_ = std::move(body);
+      return message;
+    }
+    case wire::RaftEnvelope::kAppendReply: {
+      const auto& wire = aEnvelope.append_reply();
+      message.body_ = AppendReply{ TakeVoter(wire.voter()),
+                                   wire.success(),
+                                   wire.match_index(),
+                                   wire.conflict_index(),
+                                   wire.round() };
+      return message;
+    }
+    case wire::RaftEnvelope::kSnapshotRequest: {
+      const auto& wire = aEnvelope.snapshot_request();
+      message.body_ = SnapshotRequest{ { wire.last_index(),
+                                         wire.last_term(),
+                                         DecodeVoters(wire.configuration()),
+                                         wire.data() },
+                                       wire.round() };
+      return message;
+    }
+    case wire::RaftEnvelope::MESSAGE_NOT_SET:
+      break;
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+wire::RaftEnvelope
+ToWire(const PeerRaft& aRaft)
+{
+  wire::RaftEnvelope envelope;
+  envelope.set_cluster(aRaft.cluster_);
+  envelope.set_from(aRaft.from_);
+  if (aRaft.message_) {
+    envelope.set_to(aRaft.message_->to_);
+    envelope.set_term(aRaft.message_->term_);
+    std::visit(BodyWriter{ envelope }, aRaft.message_->body_);
+  }
+  PutDigest(aRaft.digest_, *envelope.mutable_digest());
+  return envelope;
+}
+
+PeerRaft
+FromWire(const wire::RaftEnvelope& aEnvelope)
+{
+  return { aEnvelope.cluster(),
+           aEnvelope.from(),
+           TakeMessage(aEnvelope),
+           TakeDigest(aEnvelope.digest()) };
+}
+
+wire::PullRequest
+ToWire(const PeerPull& aPull)
+{
+  wire::PullRequest request;
+  request.set_cluster(aPull.cluster_);
+  request.set_node(aPull.node_);
+  request.set_disk(aPull.disk_);
+  request.set_applied(aPull.applied_);
+  request.set_wait_ms(ToAge(aPull.wait_));
+  PutDigest(aPull.digest_, *request.mutable_digest());
+  return request;
+}
+
+PeerPull
+FromWire(const wire::PullRequest& aRequest)
+{
+  return { aRequest.cluster(),
+           aRequest.node(),
+           aRequest.disk(),
+           aRequest.applied(),
+           Millis(aRequest.wait_ms()),
+           TakeDigest(aRequest.digest()) };
+}
+
+wire::PullReply
+ToWire(const PeerPullReply& aReply)
+{
+  wire::PullReply reply;
+  for (const auto& entry : aReply.entries_) {
+    PutEntry(entry, *reply.add_entries());
+  }
+  reply.set_snapshot(aReply.snapshot_);
+  reply.set_snapshot_index(aReply.snapshotIndex_);
+  reply.set_leader(aReply.leader_);
+  reply.set_control_age_ms(ToAge(aReply.controlAge_));
+  PutDigest(aReply.digest_, *reply.mutable_digest());
+  return reply;
+}
+
+PeerPullReply
+FromWire(const wire::PullReply& aReply)
+{
+  PeerPullReply reply;
+  for (const auto& entry : aReply.entries()) {
+    reply.entries_.push_back(TakeEntry(entry));
+  }
+  reply.snapshot_ = aReply.snapshot();
+  reply.snapshotIndex_ = aReply.snapshot_index();
+  reply.leader_ = aReply.leader();
+  reply.controlAge_ = Millis(aReply.control_age_ms());
+  reply.digest_ = TakeDigest(aReply.digest());
+  return reply;
+}
+
+} // namespace acaciahill
--- /dev/null
+++ b/packages/daemon/peer_server_base.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "daemon/peer_type.h"
+
+#include <memory>
+#include <string>
+
+namespace acaciahill {
+
+/// Serves other nodes' calls by gRPC.
+class PeerServer
+{
+public:
+  /// The handler must outlive the server.
+  explicit PeerServer(PeerHandler& aHandler);
+  PeerServer(const PeerServer&) = delete;
+  PeerServer& operator=(const PeerServer&) = delete;
+  ~PeerServer();
+
+  /// Errors: IoError when the address cannot be bound.
+  Result<Done> Start(const std::string& aAddress, const std::string& aCluster);
+
+  /// Ends calls that do not end by themselves within a second.
+  void Stop();
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+} // namespace acaciahill
--- /dev/null
+++ b/packages/daemon/peer_type.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "consensus/raft_type.h"
+#include "kernel/error_type.h"
+#include "kernel/time_type.h"
+#include "membership/digest_exchange_base.h"
+#include "state/command_type.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace acaciahill {
+
+/// One message of the log's protocol with the sender's digest. A reply may
+/// carry no message.
+struct PeerRaft
+{
+  std::string cluster_;
+  std::string from_;
+  std::optional<RaftMessage> message_;
+  DigestMessage digest_;
+};
+
+/// Asks for committed entries after an index.
+struct PeerPull
+{
+  std::string cluster_;
+  std::string node_;
+  /// Disk id of a node that is set up as a voter but has no vote.
+  std::string disk_;
+  std::uint64_t applied_ = 0;
+  Millis wait_{ 0 };
+  DigestMessage digest_;
+};
+
+/// Entries after the asked index, or a whole state when they are gone.
+struct PeerPullReply
+{
+  std::vector<LogEntry> entries_;
+  std::string snapshot_;
+  std::uint64_t snapshotIndex_ = 0;
+  std::string leader_;
+  /// Age of the replying node's last contact with the leader.
+  Millis controlAge_{ 0 };
+  DigestMessage digest_;
+};
+
+/// A command on its way to the leader.
+struct PeerPropose
+{
+  std::string cluster_;
+  CommandEnvelope envelope_;
+  Millis timeout_{ 0 };
+  /// Forwardings so far.
+  std::uint32_t hops_ = 0;
+};
+
+/// Serves other nodes' calls. Called from many threads at once.
+class PeerHandler
+{
+public:
+  PeerHandler() = default;
+  PeerHandler(const PeerHandler&) = delete;
+  PeerHandler& operator=(const PeerHandler&) = delete;
+  virtual ~PeerHandler() = default;
+
+  virtual PeerRaft HandleRaft(const PeerRaft& aRequest) = 0;
+  virtual PeerPullReply HandlePull(const PeerPull& aRequest) = 0;
+  virtual CommandResult HandlePropose(const PeerPropose& aRequest) = 0;
+};
+
+} // namespace acaciahill
--- /dev/null
+++ b/packages/daemon/planner_service.cpp
@@ -0,0 +1,264 @@
+#include "daemon/planner_service_base.h"
+
+#include "kernel/error_func.h"
+#include "kernel/log_func.h"
+#include "kernel/os_clock_func.h"
+#include "planner/move_planner_base.h"
+#include "planner/vm_watch_base.h"
+#include "planner/wave_planner_base.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/URI.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace acaciahill {
+
+namespace {
+
+constexpr Millis kStepInterval{ 250 };
+constexpr Millis kProposeTimeout{ 3000 };
+constexpr int kPlatformTimeoutMs = 3000;
+constexpr Millis kPlatformPause{ 200 };
+// Age of the last word from a zone up to which it counts as in contact.
+constexpr int kContactLeases = 2;
+
+} // namespace
+
+struct PlannerService::Planners
+{
+  explicit Planners(const PlannerLimits& aLimits)
+    : watch_(aLimits)
+    , waves_(aLimits)
+    , moves_(aLimits)
+  {}
+
+  VmWatch watch_;
+  WavePlanner waves_;
+  MovePlanner moves_;
+};
+
+PlannerService::PlannerService(const DaemonSettings& aSettings,
+                               const ServiceRegistry& aRegistry,
+                               Metrics& aMetrics)
+  : settings_(aSettings)
+  , registry_(aRegistry)
+  , metrics_(aMetrics)
+{}
+
+PlannerService::~PlannerService()
+{
+  Stop();
+}
+
+Result<Done>
+PlannerService::Start()
+{
+  replica_ = &registry_.Find<ReplicaService>(kReplicaServiceName);
+  directory_ = &registry_.Find<DirectoryService>(kDirectoryServiceName);
+  announcements_ = &registry_.Find<AnnounceService>(kAnnounceServiceName);
+  if (settings_.voter_) {
+    threads_.emplace_back([this] { RunPlanners(); });
+    threads_.emplace_back([this] { RunPlatform(); });
+  }
+  return Done{};
+}
+
+void
+PlannerService::Stop()
+{
+  if (stopping_.exchange(true)) {
+    return;
+  }
+  askReady_.notify_all();
+  for (auto& thread : threads_) {
+    thread.join();
+  }
+  threads_.clear();
+}
+
+void
+PlannerService::RunPlanners()
+{
+  const PlannerLimits limits{ settings_.availableFor_,
+                              settings_.lostAfter_,
+                              settings_.routingLease_,
+                              Millis(1000) };
+  // What the planners remember holds for one time of leading only: a former
+  // leader's memory is as old as its last step.
+  std::unique_ptr<Planners> planners;
+  while (!stopping_) {
+    if (!replica_->Control().isLeader_) {
+      planners.reset();
+    } else {
+      if (!planners) {
+        planners = std::make_unique<Planners>(limits);
+        refusedBefore_.clear();
+      }
+      StepOnce(*planners);
+    }
+    std::this_thread::sleep_for(kStepInterval);
+  }
+}
+
+void
+PlannerService::StepOnce(Planners& aPlanners)
+{
+  const auto now = MonotonicNow();
+  PlannerView view;
+  FillView(view, now);
+  std::vector<PlannerAction> actions;
+  replica_->Read([&](const Fleet& aFleet) {
+    view.fleet_ = &aFleet;
+    for (const auto& [id, vm] : aFleet.Vms()) {
+      const auto evidence =
+        directory_->Read([&vm = vm](const Directory& aDirectory) {
+          return aDirectory.Find(vm.number_);
+        });
+      if (!evidence) {
+        continue;
+      }
+      view.targets_.emplace(id, *evidence);
+      if (now - evidence->madeAt_ <= kContactLeases * settings_.routingLease_) {
+        view.zonesInContact_.insert(vm.identity_.zone_);
+      }
+    }
+    for (const auto& [id, status] : view.nodes_) {
+      const auto node = aFleet.Nodes().find(id);
+      if (node != aFleet.Nodes().end() &&
+          now - status.madeAt_ <= kContactLeases * settings_.routingLease_) {
+        view.zonesInContact_.insert(node->second.zone_);
+      }
+    }
+    const auto append = [&actions](std::vector<PlannerAction> aActions) {
+      std::move(
+        aActions.begin(), aActions.end(), std::back_inserter(actions));
+    };
+    append(aPlanners.watch_.Step(view, now));
+    append(aPlanners.waves_.Step(view, now));
+    append(aPlanners.moves_.Step(view, now));
+  });
+  CarryOut(actions);
+  metrics_.Observe(
+    "acaciahill_planner_step_seconds",
+    {},
+    static_cast<double>((MonotonicNow() - now).count()) / 1e3);
+}
+
+void
+PlannerService::FillView(PlannerView& aView, MonotonicTime aNow)
+{
+  aView.nodes_ = directory_->Read(
+    [](const Directory& aDirectory) { return aDirectory.Nodes(); });
+  aView.reports_ = announcements_->TaskReports();
+  std::map<std::string, std::int64_t> refused;
+  for (const auto& [node, status] : aView.nodes_) {
+    if (aNow - status.madeAt_ > settings_.routingLease_) {
+      continue;
+    }
+    for (const auto& [pool, load] : status.loads_) {
+      aView.loads_[pool].inFlight_ += load.inFlight_;
+      aView.loads_[pool].queued_ += load.queued_;
+      refused[pool] += static_cast<std::int64_t>(load.refused_);
+    }
+  }
+  for (const auto& [pool, count] : refused) {
+    const auto before = refusedBefore_.find(pool);
+    if (before != refusedBefore_.end()) {
+      // A node that restarts counts from 0 again.
+      aView.loads_[pool].refused_ =
+        std::max<std::int64_t>(0, count - before->second);
+    }
+  }
+  refusedBefore_ = refused;
+}
+
+void
+PlannerService::CarryOut(const std::vector<PlannerAction>& aActions)
+{
+  for (const auto& action : aActions) {
+    if (const auto* ask = std::get_if<AskReboot>(&action)) {
+      const std::lock_guard lock(askMutex_);
+      const bool isQueued =
+        std::find(asks_.begin(), asks_.end(), *ask) != asks_.end();
+      if (!isQueued) {
+        asks_.push_back(*ask);
+        askReady_.notify_one();
+      }
+    } else if (const auto* propose = std::get_if<ProposeCommand>(&action)) {
+      const auto result =
+        replica_->Propose(propose->command_, kProposeTimeout);
+      if (result.error_) {
+        LogInfo("a planned command was refused",
+                { { "error", Describe(*result.error_) } });
+      }
+    }
+  }
+}
+
+void
+PlannerService::RunPlatform()
+{
+  while (true) {
+    AskReboot ask;
+    {
+      std::unique_lock lock(askMutex_);
+      askReady_.wait(lock, [this] { return stopping_ || !asks_.empty(); });
+      if (stopping_) {
+        return;
+      }
+      ask = asks_.front();
+      asks_.pop_front();
+    }
+    const auto asked = AskPlatform(ask);
+    if (IsOk(asked)) {
+      LogInfo("asked the platform for a reboot",
+              { { "vm", ask.vm_ }, { "operation", ask.operation_ } });
+    } else {
+      LogWarning("the platform did not take a reboot; it is asked again",
+                 { { "vm", ask.vm_ },
+                   { "operation", ask.operation_ },
+                   { "error", Describe(ErrorOf(asked)) } });
+      std::this_thread::sleep_for(kPlatformPause);
+    }
+  }
+}
+
+Result<Done>
+PlannerService::AskPlatform(const AskReboot& aAsk) const
+{
+  if (settings_.platformUrl_.empty()) {
+    return Error{ ErrorKind::BadSetting,
+                  "platform.url is not set, so no VM can be rebooted" };
+  }
+  try {
+    const Poco::URI uri(settings_.platformUrl_);
+    std::string vm;
+    Poco::URI::encode(aAsk.vm_, "/?#", vm);
+    Poco::Net::HTTPClientSession session(uri.getHost(), uri.getPort());
+    session.setTimeout(Poco::Timespan(kPlatformTimeoutMs * 1000));
+    Poco::Net::HTTPRequest request(
+      "POST", "/v1/vms/" + vm + "/reboot", "HTTP/1.1");
+    const auto body =
+      nlohmann::json{ { "operation", aAsk.operation_ } }.dump();
+    request.setContentType("application/json");
+    request.setContentLength(static_cast<std::streamsize>(body.size()));
+    session.sendRequest(request) << body;
+    Poco::Net::HTTPResponse response;
+    session.receiveResponse(response);
+    const int status = response.getStatus();
+    if (status < 200 || status >= 300) {
+      return Error{ ErrorKind::InvalidState,
+                    "the platform answered " + std::to_string(status) };
+    }
+  } catch (const Poco::Exception& error) {
+    return Error{ ErrorKind::IoError, error.displayText() };
+  }
+  return Done{};
+}
+
+} // namespace acaciahill
--- /dev/null
+++ b/packages/daemon/relay_service.cpp
@@ -0,0 +1,322 @@
+#include "daemon/relay_service_base.h"
+
+#include "daemon/random_func.h"
+#include "kernel/error_func.h"
+#include "kernel/log_func.h"
+#include "kernel/os_clock_func.h"
+
+#include <algorithm>
+
+namespace acaciahill {
+
+namespace {
+
+// The usable targets are computed anew at least this often, and at once after
+// a change of the state.
+constexpr Millis kRefreshInterval{ 200 };
+constexpr Millis kProbeInterval{ 500 };
+constexpr Millis kProbeTimeout{ 500 };
+// Probes in one round; a round that finds many silent targets goes on in the
+// next one.
+constexpr std::size_t kProbesPerRound = 8;
+constexpr Millis kClaimEndTimeout{ 5000 };
+constexpr Millis kClaimEndPause{ 500 };
+// Time kept of a request's deadline for sending it after its claim.
+constexpr Millis kClaimReserve{ 50 };
+
+} // namespace
+
+RelayService::RelayService(const DaemonSettings& aSettings,
+                           const ServiceRegistry& aRegistry,
+                           TraceSink& aTraces,
+                           Metrics& aMetrics)
+  : settings_(aSettings)
+  , registry_(aRegistry)
+  , traces_(aTraces)
+  , metrics_(aMetrics)
+  , ownerPrefix_(aSettings.node_ + "-" + RandomId() + "-")
+{}
+
+RelayService::~RelayService()
+{
+  Stop();
+}
+
+Result<Done>
+RelayService::Start()
+{
+  replica_ = &registry_.Find<ReplicaService>(kReplicaServiceName);
+  directory_ = &registry_.Find<DirectoryService>(kDirectoryServiceName);
+  relay_ = std::make_unique<Relay>(
+    settings_.relay_, *this, *this, traces_, metrics_);
+  auto started = relay_->Start();
+  if (!IsOk(started)) {
+    return started;
+  }
+  threads_.emplace_back([this] { RunRefresh(); });
+  threads_.emplace_back([this] { RunProbes(); });
+  threads_.emplace_back([this] { RunClaimEnds(); });
+  return Done{};
+}
+
+void
+RelayService::Drain()
+{
+  if (!drained_ && relay_) {
+    drained_ = true;
+    relay_->Stop(settings_.stopGrace_);
+  }
+}
+
+void
+RelayService::Stop()
+{
+  Drain();
+  if (stopping_.exchange(true)) {
+    return;
+  }
+  claimReady_.notify_all();
+  for (auto& thread : threads_) {
+    thread.join();
+  }
+  threads_.clear();
+}
+
+void
+RelayService::RunRefresh()
+{
+  std::uint64_t applied = 0;
+  while (!stopping_) {
+    applied =
+      replica_->Read([](const Fleet& aFleet) { return aFleet.AppliedIndex(); });
+    Refresh();
+    replica_->WaitApplied(applied + 1, kRefreshInterval);
+  }
+}
+
+void
+RelayService::Refresh()
+{
+  const auto now = MonotonicNow();
+  NodeStatus status;
+  status.node_ = settings_.node_;
+  status.madeAt_ = now;
+  TargetsChanged targets;
+  PoolsChanged pools;
+  std::map<std::string, std::uint32_t> leaving;
+
+  const auto evidence =
+    directory_->Read([](const Directory& aDirectory) {
+      return aDirectory.Targets();
+    });
+  replica_->Read([&](const Fleet& aFleet) {
+    status.appliedIndex_ = aFleet.AppliedIndex();
+    status.tableVersion_ = aFleet.Table().version_;
+    for (const auto& [name, row] : aFleet.Table().rows_) {
+      pools.rows_.push_back(row);
+    }
+    pools.entryNodes_ = std::max<std::int64_t>(
+      1, static_cast<std::int64_t>(aFleet.Nodes().size()));
+    pools.entryNodesInZone_ = std::max<std::int64_t>(
+      1,
+      std::count_if(aFleet.Nodes().begin(),
+                    aFleet.Nodes().end(),
+                    [this](const auto& aItem) {
+                      return aItem.second.zone_ == settings_.zone_;
+                    }));
+    for (const auto& [id, vm] : aFleet.Vms()) {
+      const auto found = evidence.find(vm.number_);
+      const auto heard = found == evidence.end()
+                           ? std::nullopt
+                           : std::optional(found->second);
+      if (vm.phase_ == VmPhase::Draining) {
+        leaving.emplace(id, vm.number_);
+      }
+      if (!MayRoute(vm, heard, now, settings_.routingLease_)) {
+        continue;
+      }
+      targets.targets_.push_back({ id,
+                                   vm.pool_,
+                                   vm.identity_.zone_,
+                                   vm.identity_.address_,
+                                   vm.epoch_,
+                                   vm.identity_.slots_,
+                                   vm.identity_.connections_,
+                                   heard->running_,
+                                   heard->madeAt_ + settings_.routingLease_ });
+    }
+    directory_->Retain(aFleet.Vms(), aFleet.Nodes());
+  });
+
+  const bool poolsChanged = !hasRefreshedTable_ ||
+                            refreshedTable_ != status.tableVersion_ ||
+                            refreshedNodes_ != pools.entryNodes_;
+  if (poolsChanged) {
+    relay_->SetPools(pools);
+    hasRefreshedTable_ = true;
+    refreshedTable_ = status.tableVersion_;
+    refreshedNodes_ = pools.entryNodes_;
+  }
+  relay_->SetTargets(targets);
+  // The order matters: the index is reported as in force only after the relay
+  // stopped using what it took away, and the counts are read after that.
+  for (const auto& [id, count] : relay_->InFlight()) {
+    const auto found = leaving.find(id);
+    if (found != leaving.end()) {
+      status.inFlight_[found->second] = count;
+    }
+  }
+  for (const auto& [pool, load] : relay_->Loads()) {
+    if (load.inFlight_ + load.queued_ + load.refused_ > 0) {
+      status.loads_[pool] = { static_cast<std::uint32_t>(load.inFlight_),
+                              static_cast<std::uint32_t>(load.queued_),
+                              static_cast<std::uint64_t>(load.refused_) };
+    }
+  }
+  directory_->HearNode(status);
+}
+
+void
+RelayService::RunProbes()
+{
+  while (!stopping_) {
+    std::this_thread::sleep_for(kProbeInterval);
+    const auto now = MonotonicNow();
+    // Evidence is renewed before it ends; announcements normally do so.
+    const auto due = settings_.routingLease_ * 3 / 5;
+    const auto evidence =
+      directory_->Read([](const Directory& aDirectory) {
+        return aDirectory.Targets();
+      });
+    std::vector<std::pair<MonotonicTime, VmIdentity>> silent;
+    replica_->Read([&](const Fleet& aFleet) {
+      for (const auto& [id, vm] : aFleet.Vms()) {
+        const auto found = evidence.find(vm.number_);
+        const auto madeAt =
+          found == evidence.end() ? MonotonicTime{} : found->second.madeAt_;
+        if (vm.phase_ == VmPhase::Active && now - madeAt > due) {
+          silent.emplace_back(madeAt, vm.identity_);
+        }
+      }
+    });
+    // Targets of the own zone come first: a zone that is cut off has only
+    // these, and each probe of another zone's target would wait in vain.
+    std::stable_sort(
+      silent.begin(), silent.end(), [this](const auto& aLeft, const auto& aRight) {
+        const bool left = aLeft.second.zone_ == settings_.zone_;
+        const bool right = aRight.second.zone_ == settings_.zone_;
+        return left != right ? left : aLeft.first > aRight.first;
+      });
+    silent.resize(std::min(silent.size(), kProbesPerRound));
+    for (const auto& [madeAt, identity] : silent) {
+      if (stopping_) {
+        break;
+      }
+      relay_->Probe(identity.id_, identity.address_, kProbeTimeout);
+    }
+  }
+}
+
+void
+RelayService::Hear(const TargetEcho& aEcho)
+{
+  const auto identity = replica_->Read(
+    [&aEcho](const Fleet& aFleet) -> std::optional<VmRecord> {
+      const auto found = aFleet.Vms().find(aEcho.vm_);
+      if (found == aFleet.Vms().end()) {
+        return std::nullopt;
+      }
+      return found->second;
+    });
+  if (!identity) {
+    return;
+  }
+  const auto known = directory_->Read([&identity](const Directory& aDirectory) {
+    return aDirectory.Find(identity->number_);
+  });
+  directory_->Hear({ identity->number_,
+                     aEcho.incarnation_ != 0 ? aEcho.incarnation_
+                                             : identity->identity_.incarnation_,
+                     aEcho.epoch_,
+                     aEcho.draining_,
+                     known ? known->running_ : 0,
+                     aEcho.sentAt_ });
+}
+
+ClaimReply
+RelayService::Begin(const std::string& aKey,
+                    std::uint64_t aFingerprint,
+                    MonotonicTime aDeadline)
+{
+  const auto timeout = aDeadline - MonotonicNow() - kClaimReserve;
+  if (timeout <= Millis(0)) {
+    return Error{ ErrorKind::DeadlineTooShort, "" };
+  }
+  if (replica_->Control().stale_) {
+    return Error{ ErrorKind::ControlUnreachable,
+                  "an Idempotency-Key cannot be claimed while this node has no "
+                  "contact with the control group; the request did not run" };
+  }
+  const auto owner = ownerPrefix_ + std::to_string(nextOwner_++);
+  const auto result = replica_->Propose(
+    BeginClaim{ aKey, aFingerprint, settings_.node_, owner }, owner, timeout);
+  if (!result.error_) {
+    return ClaimGranted{ owner };
+  }
+  if (result.claim_) {
+    return *result.claim_;
+  }
+  if (result.error_->kind_ == ErrorKind::ProposalLost) {
+    // The claim may have been committed without an answer. It was not used, so
+    // it is released: the request did not run.
+    End({ aKey, owner, ClaimEnd::NotRun, 0, "", "", false });
+    return Error{ ErrorKind::ControlUnreachable,
+                  "the claim was not confirmed in time; the request did not "
+                  "run" };
+  }
+  return *result.error_;
+}
+
+void
+RelayService::End(const EndClaim& aEnd)
+{
+  const std::lock_guard lock(claimMutex_);
+  claimEnds_.push_back(aEnd);
+  claimReady_.notify_one();
+}
+
+void
+RelayService::RunClaimEnds()
+{
+  while (true) {
+    EndClaim end;
+    {
+      std::unique_lock lock(claimMutex_);
+      claimReady_.wait(
+        lock, [this] { return stopping_ || !claimEnds_.empty(); });
+      if (claimEnds_.empty()) {
+        return;
+      }
+      end = claimEnds_.front();
+    }
+    const auto result =
+      replica_->Propose(end, "end-" + end.owner_, kClaimEndTimeout);
+    const bool isLost =
+      result.error_ && (result.error_->kind_ == ErrorKind::ProposalLost ||
+                        result.error_->kind_ == ErrorKind::ControlUnreachable);
+    if (isLost && !stopping_) {
+      std::this_thread::sleep_for(kClaimEndPause);
+      continue;
+    }
+    const std::lock_guard lock(claimMutex_);
+    claimEnds_.pop_front();
+  }
+}
+
+std::map<std::string, RelayPoolLoad>
+RelayService::Loads() const
+{
+  return relay_ ? relay_->Loads() : std::map<std::string, RelayPoolLoad>{};
+}
+
+} // namespace acaciahill
--- /dev/null
+++ b/packages/daemon/replica_service.cpp
@@ -0,0 +1,761 @@
+#include "daemon/replica_service_base.h"
+
+#include "daemon/random_func.h"
+#include "kernel/error_func.h"
+#include "kernel/log_func.h"
+#include "kernel/os_clock_func.h"
+
+#include <algorithm>
+
+namespace acaciahill {
+
+namespace {
+
+// Committed entries kept for nodes that follow by pulls.
+constexpr std::size_t kTailEntries = 10000;
+constexpr std::size_t kTailBytes = 8U * 1024 * 1024;
+// Entries in one answer to a pull.
+constexpr std::size_t kPullEntries = 1000;
+// Longest wait of one pull; it sets how often an idle node exchanges digests.
+constexpr Millis kPullWait{ 1000 };
+constexpr Millis kProposePause{ 100 };
+// A proposal passes at most from a node to a follower and on to the leader.
+constexpr std::uint32_t kMaxHops = 2;
+// Ticks in one heartbeat interval.
+constexpr int kTicksPerHeartbeat = 5;
+constexpr Millis kRepairInterval{ 1000 };
+// How long ago a voter with another disk may have been heard to be admitted.
+constexpr Millis kStrangerMaxAge{ 5000 };
+// Contact older than the longest election by this much is stale.
+constexpr Millis kStaleMargin{ 1000 };
+
+CommandResult
+Failed(ErrorKind aKind, const std::string& aDetail)
+{
+  CommandResult result;
+  result.error_ = Error{ aKind, aDetail };
+  return result;
+}
+
+template<typename T>
+bool
+IsSave(const T& aAction)
+{
+  return std::holds_alternative<SaveHardState>(aAction) ||
+         std::holds_alternative<SaveEntries>(aAction) ||
+         std::holds_alternative<SaveSnapshot>(aAction);
+}
+
+/// Joins entries that follow on each other, so that several proposals cost one
+/// sync of the disk.
+void
+MergeSaves(std::vector<RaftAction>& aActions)
+{
+  std::vector<RaftAction> merged;
+  for (auto& action : aActions) {
+    auto* next = std::get_if<SaveEntries>(&action);
+    auto* last =
+      merged.empty() ? nullptr : std::get_if<SaveEntries>(&merged.back());
+    const bool follows =
+      next != nullptr && last != nullptr && !next->entries_.empty() &&
+      !last->entries_.empty() &&
+      last->entries_.back().index_ + 1 == next->entries_.front().index_;
+    if (follows) {
+      std::move(next->entries_.begin(),
+                next->entries_.end(),
+                std::back_inserter(last->entries_));
+    } else {
+      merged.push_back(std::move(action));
+    }
+  }
+  aActions = std::move(merged);
+}
+
+} // namespace
+
+ReplicaService::ReplicaService(const DaemonSettings& aSettings,
+                               const ServiceRegistry& aRegistry,
+                               Metrics& aMetrics)
+  : settings_(aSettings)
+  , registry_(aRegistry)
+  , metrics_(aMetrics)
+  , requestPrefix_(aSettings.node_ + "-" + RandomId() + "-")
+{}
+
+ReplicaService::~ReplicaService()
+{
+  Stop();
+}
+
+Result<Done>
+ReplicaService::Start()
+{
+  directory_ = &registry_.Find<DirectoryService>(kDirectoryServiceName);
+  if (settings_.voter_) {
+    auto opened = OpenLog();
+    if (!IsOk(opened)) {
+      return opened;
+    }
+  }
+  server_ = std::make_unique<PeerServer>(*this);
+  auto listening = server_->Start(settings_.listenPeers_, settings_.cluster_);
+  if (!IsOk(listening)) {
+    return listening;
+  }
+  if (settings_.voter_) {
+    threads_.emplace_back([this] { RunVoter(); });
+  }
+  threads_.emplace_back([this] { RunFollower(); });
+  threads_.emplace_back([this] { RunRegistration(); });
+  return Done{};
+}
+
+void
+ReplicaService::Stop()
+{
+  if (stopping_.exchange(true)) {
+    return;
+  }
+  workReady_.notify_all();
+  NotifyApplied();
+  client_.Stop();
+  if (server_) {
+    server_->Stop();
+  }
+  for (auto& thread : threads_) {
+    thread.join();
+  }
+  threads_.clear();
+}
+
+Result<Done>
+ReplicaService::OpenLog()
+{
+  auto opened = OpenFileLog(OsFileSystem(), settings_.dataDir_, RandomId());
+  if (!IsOk(opened)) {
+    return ErrorOf(opened);
+  }
+  auto [stored, store] = ValueOf(std::move(opened));
+  if (!stored.snapshot_.data_.empty()) {
+    auto fleet = Fleet::DecodeSnapshot(stored.snapshot_.data_);
+    if (!IsOk(fleet)) {
+      return ErrorOf(fleet);
+    }
+    fleet_ = ValueOf(std::move(fleet));
+    appliedIndex_ = stored.snapshot_.lastIndex_;
+  }
+  self_ = { settings_.node_, stored.diskId_ };
+  LogInfo("opened the log",
+          { { "disk", stored.diskId_ },
+            { "snapshot_index", stored.snapshot_.lastIndex_ },
+            { "entries", stored.entries_.size() } });
+  core_ = std::make_unique<RaftCore>(RaftStart{ self_,
+                                                settings_.raft_,
+                                                RandomNumber(),
+                                                stored.hardState_,
+                                                stored.snapshot_,
+                                                std::move(stored.entries_) },
+                                     MonotonicNow());
+  store_ = std::move(store);
+  PublishControl();
+  return Done{};
+}
+
+void
+ReplicaService::Enqueue(Work aWork)
+{
+  {
+    const std::lock_guard lock(workMutex_);
+    work_.push_back(std::move(aWork));
+  }
+  workReady_.notify_one();
+}
+
+void
+ReplicaService::RunVoter()
+{
+  const auto tick = std::max(Millis(10), settings_.raft_.heartbeat_ /
+                                           kTicksPerHeartbeat);
+  auto nextTick = MonotonicNow();
+  while (!stopping_) {
+    std::deque<Work> work;
+    {
+      std::unique_lock lock(workMutex_);
+      workReady_.wait_until(
+        lock, nextTick, [this] { return stopping_ || !work_.empty(); });
+      work.swap(work_);
+    }
+    std::vector<RaftAction> actions;
+    for (const auto& item : work) {
+      StepWork(item, actions);
+    }
+    if (MonotonicNow() >= nextTick) {
+      auto ticked = core_->Step(TickInput{}, MonotonicNow());
+      std::move(ticked.begin(), ticked.end(), std::back_inserter(actions));
+      nextTick = MonotonicNow() + tick;
+      RepairVoters();
+    }
+    if (!CarryOut(actions)) {
+      // What is not durable must not be acknowledged, and a store that failed
+      // once cannot be trusted to be in a known state.
+      FlushLog();
+      std::_Exit(AnswerOf(ErrorKind::IoError).exitCode_);
+    }
+    CompactWhenDue();
+    PublishControl();
+  }
+  FailWaiting();
+}
+
+void
+ReplicaService::StepWork(const Work& aWork, std::vector<RaftAction>& aActions)
+{
+  if (const auto* message =
+        std::get_if<std::shared_ptr<WaitingMessage>>(&aWork)) {
+    StepMessage(*message, aActions);
+  } else if (const auto* command =
+               std::get_if<std::shared_ptr<WaitingCommand>>(&aWork)) {
+    StepCommand(*command, aActions);
+  } else if (const auto* reply = std::get_if<RaftMessage>(&aWork)) {
+    auto stepped = core_->Step(MessageInput{ *reply }, MonotonicNow());
+    std::move(stepped.begin(), stepped.end(), std::back_inserter(aActions));
+  } else if (const auto* change = std::get_if<ChangeVoters>(&aWork)) {
+    auto stepped =
+      core_->Step(ChangeVoterInput{ 0, change->voter_, change->add_ },
+                  MonotonicNow());
+    std::move(stepped.begin(), stepped.end(), std::back_inserter(aActions));
+  }
+}
+
+void
+ReplicaService::StepMessage(const std::shared_ptr<WaitingMessage>& aMessage,
+                            std::vector<RaftAction>& aActions)
+{
+  auto stepped =
+    core_->Step(MessageInput{ aMessage->message_ }, MonotonicNow());
+  // The answer must not leave before what it promises is durable, so the saves
+  // of this message are carried out first.
+  const auto reply = std::find_if(
+    stepped.begin(), stepped.end(), [&aMessage](const RaftAction& aAction) {
+      const auto* send = std::get_if<SendMessage>(&aAction);
+      return send != nullptr &&
+             send->message_.to_ == aMessage->message_.from_;
+    });
+  std::optional<RaftMessage> answer;
+  if (reply != stepped.end()) {
+    answer = std::get<SendMessage>(*reply).message_;
+    stepped.erase(reply);
+  }
+  std::move(stepped.begin(), stepped.end(), std::back_inserter(aActions));
+  if (!CarryOut(aActions)) {
+    FlushLog();
+    std::_Exit(AnswerOf(ErrorKind::IoError).exitCode_);
+  }
+  aActions.clear();
+  aMessage->reply_.set_value(std::move(answer));
+}
+
+void
+ReplicaService::StepCommand(const std::shared_ptr<WaitingCommand>& aCommand,
+                            std::vector<RaftAction>& aActions)
+{
+  const auto now = MonotonicNow();
+  auto envelope = aCommand->envelope_;
+  // The first command of a leader adds no time: how long ago the former
+  // leader's last one was is not known.
+  envelope.elapsedMs_ =
+    lastProposalAt_ == MonotonicTime{}
+      ? 0
+      : static_cast<std::uint64_t>((now - lastProposalAt_).count());
+  const auto proposal = nextProposal_++;
+  proposed_.emplace(proposal, aCommand);
+  auto stepped =
+    core_->Step(ProposeInput{ proposal, EncodeEnvelope(envelope) }, now);
+  if (core_->Role() == RaftRole::Leader) {
+    lastProposalAt_ = now;
+  }
+  std::move(stepped.begin(), stepped.end(), std::back_inserter(aActions));
+}
+
+bool
+ReplicaService::CarryOut(std::vector<RaftAction>& aActions)
+{
+  // Saves come first, in their order: sending or applying later than allowed
+  // is always safe, and several saves in a row become one.
+  std::stable_partition(
+    aActions.begin(), aActions.end(), [](const RaftAction& aAction) {
+      return IsSave(aAction);
+    });
+  MergeSaves(aActions);
+  for (const auto& action : aActions) {
+    if (IsSave(action)) {
+      if (!Save(action)) {
+        return false;
+      }
+    } else {
+      CarryOutOther(action);
+    }
+  }
+  return true;
+}
+
+bool
+ReplicaService::Save(const RaftAction& aAction)
+{
+  const auto start = MonotonicNow();
+  Result<Done> saved = Done{};
+  if (const auto* hardState = std::get_if<SaveHardState>(&aAction)) {
+    saved = store_->Save(*hardState);
+  } else if (const auto* entries = std::get_if<SaveEntries>(&aAction)) {
+    saved = store_->Save(*entries);
+  } else if (const auto* snapshot = std::get_if<SaveSnapshot>(&aAction)) {
+    saved = store_->Save(*snapshot);
+  }
+  metrics_.Observe("acaciahill_log_save_seconds",
+                   {},
+                   static_cast<double>((MonotonicNow() - start).count()) / 1e3);
+  if (!IsOk(saved)) {
+    LogError("the log cannot be saved; this node stops",
+             { { "error", Describe(ErrorOf(saved)) } });
+    return false;
+  }
+  return true;
+}
+
+void
+ReplicaService::CarryOutOther(const RaftAction& aAction)
+{
+  if (const auto* send = std::get_if<SendMessage>(&aAction)) {
+    SendToPeer(send->message_);
+  } else if (const auto* apply = std::get_if<ApplyEntries>(&aAction)) {
+    ApplyCommitted(apply->entries_);
+  } else if (const auto* restore = std::get_if<RestoreState>(&aAction)) {
+    Restore(restore->snapshot_);
+  } else if (const auto* accepted = std::get_if<ProposalAccepted>(&aAction)) {
+    const auto found = proposed_.find(accepted->proposal_);
+    if (found != proposed_.end()) {
+      pending_[accepted->index_] = { accepted->term_, found->second };
+      proposed_.erase(found);
+    }
+  } else if (const auto* refused = std::get_if<ProposalRefused>(&aAction)) {
+    const auto found = proposed_.find(refused->proposal_);
+    if (found != proposed_.end()) {
+      found->second->result_.set_value(
+        Failed(ErrorKind::NotLeader, "this node does not lead"));
+      proposed_.erase(found);
+    }
+  } else if (const auto* role = std::get_if<RoleChanged>(&aAction)) {
+    LogInfo("role changed",
+            { { "role", static_cast<int>(role->role_) },
+              { "leader", role->leader_ },
+              { "term", role->term_ } });
+    if (role->role_ != RaftRole::Leader) {
+      lastProposalAt_ = MonotonicTime{};
+    }
+  }
+}
+
+void
+ReplicaService::SendToPeer(const RaftMessage& aMessage)
+{
+  const auto address = AddressOf(aMessage.to_);
+  if (!address) {
+    return;
+  }
+  const PeerRaft request{ settings_.cluster_,
+                          settings_.node_,
+                          aMessage,
+                          directory_->MakeDigestFor(aMessage.to_) };
+  client_.SendRaft(
+    *address,
+    request,
+    settings_.raft_.electionMin_,
+    [this](const PeerRaft& aReply) {
+      directory_->AcceptDigest(aReply.from_, aReply.digest_);
+      if (aReply.message_) {
+        Enqueue(*aReply.message_);
+      }
+    });
+}
+
+void
+ReplicaService::Restore(const Snapshot& aSnapshot)
+{
+  if (aSnapshot.data_.empty()) {
+    return;
+  }
+  auto fleet = Fleet::DecodeSnapshot(aSnapshot.data_);
+  if (!IsOk(fleet)) {
+    LogError("a snapshot cannot be read",
+             { { "error", Describe(ErrorOf(fleet)) } });
+    return;
+  }
+  {
+    const std::unique_lock lock(fleetMutex_);
+    const std::lock_guard tailLock(tailMutex_);
+    if (aSnapshot.lastIndex_ <= appliedIndex_) {
+      return;
+    }
+    fleet_ = ValueOf(std::move(fleet));
+    tail_.clear();
+    tailBytes_ = 0;
+    appliedIndex_ = aSnapshot.lastIndex_;
+  }
+  LogInfo("took over a snapshot", { { "index", aSnapshot.lastIndex_ } });
+  NotifyApplied();
+}
+
+void
+ReplicaService::ApplyCommitted(const std::vector<LogEntry>& aEntries)
+{
+  for (const auto& entry : aEntries) {
+    const auto result = ApplyOne(entry);
+    const auto waiting = pending_.find(entry.index_);
+    if (waiting == pending_.end()) {
+      continue;
+    }
+    const auto proposal = waiting->second;
+    pending_.erase(waiting);
+    proposal.command_->result_.set_value(
+      proposal.term_ == entry.term_
+        ? result
+        : Failed(ErrorKind::ProposalLost, "another leader took over"));
+  }
+  NotifyApplied();
+}
+
+CommandResult
+ReplicaService::ApplyOne(const LogEntry& aEntry)
+{
+  auto result = Failed(ErrorKind::ProposalLost, "applied before");
+  {
+    const std::unique_lock lock(fleetMutex_);
+    {
+      const std::lock_guard tailLock(tailMutex_);
+      // A node that both follows by pulls and is a learner of the log gets
+      // entries twice.
+      if (aEntry.index_ != appliedIndex_ + 1) {
+        return result;
+      }
+    }
+    if (aEntry.kind_ == EntryKind::Command) {
+      const auto envelope = DecodeEnvelope(aEntry.data_);
+      if (IsOk(envelope)) {
+        result = fleet_.Apply(ValueOf(envelope), aEntry.index_);
+      } else {
+        LogError("a committed command cannot be read",
+                 { { "index", aEntry.index_ },
+                   { "error", Describe(ErrorOf(envelope)) } });
+      }
+    }
+    const std::lock_guard tailLock(tailMutex_);
+    appliedIndex_ = aEntry.index_;
+    KeepForPulls(aEntry);
+  }
+  return result;
+}
+
+void
+ReplicaService::KeepForPulls(const LogEntry& aEntry)
+{
+  tail_.push_back(aEntry);
+  tailBytes_ += aEntry.data_.size();
+  while (tail_.size() > kTailEntries || tailBytes_ > kTailBytes) {
+    tailBytes_ -= tail_.front().data_.size();
+    tail_.pop_front();
+  }
+}
+
+void
+ReplicaService::NotifyApplied()
+{
+  const std::lock_guard lock(tailMutex_);
+  applied_.notify_all();
+}
+
+void
+ReplicaService::CompactWhenDue()
+{
+  std::uint64_t applied = 0;
+  {
+    const std::lock_guard lock(tailMutex_);
+    applied = appliedIndex_;
+  }
+  applied = std::min(applied, core_->CommitIndex());
+  if (applied < core_->SnapshotIndex() + settings_.snapshotEntries_) {
+    return;
+  }
+  const auto data =
+    Read([](const Fleet& aFleet) { return aFleet.EncodeSnapshot(); });
+  auto actions = core_->Step(CompactInput{ applied, data }, MonotonicNow());
+  if (!CarryOut(actions)) {
+    FlushLog();
+    std::_Exit(AnswerOf(ErrorKind::IoError).exitCode_);
+  }
+  LogInfo("compacted the log", { { "index", applied } });
+}
+
+void
+ReplicaService::RepairVoters()
+{
+  const auto now = MonotonicNow();
+  if (core_->Role() != RaftRole::Leader ||
+      now - lastRepairAt_ < kRepairInterval) {
+    return;
+  }
+  lastRepairAt_ = now;
+  std::map<std::string, KnownStranger> strangers;
+  {
+    const std::lock_guard lock(controlMutex_);
+    for (const auto& voter : core_->StrangersHeard()) {
+      strangers_[voter.node_] = { voter.disk_, now };
+    }
+    strangers = strangers_;
+  }
+  for (const auto& [node, stranger] : strangers) {
+    const bool isSetUp = settings_.voters_.contains(node);
+    if (!isSetUp || now - stranger.heardAt_ > kStrangerMaxAge) {
+      continue;
+    }
+    const auto& voters = core_->Voters().voters_;
+    const auto known =
+      std::find_if(voters.begin(), voters.end(), [&](const VoterId& aVoter) {
+        return aVoter.node_ == node;
+      });
+    if (known == voters.end()) {
+      LogInfo("admitting a voter with a new disk",
+              { { "voter", node }, { "disk", stranger.disk_ } });
+      Enqueue(ChangeVoters{ { node, stranger.disk_ }, true });
+    } else if (known->disk_ != stranger.disk_) {
+      LogWarning("removing a voter that lost its disk",
+                 { { "voter", node }, { "disk", known->disk_ } });
+      Enqueue(ChangeVoters{ *known, false });
+    }
+  }
+}
+
+void
+ReplicaService::PublishControl()
+{
+  const auto now = MonotonicNow();
+  const std::lock_guard lock(controlMutex_);
+  if (core_->Role() == RaftRole::Learner) {
+    // A learner follows by pulls as well; RunFollower publishes.
+    control_.isLeader_ = false;
+    control_.voters_ = core_->Voters().voters_;
+    return;
+  }
+  control_.leader_ = core_->Leader();
+  control_.isLeader_ = core_->Role() == RaftRole::Leader;
+  control_.commitIndex_ = core_->CommitIndex();
+  control_.voters_ = core_->Voters().voters_;
+  if (control_.isLeader_ ? core_->HasQuorumContact(now)
+                         : !control_.leader_.empty()) {
+    contactAt_ = now;
+  }
+}
+
+void
+ReplicaService::FailWaiting()
+{
+  for (auto& [proposal, command] : proposed_) {
+    command->result_.set_value(Failed(ErrorKind::NodeStopping, ""));
+  }
+  for (auto& [index, proposal] : pending_) {
+    proposal.command_->result_.set_value(Failed(ErrorKind::ProposalLost, ""));
+  }
+  proposed_.clear();
+  pending_.clear();
+  const std::lock_guard lock(workMutex_);
+  for (auto& item : work_) {
+    if (auto* message = std::get_if<std::shared_ptr<WaitingMessage>>(&item)) {
+      (*message)->reply_.set_value(std::nullopt);
+    } else if (auto* command =
+                 std::get_if<std::shared_ptr<WaitingCommand>>(&item)) {
+      (*command)->result_.set_value(Failed(ErrorKind::NodeStopping, ""));
+    }
+  }
+  work_.clear();
+}
+
+CommandResult
+ReplicaService::Propose(const Command& aCommand, Millis aTimeout)
+{
+  return Propose(
+    aCommand, requestPrefix_ + std::to_string(nextRequest_++), aTimeout);
+}
+
+CommandResult
+ReplicaService::Propose(const Command& aCommand,
+                        const std::string& aRequestId,
+                        Millis aTimeout)
+{
+  const CommandEnvelope envelope{ aRequestId, 0, aCommand };
+  const auto deadline = MonotonicNow() + aTimeout;
+  // Once a try may have been accepted, the outcome is unknown until a resend
+  // with the same request id brings the first result.
+  bool mayBeAccepted = false;
+  while (!stopping_) {
+    const auto left = deadline - MonotonicNow();
+    if (left <= Millis(0)) {
+      break;
+    }
+    auto result = HandlePropose({ settings_.cluster_, envelope, left, 0 });
+    if (!result.error_ || (result.error_->kind_ != ErrorKind::NotLeader &&
+                           result.error_->kind_ != ErrorKind::ProposalLost &&
+                           result.error_->kind_ !=
+                             ErrorKind::ControlUnreachable)) {
+      return result;
+    }
+    mayBeAccepted |= result.error_->kind_ == ErrorKind::ProposalLost;
+    std::this_thread::sleep_for(std::min(kProposePause, left));
+  }
+  return mayBeAccepted
+           ? Failed(ErrorKind::ProposalLost, "")
+           : Failed(ErrorKind::ControlUnreachable,
+                    "no leader took the change; it was not made");
+}
+
+CommandResult
+ReplicaService::HandlePropose(const PeerPropose& aRequest)
+{
+  const auto control = Control();
+  if (control.isLeader_) {
+    return ProposeHere(aRequest.envelope_, aRequest.timeout_);
+  }
+  if (control.leader_.empty() || aRequest.hops_ >= kMaxHops ||
+      control.leader_ == settings_.node_) {
+    return Failed(ErrorKind::NotLeader, "the leader is not known");
+  }
+  const auto address = AddressOf(control.leader_);
+  if (!address) {
+    return Failed(ErrorKind::ControlUnreachable,
+                  "the leader's address is not known");
+  }
+  auto request = aRequest;
+  ++request.hops_;
+  auto reply = client_.Propose(*address, request);
+  if (!IsOk(reply)) {
+    CommandResult failed;
+    failed.error_ = ErrorOf(reply);
+    return failed;
+  }
+  return ValueOf(std::move(reply));
+}
+
+CommandResult
+ReplicaService::ProposeHere(const CommandEnvelope& aEnvelope, Millis aTimeout)
+{
+  auto waiting = std::make_shared<WaitingCommand>();
+  waiting->envelope_ = aEnvelope;
+  auto result = waiting->result_.get_future();
+  Enqueue(waiting);
+  if (result.wait_for(aTimeout) != std::future_status::ready) {
+    return Failed(ErrorKind::ProposalLost, "no quorum confirmed it in time");
+  }
+  return result.get();
+}
+
+std::optional<std::string>
+ReplicaService::AddressOf(const std::string& aNode) const
+{
+  // The settings come first: they are where the operator puts a voter's
+  // address, and they hold before any node is registered.
+  const auto voter = settings_.voters_.find(aNode);
+  if (voter != settings_.voters_.end()) {
+    return voter->second;
+  }
+  return Read([&aNode](const Fleet& aFleet) -> std::optional<std::string> {
+    const auto found = aFleet.Nodes().find(aNode);
+    if (found == aFleet.Nodes().end()) {
+      return std::nullopt;
+    }
+    return found->second.peerAddress_;
+  });
+}
+
+ControlStatus
+ReplicaService::Control() const
+{
+  const auto now = MonotonicNow();
+  const std::lock_guard lock(controlMutex_);
+  auto control = control_;
+  control.age_ = now - contactAt_;
+  control.caughtUp_ = contactAt_ != MonotonicTime{};
+  control.stale_ = !control.caughtUp_ ||
+                   control.age_ > settings_.raft_.electionMax_ + kStaleMargin;
+  return control;
+}
+
+bool
+ReplicaService::WaitApplied(std::uint64_t aIndex, Millis aTimeout) const
+{
+  std::unique_lock lock(tailMutex_);
+  return applied_.wait_for(lock, aTimeout, [this, aIndex] {
+    return stopping_ || appliedIndex_ >= aIndex;
+  }) && appliedIndex_ >= aIndex;
+}
+
+PeerRaft
+ReplicaService::HandleRaft(const PeerRaft& aRequest)
+{
+  directory_->AcceptDigest(aRequest.from_, aRequest.digest_);
+  PeerRaft reply;
+  reply.cluster_ = settings_.cluster_;
+  reply.from_ = settings_.node_;
+  if (settings_.voter_ && aRequest.message_ && !stopping_) {
+    auto waiting = std::make_shared<WaitingMessage>();
+    waiting->message_ = *aRequest.message_;
+    auto answer = waiting->reply_.get_future();
+    Enqueue(waiting);
+    // The voter thread answers everything it takes, but may be ending.
+    if (answer.wait_for(settings_.raft_.electionMin_) ==
+        std::future_status::ready) {
+      reply.message_ = answer.get();
+    }
+  }
+  reply.digest_ = directory_->MakeDigestFor(aRequest.from_);
+  return reply;
+}
+
+PeerPullReply
+ReplicaService::HandlePull(const PeerPull& aRequest)
+{
+  directory_->AcceptDigest(aRequest.node_, aRequest.digest_);
+  if (!aRequest.disk_.empty()) {
+    const std::lock_guard lock(controlMutex_);
+    strangers_[aRequest.node_] = { aRequest.disk_, MonotonicNow() };
+  }
+  WaitApplied(aRequest.applied_ + 1, std::min(aRequest.wait_, kPullWait));
+
+  PeerPullReply reply;
+  bool needsSnapshot = false;
+  {
+    const std::lock_guard lock(tailMutex_);
+    if (appliedIndex_ > aRequest.applied_) {
+      needsSnapshot =
+        tail_.empty() || tail_.front().index_ > aRequest.applied_ + 1;
+      if (!needsSnapshot) {
+        const auto first = aRequest.applied_ + 1 - tail_.front().index_;
+        for (std::size_t i = first;
+             i < tail_.size() && reply.entries_.size() < kPullEntries;
+             ++i) {
+          reply.entries_.push_back(tail_[i]);
+        }
+      }
+    }
+  }
+  if (needsSnapshot) {
+    const std::shared_lock lock(fleetMutex_);
+    const std::lock_guard tailLock(tailMutex_);
+    reply.snapshot_ = fleet_.EncodeSnapshot();
+    reply.snapshotIndex_ = appliedIndex_;
+  }
+  const auto control = Control();
+  reply.leader_ = control.leader_;
+  reply.controlAge_ = control.caughtUp_ ? control.age_ : Millis(INT32_MAX);
+  reply.digest_ = directory_->MakeDigestFor(aRequest.node_);
+  return reply;
+}
+
+} // namespace acaciahill
--- /dev/null
+++ b/packages/daemon/replica_service_base.h
@@ -0,0 +1,202 @@
+#pragma once
+
+#include "consensus/log_store_base.h"
+#include "consensus/raft_base.h"
+#include "daemon/daemon_settings_type.h"
+#include "daemon/directory_service_base.h"
+#include "daemon/peer_client_base.h"
+#include "daemon/peer_server_base.h"
+#include "kernel/metrics_base.h"
+#include "kernel/service_registry_base.h"
+#include "state/fleet_base.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <future>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <shared_mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace acaciahill {
+
+/// Name under which the service is registered.
+inline constexpr const char* kReplicaServiceName = "replica";
+
+/// This node's relation to the control group.
+struct ControlStatus
+{
+  /// Node id of the leader; empty when unknown.
+  std::string leader_;
+  bool isLeader_ = false;
+  /// Time since the state was last known to be current.
+  Millis age_{ 0 };
+  /// True when that is so long ago that the state may be outdated.
+  bool stale_ = false;
+  /// True once the node has caught up with the log after its start.
+  bool caughtUp_ = false;
+  std::uint64_t commitIndex_ = 0;
+  std::vector<VoterId> voters_;
+
+  bool operator==(const ControlStatus&) const = default;
+};
+
+/// The node's replica of the fleet state: runs the consensus core on voters,
+/// follows the log by pulls elsewhere, and takes commands.
+class ReplicaService
+  : public Service
+  , public PeerHandler
+{
+public:
+  ReplicaService(const DaemonSettings& aSettings,
+                 const ServiceRegistry& aRegistry,
+                 Metrics& aMetrics);
+  ~ReplicaService() override;
+
+  Result<Done> Start() override;
+  void Stop() override;
+
+  /// Runs a function on the state under a shared lock; it must be short.
+  template<typename F>
+  auto Read(F&& aFunction) const
+  {
+    const std::shared_lock lock(fleetMutex_);
+    return aFunction(static_cast<const Fleet&>(fleet_));
+  }
+
+  /// Gives a command to the leader, wherever it is, and waits for its result.
+  /// Without a leader it tries again until the timeout. Errors in the result:
+  /// those of the command; ControlUnreachable when it was not accepted;
+  /// ProposalLost when that is not known.
+  CommandResult Propose(const Command& aCommand,
+                        const std::string& aRequestId,
+                        Millis aTimeout);
+
+  /// The same with a request id of its own.
+  CommandResult Propose(const Command& aCommand, Millis aTimeout);
+
+  ControlStatus Control() const;
+
+  /// Waits until an index is applied or the time is over.
+  bool WaitApplied(std::uint64_t aIndex, Millis aTimeout) const;
+
+  PeerRaft HandleRaft(const PeerRaft& aRequest) override;
+  PeerPullReply HandlePull(const PeerPull& aRequest) override;
+  CommandResult HandlePropose(const PeerPropose& aRequest) override;
+
+private:
+  /// A message from a peer that waits for the core's answer.
+  struct WaitingMessage
+  {
+    RaftMessage message_;
+    std::promise<std::optional<RaftMessage>> reply_;
+  };
+
+  /// A command that waits for its result.
+  struct WaitingCommand
+  {
+    CommandEnvelope envelope_;
+    std::promise<CommandResult> result_;
+  };
+
+  struct ChangeVoters
+  {
+    VoterId voter_;
+    bool add_;
+  };
+
+  using Work = std::variant<std::shared_ptr<WaitingMessage>,
+                            std::shared_ptr<WaitingCommand>,
+                            RaftMessage,
+                            ChangeVoters>;
+
+  /// A proposal in the leader's log that waits to be applied.
+  struct PendingProposal
+  {
+    std::uint64_t term_ = 0;
+    std::shared_ptr<WaitingCommand> command_;
+  };
+
+  struct KnownStranger
+  {
+    std::string disk_;
+    MonotonicTime heardAt_{};
+  };
+
+  Result<Done> OpenLog();
+  void RunVoter();
+  void RunFollower();
+  void RunRegistration();
+  bool PullOnce(const std::string& aPeer, const std::string& aAddress);
+  std::vector<std::pair<std::string, std::string>> PullSources() const;
+
+  void StepWork(const Work& aWork, std::vector<RaftAction>& aActions);
+  void StepCommand(const std::shared_ptr<WaitingCommand>& aCommand,
+                   std::vector<RaftAction>& aActions);
+  void StepMessage(const std::shared_ptr<WaitingMessage>& aMessage,
+                   std::vector<RaftAction>& aActions);
+  bool CarryOut(std::vector<RaftAction>& aActions);
+  bool Save(const RaftAction& aAction);
+  void CarryOutOther(const RaftAction& aAction);
+  void SendToPeer(const RaftMessage& aMessage);
+  void Restore(const Snapshot& aSnapshot);
+  void ApplyCommitted(const std::vector<LogEntry>& aEntries);
+  CommandResult ApplyOne(const LogEntry& aEntry);
+  void KeepForPulls(const LogEntry& aEntry);
+  void CompactWhenDue();
+  void RepairVoters();
+  void PublishControl();
+  void FailWaiting();
+  void NotifyApplied();
+  void Enqueue(Work aWork);
+
+  CommandResult ProposeHere(const CommandEnvelope& aEnvelope, Millis aTimeout);
+  std::optional<std::string> AddressOf(const std::string& aNode) const;
+
+  const DaemonSettings settings_;
+  const ServiceRegistry& registry_;
+  Metrics& metrics_;
+  DirectoryService* directory_ = nullptr;
+  PeerClient client_;
+  std::unique_ptr<PeerServer> server_;
+
+  mutable std::shared_mutex fleetMutex_;
+  Fleet fleet_;
+
+  // Committed entries kept for pulls; guarded by tailMutex_.
+  mutable std::mutex tailMutex_;
+  mutable std::condition_variable applied_;
+  std::deque<LogEntry> tail_;
+  std::size_t tailBytes_ = 0;
+  std::uint64_t appliedIndex_ = 0;
+
+  mutable std::mutex controlMutex_;
+  ControlStatus control_;
+  MonotonicTime contactAt_{};
+  std::map<std::string, KnownStranger> strangers_;
+
+  std::mutex workMutex_;
+  std::condition_variable workReady_;
+  std::deque<Work> work_;
+
+  // Used by the voter thread only.
+  std::unique_ptr<RaftCore> core_;
+  std::unique_ptr<LogStore> store_;
+  VoterId self_;
+  std::map<std::uint64_t, std::shared_ptr<WaitingCommand>> proposed_;
+  std::map<std::uint64_t, PendingProposal> pending_;
+  std::uint64_t nextProposal_ = 1;
+  MonotonicTime lastProposalAt_{};
+  MonotonicTime lastRepairAt_{};
+
+  std::atomic<bool> stopping_{ false };
+  std::atomic<std::uint64_t> nextRequest_{ 1 };
+  std::string requestPrefix_;
+  std::vector<std::thread> threads_;
+};
+
+} // namespace acaciahill
--- /dev/null
+++ b/packages/membership/digest_exchange.cpp
@@ -0,0 +1,97 @@
+#include "membership/digest_exchange_base.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace acaciahill {
+
+namespace {
+
+std::uint64_t
+ClockMs(MonotonicTime aTime)
+{
+  return static_cast<std::uint64_t>(aTime.time_since_epoch().count());
+}
+
+Millis
+AgeOf(MonotonicTime aMadeAt, MonotonicTime aNow)
+{
+  return std::max(Millis(0), aNow - aMadeAt);
+}
+
+} // namespace
+
+DigestExchange::DigestExchange(std::string aSelf, std::uint64_t aBoot)
+  : self_(std::move(aSelf))
+  , boot_(aBoot)
+{}
+
+DigestMessage
+DigestExchange::MakeFor(const std::string& aPeer,
+                        const Directory& aDirectory,
+                        MonotonicTime aNow,
+                        Millis aMaxAge)
+{
+  auto& peer = peers_[aPeer];
+  DigestMessage message;
+  message.clockMs_ = ClockMs(aNow);
+  message.boot_ = boot_;
+  message.echoClockMs_ = peer.clockMs_;
+  message.echoBoot_ = peer.boot_;
+  message.echoAge_ = AgeOf(peer.receivedAt_, aNow);
+  for (const auto& [number, evidence] : aDirectory.Targets()) {
+    const auto age = AgeOf(evidence.madeAt_, aNow);
+    const auto sent = peer.sent_.find(number);
+    const bool isNews =
+      sent == peer.sent_.end() || sent->second < evidence.madeAt_;
+    if (age <= aMaxAge && isNews) {
+      peer.sent_[number] = evidence.madeAt_;
+      message.targets_.push_back({ evidence, age });
+    }
+  }
+  for (const auto& [node, status] : aDirectory.Nodes()) {
+    // The peer knows itself best.
+    if (node != aPeer) {
+      message.nodes_.push_back({ status, AgeOf(status.madeAt_, aNow) });
+    }
+  }
+  return message;
+}
+
+void
+DigestExchange::Accept(const std::string& aPeer,
+                       const DigestMessage& aMessage,
+                       MonotonicTime aNow,
+                       Directory& aDirectory)
+{
+  auto& peer = peers_[aPeer];
+  if (peer.boot_ != aMessage.boot_) {
+    // The peer's process is new and knows nothing of what the old one was sent.
+    peer.sent_.clear();
+  }
+  peer.clockMs_ = aMessage.clockMs_;
+  peer.boot_ = aMessage.boot_;
+  peer.receivedAt_ = aNow;
+
+  std::optional<MonotonicTime> sentAt;
+  if (aMessage.echoBoot_ == boot_ && aMessage.echoClockMs_ != 0) {
+    sentAt = MonotonicTime(Millis(aMessage.echoClockMs_)) + aMessage.echoAge_;
+    sentAt = std::min(*sentAt, aNow);
+  }
+  DirectoryDigest digest;
+  if (sentAt) {
+    for (const auto& [evidence, age] : aMessage.targets_) {
+      auto heard = evidence;
+      heard.madeAt_ = *sentAt - age;
+      digest.targets_.push_back(heard);
+    }
+  }
+  for (const auto& [status, age] : aMessage.nodes_) {
+    auto heard = status;
+    heard.madeAt_ = sentAt.value_or(aNow) - age;
+    digest.nodes_.push_back(heard);
+  }
+  aDirectory.Merge(digest);
+}
+
+} // namespace acaciahill
--- a/packages/membership/directory_type.h
+++ b/packages/membership/directory_type.h
@@ -26,6 +26,17 @@
   bool operator==(const TargetEvidence&) const = default;
 };
 
+/// Load of one pool on one node.
+struct NodePoolLoad
+{
+  std::uint32_t inFlight_ = 0;
+  std::uint32_t queued_ = 0;
+  /// Refused for want of capacity since the process started.
+  std::uint64_t refused_ = 0;
+
+  bool operator==(const NodePoolLoad&) const = default;
+};
+
 /// What a node last said of itself.
 struct NodeStatus
 {
@@ -35,6 +46,8 @@
   /// Requests in flight to targets that drain, by target number. Targets with
   /// none are left out.
   std::map<std::uint32_t, std::uint32_t> inFlight_;
+  /// Load by pool. Pools without any are left out.
+  std::map<std::string, NodePoolLoad> loads_;
   MonotonicTime madeAt_{};
 
   bool operator==(const NodeStatus&) const = default;
