--- /dev/null
+++ b/packages/consensus/file_log_store.cpp
@@ -0,0 +1,427 @@
+#include "consensus/log_codec_func.h"
+#include "consensus/log_store_base.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace acaciahill {
+
+namespace {
+
+using detail::FromBytes;
+using detail::MakeFrame;
+using detail::ReadFrame;
+using detail::ToBytes;
+using detail::ToJson;
+
+constexpr std::string_view kLogHeader = "ACALOG1\n";
+
+// A frame's length has 32 bits.
+constexpr std::size_t kMaxPayload = 0xffffffff;
+
+/// The files of a data folder.
+struct Paths
+{
+  explicit Paths(const std::string& aFolder)
+    : diskId_(aFolder + "/disk_id")
+    , hardState_(aFolder + "/hard_state")
+    , snapshot_(aFolder + "/snapshot")
+    , log_(aFolder + "/log")
+  {
+  }
+
+  std::string diskId_;
+  std::string hardState_;
+  std::string snapshot_;
+  std::string log_;
+};
+
+/// Frames are bound to the data folder by its disk id, and in the log to their
+/// offset. Neither a file of another folder nor a frame contained in a
+/// command's data passes for a record.
+std::uint64_t
+SeedOf(const std::string& aDiskId)
+{
+  return XXH64(aDiskId.data(), aDiskId.size(), 0);
+}
+
+std::string
+WholeLog(const std::vector<LogEntry>& aEntries, std::uint64_t aSeed)
+{
+  std::string bytes(kLogHeader);
+  if (!aEntries.empty()) {
+    bytes += MakeFrame(ToBytes(ToJson(aEntries)), aSeed + bytes.size());
+  }
+  return bytes;
+}
+
+/// Adds the entries of one record; those at or after its first index are
+/// replaced. False when the record leaves a gap.
+bool
+Overlay(std::vector<LogEntry>& aLog, std::vector<LogEntry> aRecord)
+{
+  if (aRecord.empty()) {
+    return false;
+  }
+  for (std::size_t i = 1; i < aRecord.size(); ++i) {
+    if (aRecord[i].index_ != aRecord[0].index_ + i) {
+      return false;
+    }
+  }
+  const auto first = aRecord[0].index_;
+  while (!aLog.empty() && aLog.back().index_ >= first) {
+    aLog.pop_back();
+  }
+  if (!aLog.empty() && aLog.back().index_ + 1 != first) {
+    return false;
+  }
+  aLog.insert(aLog.end(),
+              std::make_move_iterator(aRecord.begin()),
+              std::make_move_iterator(aRecord.end()));
+  return true;
+}
+
+Error
+CorruptAt(const std::string& aPath, std::size_t aOffset, const char* aWhat)
+{
+  return { ErrorKind::CorruptLog,
+           aPath + " is damaged at byte " + std::to_string(aOffset) + ": " +
+             aWhat };
+}
+
+/// The entries of a log file. A bad record at its end is left out; it was being
+/// written when the process or the machine stopped, so nobody relies on it.
+Result<std::vector<LogEntry>>
+ParseLog(const std::string& aPath, std::string_view aBytes, std::uint64_t aSeed)
+{
+  if (!aBytes.starts_with(kLogHeader)) {
+    return CorruptAt(aPath, 0, "no log header");
+  }
+  std::vector<LogEntry> entries;
+  std::size_t at = kLogHeader.size();
+  while (at < aBytes.size()) {
+    const auto rest = aBytes.substr(at);
+    const auto frame = ReadFrame(rest, aSeed + at);
+    if (!frame) {
+      if (detail::HasFrame(rest.substr(1), aSeed + at + 1)) {
+        return CorruptAt(aPath, at, "a bad record with valid ones after it");
+      }
+      break;
+    }
+    auto record = FromBytes(frame->payload_, detail::ToEntries);
+    if (!record || !Overlay(entries, std::move(*record))) {
+      return CorruptAt(aPath, at, "a record that does not continue the log");
+    }
+    at += frame->size_;
+  }
+  return entries;
+}
+
+/// Leaves out what the snapshot covers. A crash between the replacements of
+/// the snapshot and of the log leaves a log from before the snapshot. Its
+/// entries after the snapshot remain only if it holds the snapshot's last
+/// entry, since otherwise they are not known to follow it.
+Result<std::vector<LogEntry>>
+FitToSnapshot(const std::string& aPath,
+              std::vector<LogEntry> aEntries,
+              const Snapshot& aSnapshot)
+{
+  if (aEntries.empty() || aEntries[0].index_ == aSnapshot.lastIndex_ + 1) {
+    return aEntries;
+  }
+  if (aEntries[0].index_ > aSnapshot.lastIndex_) {
+    return CorruptAt(
+      aPath, kLogHeader.size(), "entries after the snapshot are missing");
+  }
+  const auto covered = aSnapshot.lastIndex_ - aEntries[0].index_ + 1;
+  if (covered > aEntries.size() ||
+      aEntries[covered - 1].term_ != aSnapshot.lastTerm_) {
+    return std::vector<LogEntry>{};
+  }
+  aEntries.erase(aEntries.begin(),
+                 aEntries.begin() + static_cast<std::ptrdiff_t>(covered));
+  return aEntries;
+}
+
+class FileLogStore : public LogStore
+{
+public:
+  FileLogStore(FileSystem& aFiles, Paths aPaths, const StoredLog& aStored)
+    : files_(aFiles)
+    , paths_(std::move(aPaths))
+    , seed_(SeedOf(aStored.diskId_))
+    , snapshotIndex_(aStored.snapshot_.lastIndex_)
+    , lastIndex_(aStored.entries_.empty() ? snapshotIndex_
+                                          : aStored.entries_.back().index_)
+    , logSize_(WholeLog(aStored.entries_, seed_).size())
+  {
+  }
+
+  Result<Done> Save(const SaveHardState& aAction) override
+  {
+    return Guard([&] {
+      return files_.ReplaceSynced(
+        paths_.hardState_, MakeFrame(ToBytes(ToJson(aAction.state_)), seed_));
+    });
+  }
+
+  Result<Done> Save(const SaveEntries& aAction) override
+  {
+    return Guard([&] { return Append(aAction.entries_); });
+  }
+
+  Result<Done> Save(const SaveSnapshot& aAction) override
+  {
+    return Guard([&] { return Compact(aAction); });
+  }
+
+private:
+  /// Runs an operation unless an earlier one failed. After a failed sync the
+  /// state of the file is unknown, so nothing more may be acknowledged.
+  template<typename Operation>
+  Result<Done> Guard(Operation aOperation)
+  {
+    if (failure_) {
+      return *failure_;
+    }
+    Result<Done> result = aOperation();
+    if (!IsOk(result)) {
+      failure_ = ErrorOf(result);
+    }
+    return result;
+  }
+
+  Result<Done> Append(const std::vector<LogEntry>& aEntries)
+  {
+    if (aEntries.empty()) {
+      return Done{};
+    }
+    if (aEntries[0].index_ <= snapshotIndex_ ||
+        aEntries[0].index_ > lastIndex_ + 1) {
+      return Error{ ErrorKind::Internal,
+                    "entry " + std::to_string(aEntries[0].index_) +
+                      " does not continue the log, which ends at " +
+                      std::to_string(lastIndex_) };
+    }
+    // All entries of one save are one record: after a crash either all or none
+    // of them are there.
+    const auto payload = ToBytes(ToJson(aEntries));
+    if (payload.size() > kMaxPayload) {
+      return Error{ ErrorKind::Internal, "the entries exceed 4 GB" };
+    }
+    const auto frame = MakeFrame(payload, seed_ + logSize_);
+    auto result = files_.AppendSynced(paths_.log_, frame);
+    logSize_ += frame.size();
+    lastIndex_ = aEntries.back().index_;
+    return result;
+  }
+
+  Result<Done> Compact(const SaveSnapshot& aAction)
+  {
+    const auto& snapshot = aAction.snapshot_;
+    const auto payload = ToBytes(ToJson(snapshot));
+    if (payload.size() > kMaxPayload) {
+      return Error{ ErrorKind::Internal, "the snapshot exceeds 4 GB" };
+    }
+    const auto bytes = files_.Read(paths_.log_);
+    if (!IsOk(bytes)) {
+      return ErrorOf(bytes);
+    }
+    auto entries = ParseLog(paths_.log_, ValueOf(bytes), seed_);
+    if (!IsOk(entries)) {
+      return ErrorOf(entries);
+    }
+    auto kept =
+      aAction.reset_
+        ? Result<std::vector<LogEntry>>()
+        : FitToSnapshot(paths_.log_, ValueOf(std::move(entries)), snapshot);
+    if (!IsOk(kept)) {
+      return ErrorOf(kept);
+    }
+    auto result =
+      files_.ReplaceSynced(paths_.snapshot_, MakeFrame(payload, seed_));
+    if (!IsOk(result)) {
+      return result;
+    }
+    const auto log = WholeLog(ValueOf(kept), seed_);
+    snapshotIndex_ = snapshot.lastIndex_;
+    lastIndex_ =
+      ValueOf(kept).empty() ? snapshotIndex_ : ValueOf(kept).back().index_;
+    logSize_ = log.size();
+    return files_.ReplaceSynced(paths_.log_, log);
+  }
+
+  FileSystem& files_;
+  Paths paths_;
+  std::uint64_t seed_;
+  std::uint64_t snapshotIndex_;
+  std::uint64_t lastIndex_;
+  /// Where the next record starts.
+  std::uint64_t logSize_;
+  std::optional<Error> failure_;
+};
+
+/// Creates the files of a new folder. The disk id is last: a folder without it
+/// may hold only what an interrupted creation leaves, which has the size of the
+/// initial files.
+Result<Done>
+Create(FileSystem& aFiles, const Paths& aPaths, const std::string& aDiskId)
+{
+  const auto seed = SeedOf(aDiskId);
+  const std::array files = {
+    std::pair{ aPaths.log_, WholeLog({}, seed) },
+    std::pair{ aPaths.snapshot_, MakeFrame(ToBytes(ToJson(Snapshot{})), seed) },
+    std::pair{ aPaths.hardState_,
+               MakeFrame(ToBytes(ToJson(HardState{})), seed) },
+    std::pair{ aPaths.diskId_, MakeFrame(aDiskId, 0) },
+  };
+  for (const auto& [path, bytes] : files) {
+    if (!aFiles.Exists(path)) {
+      continue;
+    }
+    const auto old = aFiles.Read(path);
+    if (!IsOk(old)) {
+      return ErrorOf(old);
+    }
+    if (ValueOf(old).size() != bytes.size()) {
+      return Error{ ErrorKind::CorruptLog,
+                    path + " holds data but " + aPaths.diskId_ +
+                      " is missing" };
+    }
+  }
+  for (const auto& [path, bytes] : files) {
+    auto result = aFiles.ReplaceSynced(path, bytes);
+    if (!IsOk(result)) {
+      return result;
+    }
+  }
+  return Done{};
+}
+
+/// Reads a file that consists of one frame. aKind is the error when it is
+/// missing or damaged.
+Result<std::string>
+ReadFramed(FileSystem& aFiles,
+           const std::string& aPath,
+           std::uint64_t aSeed,
+           ErrorKind aKind)
+{
+  if (!aFiles.Exists(aPath)) {
+    return Error{ aKind, aPath + " is missing from the data folder" };
+  }
+  auto bytes = aFiles.Read(aPath);
+  if (!IsOk(bytes)) {
+    return bytes;
+  }
+  const auto frame = ReadFrame(ValueOf(bytes), aSeed);
+  if (!frame || frame->size_ != ValueOf(bytes).size()) {
+    return Error{ aKind, aPath + " is damaged: its checksum does not match" };
+  }
+  return std::string(frame->payload_);
+}
+
+/// Reads and decodes a file that consists of one frame.
+template<typename Decode>
+auto
+ReadValue(FileSystem& aFiles,
+          const std::string& aPath,
+          std::uint64_t aSeed,
+          ErrorKind aKind,
+          Decode aDecode) -> Result<decltype(aDecode(nlohmann::json()))>
+{
+  const auto payload = ReadFramed(aFiles, aPath, aSeed, aKind);
+  if (!IsOk(payload)) {
+    return ErrorOf(payload);
+  }
+  auto value = FromBytes(ValueOf(payload), aDecode);
+  if (!value) {
+    return Error{ aKind, aPath + " has an unknown form" };
+  }
+  return *std::move(value);
+}
+
+Result<StoredLog>
+Load(FileSystem& aFiles, const Paths& aPaths)
+{
+  auto diskId = ReadFramed(aFiles, aPaths.diskId_, 0, ErrorKind::CorruptLog);
+  if (!IsOk(diskId)) {
+    return ErrorOf(diskId);
+  }
+  const auto seed = SeedOf(ValueOf(diskId));
+  auto hardState = ReadValue(aFiles,
+                             aPaths.hardState_,
+                             seed,
+                             ErrorKind::CorruptLog,
+                             detail::ToHardState);
+  if (!IsOk(hardState)) {
+    return ErrorOf(hardState);
+  }
+  auto snapshot = ReadValue(aFiles,
+                            aPaths.snapshot_,
+                            seed,
+                            ErrorKind::CorruptSnapshot,
+                            detail::ToSnapshot);
+  if (!IsOk(snapshot)) {
+    return ErrorOf(snapshot);
+  }
+  const auto bytes = aFiles.Read(aPaths.log_);
+  if (!IsOk(bytes)) {
+    return ErrorOf(bytes);
+  }
+  auto entries = ParseLog(aPaths.log_, ValueOf(bytes), seed);
+  if (IsOk(entries)) {
+    entries = FitToSnapshot(
+      aPaths.log_, ValueOf(std::move(entries)), ValueOf(snapshot));
+  }
+  if (!IsOk(entries)) {
+    return ErrorOf(entries);
+  }
+  return StoredLog{ ValueOf(std::move(diskId)),
+                    ValueOf(std::move(hardState)),
+                    ValueOf(std::move(snapshot)),
+                    ValueOf(std::move(entries)) };
+}
+
+} // namespace
+
+Result<OpenedLog>
+OpenFileLog(FileSystem& aFiles,
+            const std::string& aFolder,
+            const std::string& aNewDiskId)
+{
+  const Paths paths(aFolder);
+  if (!aFiles.Exists(paths.diskId_)) {
+    auto result = aFiles.MakeFolder(aFolder);
+    if (IsOk(result)) {
+      result = Create(aFiles, paths, aNewDiskId);
+    }
+    if (!IsOk(result)) {
+      return ErrorOf(result);
+    }
+  }
+  auto stored = Load(aFiles, paths);
+  if (!IsOk(stored)) {
+    return ErrorOf(stored);
+  }
+  // What was read may be in the page cache only, if the last process ended on
+  // a failed sync. Written again, it is durable before anyone relies on it.
+  // This also cuts off a torn tail and drops replaced entries.
+  const auto seed = SeedOf(ValueOf(stored).diskId_);
+  auto result =
+    aFiles.ReplaceSynced(paths.log_, WholeLog(ValueOf(stored).entries_, seed));
+  if (IsOk(result)) {
+    result = aFiles.ReplaceSynced(
+      paths.hardState_,
+      MakeFrame(ToBytes(ToJson(ValueOf(stored).hardState_)), seed));
+  }
+  if (!IsOk(result)) {
+    return ErrorOf(result);
+  }
+  auto store = std::make_unique<FileLogStore>(aFiles, paths, ValueOf(stored));
+  return OpenedLog{ ValueOf(std::move(stored)), std::move(store) };
+}
+
+} // namespace acaciahill
--- /dev/null
+++ b/packages/consensus/os_file_system.cpp
@@ -0,0 +1,227 @@
+#include "consensus/log_store_base.h"
+
+#include <cerrno>
+#include <fcntl.h>
+#include <filesystem>
+#include <mutex>
+#include <sys/stat.h>
+#include <unistd.h>
+
+namespace acaciahill {
+
+namespace {
+
+Error
+SystemError(const char* aOperation, const std::string& aPath)
+{
+  return { ErrorKind::IoError,
+           std::string(aOperation) + " " + aPath + ": " +
+             std::generic_category().message(errno) };
+}
+
+/// An open file descriptor.
+class Descriptor
+{
+public:
+  Descriptor() = default;
+  Descriptor(const std::string& aPath, int aFlags)
+    : number_(::open(aPath.c_str(), aFlags | O_CLOEXEC, 0644))
+  {
+  }
+  Descriptor(const Descriptor&) = delete;
+  Descriptor& operator=(const Descriptor&) = delete;
+  ~Descriptor() { Close(); }
+
+  bool IsOpen() const { return number_ >= 0; }
+  int Number() const { return number_; }
+  void Reopen(const std::string& aPath, int aFlags)
+  {
+    Close();
+    number_ = ::open(aPath.c_str(), aFlags | O_CLOEXEC, 0644);
+  }
+  void Close()
+  {
+    if (number_ >= 0) {
+      ::close(number_);
+      number_ = -1;
+    }
+  }
+
+private:
+  int number_ = -1;
+};
+
+bool
+WriteAll(const Descriptor& aFile, std::string_view aBytes)
+{
+  while (!aBytes.empty()) {
+    const auto written = ::write(aFile.Number(), aBytes.data(), aBytes.size());
+    if (written < 0 && errno != EINTR) {
+      return false;
+    }
+    aBytes.remove_prefix(written < 0 ? 0 : static_cast<std::size_t>(written));
+  }
+  return true;
+}
+
+std::string
+FolderOf(const std::string& aPath)
+{
+  const auto folder = std::filesystem::path(aPath).parent_path().string();
+  return folder.empty() ? "." : folder;
+}
+
+Result<Done>
+SyncFolder(const std::string& aFolder)
+{
+  const Descriptor folder(aFolder, O_RDONLY | O_DIRECTORY);
+  if (!folder.IsOpen() || ::fsync(folder.Number()) != 0) {
+    return SystemError("sync folder", aFolder);
+  }
+  return Done{};
+}
+
+class PosixFileSystem : public FileSystem
+{
+public:
+  Result<std::string> Read(const std::string& aPath) override
+  {
+    const Descriptor file(aPath, O_RDONLY);
+    if (!file.IsOpen()) {
+      return SystemError("open", aPath);
+    }
+    struct stat status = {};
+    if (::fstat(file.Number(), &status) != 0) {
+      return SystemError("stat", aPath);
+    }
+    std::string bytes(static_cast<std::size_t>(status.st_size), '\0');
+    std::size_t filled = 0;
+    while (filled < bytes.size()) {
+      const auto count =
+        ::read(file.Number(), bytes.data() + filled, bytes.size() - filled);
+      if (count < 0 && errno == EINTR) {
+        continue;
+      }
+      if (count < 0) {
+        return SystemError("read", aPath);
+      }
+      if (count == 0) {
+        break;
+      }
+      filled += static_cast<std::size_t>(count);
+    }
+    bytes.resize(filled);
+    return bytes;
+  }
+
+  bool Exists(const std::string& aPath) override
+  {
+    struct stat status = {};
+    // An unreadable file counts as present: it must not be created anew.
+    return ::stat(aPath.c_str(), &status) == 0 ||
+           (errno != ENOENT && errno != ENOTDIR);
+  }
+
+  Result<Done> AppendSynced(const std::string& aPath,
+                            const std::string& aBytes) override
+  {
+    const std::lock_guard lock(mutex_);
+    if (appendPath_ != aPath || !appendFile_.IsOpen()) {
+      const bool isNew = !Exists(aPath);
+      appendFile_.Reopen(aPath, O_WRONLY | O_APPEND | O_CREAT);
+      appendPath_ = aPath;
+      if (!appendFile_.IsOpen()) {
+        return SystemError("open", aPath);
+      }
+      if (isNew) {
+        auto result = SyncFolder(FolderOf(aPath));
+        if (!IsOk(result)) {
+          return result;
+        }
+      }
+    }
+    if (!WriteAll(appendFile_, aBytes)) {
+      return SystemError("write", aPath);
+    }
+    if (::fdatasync(appendFile_.Number()) != 0) {
+      return SystemError("sync", aPath);
+    }
+    return Done{};
+  }
+
+  Result<Done> ReplaceSynced(const std::string& aPath,
+                             const std::string& aBytes) override
+  {
+    Forget(aPath);
+    const auto temporary = aPath + ".tmp";
+    Descriptor file(temporary, O_WRONLY | O_CREAT | O_TRUNC);
+    if (!file.IsOpen()) {
+      return SystemError("open", temporary);
+    }
+    if (!WriteAll(file, aBytes)) {
+      return SystemError("write", temporary);
+    }
+    if (::fsync(file.Number()) != 0) {
+      return SystemError("sync", temporary);
+    }
+    file.Close();
+    if (::rename(temporary.c_str(), aPath.c_str()) != 0) {
+      return SystemError("rename to", aPath);
+    }
+    return SyncFolder(FolderOf(aPath));
+  }
+
+  Result<Done> TruncateSynced(const std::string& aPath,
+                              std::uint64_t aLength) override
+  {
+    const Descriptor file(aPath, O_WRONLY);
+    if (!file.IsOpen()) {
+      return SystemError("open", aPath);
+    }
+    if (::ftruncate(file.Number(), static_cast<off_t>(aLength)) != 0) {
+      return SystemError("truncate", aPath);
+    }
+    if (::fsync(file.Number()) != 0) {
+      return SystemError("sync", aPath);
+    }
+    return Done{};
+  }
+
+  Result<Done> MakeFolder(const std::string& aPath) override
+  {
+    std::error_code error;
+    std::filesystem::create_directories(aPath, error);
+    if (error) {
+      return Error{ ErrorKind::IoError,
+                    "create folder " + aPath + ": " + error.message() };
+    }
+    return SyncFolder(FolderOf(aPath));
+  }
+
+private:
+  /// Closes the kept file if it is this one, which is about to be replaced.
+  void Forget(const std::string& aPath)
+  {
+    const std::lock_guard lock(mutex_);
+    if (appendPath_ == aPath) {
+      appendFile_.Close();
+      appendPath_.clear();
+    }
+  }
+
+  std::mutex mutex_;
+  /// The last appended file is kept open, as each save appends to the log.
+  std::string appendPath_;
+  Descriptor appendFile_;
+};
+
+} // namespace
+
+FileSystem&
+OsFileSystem()
+{
+  static PosixFileSystem kFiles;
+  return kFiles;
+}
+
+} // namespace acaciahill
--- a/packages/consensus/raft_base.h
+++ b/packages/consensus/raft_base.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include "consensus/raft_log_base.h"
 #include "consensus/raft_type.h"
 
 #include <map>
+#include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,25 +32,150 @@
   std::uint64_t CommitIndex() const { return commitIndex_; }
   std::uint64_t LastIndex() const;
   /// Index of the snapshot below which the log is compacted.
-  std::uint64_t SnapshotIndex() const { return snapshot_.lastIndex_; }
+  std::uint64_t SnapshotIndex() const { return log_.LastSnapshot().lastIndex_; }
   /// The voters in force (the last set in the log).
-  const VoterSet& Voters() const { return voters_; }
+  const VoterSet& Voters() const { return log_.Voters(); }
   /// True when this member leads and has heard a quorum within an election
-  /// timeout.
+  /// timeout (electionMin_, counted from the sending of the answered request).
+  /// No other leader can be elected while it is true.
   bool HasQuorumContact(MonotonicTime aNow) const;
+  /// On the leader, the identities of nodes that are voters under another disk
+  /// id than the one they answer with: they lost their disk. The shell removes
+  /// the old identity and then adds this one. Empty on other members.
+  std::vector<VoterId> StrangersHeard() const;
 
 private:
-  // The implementing engineer completes the private part.
+  /// What the leader knows of one node that it replicates to.
+  struct Progress
+  {
+    /// Disk id in the node's last reply; empty before the first one.
+    std::string disk_;
+    std::uint64_t next_ = 1;
+    std::uint64_t match_ = 0;
+    /// Sending time of the latest request that was answered; the default is
+    /// before any time of the process.
+    MonotonicTime contact_{ Millis::min() / 2 };
+    /// A request with entries or a snapshot is open, sent in this round. While
+    /// it is, heartbeats to the node carry no entries.
+    bool waiting_ = false;
+    std::uint64_t waitingRound_ = 0;
+    std::uint64_t sentCommit_ = 0;
+    /// The node has accepted something under this disk id.
+    bool confirmed_ = false;
+    /// Index of the entry that removed the node and the time of its proposal;
+    /// the node is sent this entry so that it learns of its removal.
+    std::uint64_t leaveIndex_ = 0;
+    MonotonicTime leaveSince_;
+  };
+
+  /// An addition that waits for the new voter to catch up.
+  struct PendingAdd
+  {
+    std::uint64_t proposal_ = 0;
+    VoterId voter_;
+    /// The index to reach in this round of catching up, and its start.
+    std::uint64_t target_ = 0;
+    MonotonicTime roundStart_;
+    /// Match index and time of the last advance.
+    std::uint64_t match_ = 0;
+    MonotonicTime advancedAt_;
+  };
+
+  /// Holds back the commit of an added voter's entry until the new voter has
+  /// stored it, or until a time limit.
+  struct AddGate
+  {
+    std::uint64_t index_ = 0;
+    std::string node_;
+    MonotonicTime until_;
+  };
+
+  // raft_core.cpp: inputs, roles, elections.
+  void Handle(const TickInput& aInput);
+  void Handle(const MessageInput& aInput);
+  void Handle(const ProposeInput& aInput);
+  void Handle(const ChangeVoterInput& aInput);
+  void Handle(const CompactInput& aInput);
+  void Receive(const RaftMessage& aMessage, const VoteRequest& aRequest);
+  void Receive(const RaftMessage& aMessage, const VoteReply& aReply);
+  void BecomeFollower(std::uint64_t aTerm, const std::string& aLeader);
+  void BecomeLeader();
+  void StartPreVote();
+  void StartElection();
+  void RequestVotes(std::uint64_t aTerm, bool aPreVote);
+  bool HasVotes() const;
+  bool HearsLeader() const;
+  bool IsUpToDate(const VoteRequest& aRequest) const;
+  bool IsVoter(const VoterId& aVoter) const;
+  void FollowVoters();
+  void RestartElectionTimer();
+  void CommitTo(std::uint64_t aIndex);
+  void SetHardState(HardState aState);
+  void FlushHardState();
+  void Send(const std::string& aTo,
+            std::uint64_t aTerm,
+            decltype(RaftMessage::body_) aBody);
+
+  // raft_follower.cpp: requests of the leader.
+  void Receive(const RaftMessage& aMessage, const AppendRequest& aRequest);
+  void Receive(const RaftMessage& aMessage, const SnapshotRequest& aRequest);
+  bool AcceptLeader(const RaftMessage& aMessage, std::uint64_t aRound);
+  bool StoreEntries(const AppendRequest& aRequest);
+  void ReplyFailure(const std::string& aTo,
+                    std::uint64_t aConflict,
+                    std::uint64_t aRound);
+  void ReplySuccess(const std::string& aTo,
+                    std::uint64_t aMatch,
+                    std::uint64_t aRound);
+
+  // raft_leader.cpp: replication and commit.
+  void Receive(const RaftMessage& aMessage, const AppendReply& aReply);
+  void TickLeader();
+  std::uint64_t AppendAsLeader(EntryKind aKind, std::string aData);
+  void TakeReply(Progress& aProgress, const AppendReply& aReply);
+  void SendAppend(const std::string& aNode,
+                  Progress& aProgress,
+                  bool aWithEntries);
+  void SendPending();
+  void AdvanceCommit();
+  MonotonicTime QuorumContact(MonotonicTime aNow, MonotonicTime aFloor) const;
+  const Progress* ProgressOf(const VoterId& aVoter) const;
+
+  // raft_change.cpp: changes of the voters.
+  bool IsChangeAllowed(const ChangeVoterInput& aInput) const;
+  void RemoveVoter(const ChangeVoterInput& aInput);
+  void StartAdd(const ChangeVoterInput& aInput);
+  void AdvanceAdd();
+  void AbandonAdd();
+  void DropDeparted();
+  void FollowVotersAsLeader();
+
   VoterId self_;
   RaftTiming timing_;
   std::mt19937_64 random_;
   RaftRole role_ = RaftRole::Learner;
   HardState hardState_;
-  Snapshot snapshot_;
-  std::vector<LogEntry> entries_;
-  VoterSet voters_;
+  bool hardStateChanged_ = false;
+  RaftLog log_;
   std::string leader_;
   std::uint64_t commitIndex_ = 0;
+
+  /// Time and actions of the step being handled.
+  MonotonicTime now_;
+  std::vector<RaftAction> actions_;
+
+  MonotonicTime electionAt_;
+  /// Until then a leader is taken to be alive and vote requests are ignored.
+  MonotonicTime quietUntil_;
+  /// Nodes whose votes are counted in this election.
+  std::set<std::string> votes_;
+
+  // Only on the leader.
+  MonotonicTime leaderSince_;
+  MonotonicTime heartbeatAt_;
+  std::map<std::string, Progress> progress_;
+  std::optional<PendingAdd> pendingAdd_;
+  std::optional<AddGate> addGate_;
 };
 
 /// A voter set in the form of a Voters entry's data.
--- /dev/null
+++ b/packages/consensus/raft_leader.cpp
@@ -0,0 +1,260 @@
+#include "consensus/raft_base.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace acaciahill {
+
+namespace {
+
+// Bounds of one request. They keep the time of one exchange, and with it the
+// delay of the next heartbeat, well below the election timeout.
+constexpr std::size_t kMaxRequestEntries = 256;
+constexpr std::size_t kMaxRequestBytes = std::size_t{ 512 } * 1024;
+
+/// The highest value that a majority of the values reaches.
+template<typename T>
+T
+ReachedByMajority(std::vector<T> aValues)
+{
+  std::sort(aValues.begin(), aValues.end(), std::greater<>());
+  return aValues.at(aValues.size() / 2);
+}
+
+/// Long before any time of the process, without overflow in differences.
+constexpr MonotonicTime kNever{ Millis::min() / 2 };
+
+/// A round is the leader's monotonic time of sending, in ms, so that an echoed
+/// round tells when the request left.
+std::uint64_t
+RoundAt(MonotonicTime aTime)
+{
+  return static_cast<std::uint64_t>(aTime.time_since_epoch().count());
+}
+
+MonotonicTime
+TimeOfRound(std::uint64_t aRound)
+{
+  return MonotonicTime(Millis(static_cast<Millis::rep>(aRound)));
+}
+
+} // namespace
+
+bool
+RaftCore::HasQuorumContact(MonotonicTime aNow) const
+{
+  return role_ == RaftRole::Leader &&
+         aNow - QuorumContact(aNow, kNever) < timing_.electionMin_;
+}
+
+std::vector<VoterId>
+RaftCore::StrangersHeard() const
+{
+  std::vector<VoterId> strangers;
+  for (const auto& voter : Voters().voters_) {
+    const auto found = progress_.find(voter.node_);
+    if (found != progress_.end() && !found->second.disk_.empty() &&
+        found->second.disk_ != voter.disk_) {
+      strangers.push_back({ voter.node_, found->second.disk_ });
+    }
+  }
+  return strangers;
+}
+
+void
+RaftCore::Receive(const RaftMessage& aMessage, const AppendReply& aReply)
+{
+  if (aMessage.term_ > Term()) {
+    BecomeFollower(aMessage.term_, {});
+    return;
+  }
+  const auto found = progress_.find(aMessage.from_);
+  if (role_ != RaftRole::Leader || aMessage.term_ != Term() ||
+      found == progress_.end() || aReply.voter_.node_ != aMessage.from_ ||
+      aReply.voter_.disk_.empty() || aReply.matchIndex_ > LastIndex()) {
+    return;
+  }
+  TakeReply(found->second, aReply);
+  AdvanceAdd();
+  AdvanceCommit();
+  DropDeparted();
+  SendPending();
+}
+
+void
+RaftCore::TakeReply(Progress& aProgress, const AppendReply& aReply)
+{
+  if (aProgress.disk_ != aReply.voter_.disk_) {
+    // Another disk: nothing that the node acknowledged before is still there.
+    Progress fresh;
+    fresh.disk_ = aReply.voter_.disk_;
+    fresh.next_ = LastIndex() + 1;
+    fresh.leaveIndex_ = aProgress.leaveIndex_;
+    fresh.leaveSince_ = aProgress.leaveSince_;
+    if (aProgress.disk_.empty()) {
+      fresh.next_ = aProgress.next_;
+      fresh.waiting_ = aProgress.waiting_;
+      fresh.waitingRound_ = aProgress.waitingRound_;
+    }
+    aProgress = std::move(fresh);
+  }
+  const auto sentAt = std::min(TimeOfRound(aReply.round_), now_);
+  aProgress.contact_ = std::max(aProgress.contact_, sentAt);
+  if (aReply.round_ >= aProgress.waitingRound_) {
+    aProgress.waiting_ = false;
+  }
+  if (aReply.success_) {
+    aProgress.confirmed_ = true;
+    aProgress.match_ = std::max(aProgress.match_, aReply.matchIndex_);
+    aProgress.next_ = std::max(aProgress.next_, aProgress.match_ + 1);
+    return;
+  }
+  const auto next = std::max(aProgress.match_ + 1,
+                             std::min(aReply.conflictIndex_, aProgress.next_));
+  if (next == aProgress.next_) {
+    // The same request again would fail again; the next heartbeat probes.
+    aProgress.waiting_ = true;
+    aProgress.waitingRound_ = RoundAt(now_);
+  }
+  aProgress.next_ = next;
+}
+
+void
+RaftCore::TickLeader()
+{
+  // A leader that may have been replaced must not look like one. The limit is
+  // the longest election timeout, as answers may wait for a slow disk.
+  if (now_ - QuorumContact(now_, leaderSince_) >= timing_.electionMax_) {
+    BecomeFollower(Term(), {});
+    return;
+  }
+  AdvanceAdd();
+  AdvanceCommit();
+  DropDeparted();
+  if (role_ == RaftRole::Leader && now_ >= heartbeatAt_) {
+    heartbeatAt_ = now_ + timing_.heartbeat_;
+    for (auto& [node, progress] : progress_) {
+      SendAppend(node, progress, !progress.waiting_);
+    }
+  }
+  SendPending();
+}
+
+std::uint64_t
+RaftCore::AppendAsLeader(EntryKind aKind, std::string aData)
+{
+  LogEntry entry{ LastIndex() + 1, Term(), aKind, std::move(aData) };
+  log_.Append(entry);
+  FlushHardState();
+  actions_.emplace_back(SaveEntries{ { std::move(entry) } });
+  return LastIndex();
+}
+
+void
+RaftCore::SendAppend(const std::string& aNode,
+                     Progress& aProgress,
+                     bool aWithEntries)
+{
+  const auto round = RoundAt(now_);
+  const auto& snapshot = log_.LastSnapshot();
+  // A node that may have nothing at all is first given the bootstrap state.
+  const bool isGenesis =
+    aProgress.next_ == 1 && log_.BaseIndex() == 0 && !aProgress.confirmed_;
+  const bool isBehind = aProgress.next_ <= log_.BaseIndex();
+  aProgress.sentCommit_ = commitIndex_;
+  if ((isBehind || isGenesis) && aWithEntries) {
+    aProgress.waiting_ = true;
+    aProgress.waitingRound_ = round;
+    Send(aNode, Term(), SnapshotRequest{ snapshot, round });
+    return;
+  }
+  const auto previous = isBehind ? snapshot.lastIndex_ : aProgress.next_ - 1;
+  AppendRequest request{
+    previous, log_.TermAt(previous).value_or(0), {}, commitIndex_, round
+  };
+  if (aWithEntries) {
+    request.entries_ =
+      log_.Copy(aProgress.next_, kMaxRequestEntries, kMaxRequestBytes);
+    if (!request.entries_.empty()) {
+      aProgress.waiting_ = true;
+      aProgress.waitingRound_ = round;
+    }
+  }
+  Send(aNode, Term(), std::move(request));
+}
+
+/// Sends what is new to each node that has no request open.
+void
+RaftCore::SendPending()
+{
+  if (role_ != RaftRole::Leader) {
+    return;
+  }
+  for (auto& [node, progress] : progress_) {
+    if (!progress.waiting_ && (progress.next_ <= LastIndex() ||
+                               progress.sentCommit_ < commitIndex_)) {
+      SendAppend(node, progress, true);
+    }
+  }
+}
+
+void
+RaftCore::AdvanceCommit()
+{
+  if (role_ != RaftRole::Leader) {
+    return;
+  }
+  std::vector<std::uint64_t> stored;
+  for (const auto& voter : Voters().voters_) {
+    const auto* progress = ProgressOf(voter);
+    stored.push_back(voter == self_ ? LastIndex()
+                     : progress     ? progress->match_
+                                    : 0);
+  }
+  auto index = ReachedByMajority(std::move(stored));
+  if (addGate_) {
+    const auto found = progress_.find(addGate_->node_);
+    if (now_ >= addGate_->until_ || found == progress_.end() ||
+        found->second.match_ >= addGate_->index_) {
+      addGate_.reset();
+    } else {
+      index = std::min(index, addGate_->index_ - 1);
+    }
+  }
+  // Entries of earlier terms are committed only by a later own one.
+  if (index <= commitIndex_ || log_.TermAt(index) != Term()) {
+    return;
+  }
+  CommitTo(index);
+  if (!IsVoter(self_) && log_.VotersIndex() <= commitIndex_) {
+    SendPending();
+    BecomeFollower(Term(), {});
+  }
+}
+
+/// The latest sending time of requests that a majority has answered, or aFloor
+/// when that is later.
+MonotonicTime
+RaftCore::QuorumContact(MonotonicTime aNow, MonotonicTime aFloor) const
+{
+  std::vector<MonotonicTime> contacts;
+  for (const auto& voter : Voters().voters_) {
+    const auto* progress = ProgressOf(voter);
+    const auto contact = progress ? progress->contact_ : kNever;
+    contacts.push_back(voter == self_ ? aNow : std::max(aFloor, contact));
+  }
+  return ReachedByMajority(std::move(contacts));
+}
+
+/// The progress that counts for a voter: that of its node, if it answers with
+/// the voter's disk id.
+const RaftCore::Progress*
+RaftCore::ProgressOf(const VoterId& aVoter) const
+{
+  const auto found = progress_.find(aVoter.node_);
+  return found != progress_.end() && found->second.disk_ == aVoter.disk_
+           ? &found->second
+           : nullptr;
+}
+
+} // namespace acaciahill
