--- /dev/null
+++ b/packages/planner/availability_func.cpp
@@ -0,0 +1,163 @@
+#include "planner/availability_func.h"
+
+#include <algorithm>
+
+namespace acaciahill {
+
+namespace {
+
+// True while a VM is out of service because a wave works on it as planned.
+bool
+IsUnderPermit(const VmRecord& aVm)
+{
+  return !aVm.permit_.empty() && aVm.phase_ != VmPhase::Lost;
+}
+
+} // namespace
+
+VmAvailability
+AvailabilityOf(const VmRecord& aVm,
+               const PlannerView& aView,
+               MonotonicTime aNow,
+               const PlannerLimits& aLimits)
+{
+  if (aVm.phase_ != VmPhase::Active || !aVm.permit_.empty()) {
+    return VmAvailability::Unavailable;
+  }
+  if (!aView.zonesInContact_.contains(aVm.identity_.zone_)) {
+    return VmAvailability::Unknown;
+  }
+  const auto heard = aView.targets_.find(aVm.identity_.id_);
+  if (heard == aView.targets_.end() ||
+      aNow - heard->second.madeAt_ > aLimits.availableFor_) {
+    return VmAvailability::Unknown;
+  }
+  const auto& evidence = heard->second;
+  return evidence.incarnation_ == aVm.identity_.incarnation_ &&
+             evidence.epoch_ == aVm.epoch_ && !evidence.draining_
+           ? VmAvailability::Available
+           : VmAvailability::Unavailable;
+}
+
+RackKey
+RackOf(const VmRecord& aVm)
+{
+  return { aVm.identity_.zone_, aVm.identity_.rack_ };
+}
+
+PoolCapacity::PoolCapacity(PoolRow aRow)
+  : row_(std::move(aRow))
+{
+}
+
+void
+PoolCapacity::Add(const VmRecord& aVm, bool aAvailable)
+{
+  ++members_;
+  if (aAvailable) {
+    ++availableByRack_[RackOf(aVm)];
+  } else {
+    out_.insert(aVm.identity_.id_);
+  }
+}
+
+std::int64_t
+PoolCapacity::LargestRack() const
+{
+  std::int64_t largest = 0;
+  for (const auto& [rack, count] : availableByRack_) {
+    largest = std::max(largest, count);
+  }
+  return largest;
+}
+
+bool
+PoolCapacity::Holds() const
+{
+  return Out() <= row_.maxUnavailable_ &&
+         Available() - LargestRack() >= row_.minAvailable_;
+}
+
+bool
+PoolCapacity::AllowsOut(const VmRecord& aVm) const
+{
+  if (out_.contains(aVm.identity_.id_)) {
+    return Holds();
+  }
+  if (Out() + 1 > row_.maxUnavailable_) {
+    return false;
+  }
+  std::int64_t largest = 0;
+  const auto ownRack = RackOf(aVm);
+  for (const auto& [rack, count] : availableByRack_) {
+    largest = std::max(largest, rack == ownRack ? count - 1 : count);
+  }
+  return Available() - 1 - largest >= row_.minAvailable_;
+}
+
+void
+PoolCapacity::TakeOut(const VmRecord& aVm)
+{
+  if (out_.insert(aVm.identity_.id_).second) {
+    --availableByRack_[RackOf(aVm)];
+  }
+}
+
+void
+PoolCapacity::GiveBack(const VmRecord& aVm)
+{
+  if (out_.erase(aVm.identity_.id_) != 0) {
+    ++availableByRack_[RackOf(aVm)];
+  }
+}
+
+std::string
+PoolCapacity::Numbers() const
+{
+  return std::to_string(Available()) + " of " + std::to_string(members_) +
+         " VMs available, " + std::to_string(LargestRack()) +
+         " of them in one rack, min_available " +
+         std::to_string(row_.minAvailable_) + ", " + std::to_string(Out()) +
+         " out, max_unavailable " + std::to_string(row_.maxUnavailable_);
+}
+
+std::map<std::string, PoolCapacity>
+PoolCapacities(const PlannerView& aView,
+               MonotonicTime aNow,
+               const PlannerLimits& aLimits,
+               CountedOut aCounted)
+{
+  std::map<std::string, PoolCapacity> capacities;
+  for (const auto& [pool, row] : aView.fleet_->Table().rows_) {
+    capacities.emplace(pool, PoolCapacity(row));
+  }
+  for (const auto& [id, vm] : aView.fleet_->Vms()) {
+    const auto capacity = capacities.find(vm.pool_);
+    if (capacity == capacities.end()) {
+      continue;
+    }
+    const bool available =
+      (aCounted == CountedOut::NotUnderPermit && IsUnderPermit(vm)) ||
+      AvailabilityOf(vm, aView, aNow, aLimits) == VmAvailability::Available;
+    capacity->second.Add(vm, available);
+  }
+  return capacities;
+}
+
+std::vector<std::string>
+UnavailableVms(const std::string& aPool,
+               const PlannerView& aView,
+               MonotonicTime aNow,
+               const PlannerLimits& aLimits)
+{
+  std::vector<std::string> vms;
+  for (const auto& [id, vm] : aView.fleet_->Vms()) {
+    if (vm.pool_ == aPool && vm.permit_.empty() && vm.moveTo_.empty() &&
+        AvailabilityOf(vm, aView, aNow, aLimits) != VmAvailability::Available) {
+      vms.push_back(id);
+    }
+  }
+  return vms;
+}
+
+} // namespace acaciahill
--- /dev/null
+++ b/packages/planner/availability_func.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "planner/planner_type.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace acaciahill {
+
+/// Whether callers of a pool can use a VM now.
+enum class VmAvailability : std::uint8_t
+{
+  Available,
+  Unavailable, ///< It is leaving, stopped or lost, or holds another assignment.
+  Unknown,     ///< It was not heard lately, or its zone is out of contact.
+};
+
+/// Judges a VM by the state and by what was last heard of it. An active VM is
+/// available only when its evidence is young enough and shows the recorded
+/// incarnation and epoch, as entry VMs send to no other.
+VmAvailability
+AvailabilityOf(const VmRecord& aVm,
+               const PlannerView& aView,
+               MonotonicTime aNow,
+               const PlannerLimits& aLimits);
+
+/// Availability zone and rack; rack names repeat between zones.
+using RackKey = std::pair<std::string, std::string>;
+
+RackKey
+RackOf(const VmRecord& aVm);
+
+/// The availability budget of one pool as the commands check it (section 5 of
+/// the design page), with VMs to be taken out step by step.
+class PoolCapacity
+{
+public:
+  explicit PoolCapacity(PoolRow aRow);
+
+  /// Counts a member of the pool.
+  void Add(const VmRecord& aVm, bool aAvailable);
+
+  /// True when the budget holds with this VM out as well.
+  bool AllowsOut(const VmRecord& aVm) const;
+
+  /// Counts an available member as out from here on.
+  void TakeOut(const VmRecord& aVm);
+
+  /// Counts a member that is out as available again.
+  void GiveBack(const VmRecord& aVm);
+
+  /// True when the budget holds as it is.
+  bool Holds() const;
+
+  const PoolRow& Row() const { return row_; }
+  std::int64_t Members() const { return members_; }
+  std::int64_t Out() const { return static_cast<std::int64_t>(out_.size()); }
+  std::int64_t Available() const { return members_ - Out(); }
+
+  /// The numbers that decide, for the operator.
+  std::string Numbers() const;
+
+private:
+  std::int64_t LargestRack() const;
+
+  PoolRow row_;
+  std::int64_t members_ = 0;
+  std::set<std::string> out_;
+  std::map<RackKey, std::int64_t> availableByRack_;
+};
+
+/// Which VMs PoolCapacities() counts as out.
+enum class CountedOut : std::uint8_t
+{
+  All,
+  /// All but VMs that are heard, or being rebooted, under an open permit.
+  NotUnderPermit,
+};
+
+/// Pool capacities by pool name.
+std::map<std::string, PoolCapacity>
+PoolCapacities(const PlannerView& aView,
+               MonotonicTime aNow,
+               const PlannerLimits& aLimits,
+               CountedOut aCounted = CountedOut::All);
+
+/// The VMs of a pool that are unavailable or unknown, as BeginMove, GrantPermit
+/// and ConfirmStop carry them, ordered by id. VMs with a permit or a move are
+/// left out, as the state counts them itself.
+std::vector<std::string>
+UnavailableVms(const std::string& aPool,
+               const PlannerView& aView,
+               MonotonicTime aNow,
+               const PlannerLimits& aLimits);
+
+} // namespace acaciahill
--- /dev/null
+++ b/packages/planner/drain_tracker.cpp
@@ -0,0 +1,113 @@
+#include "planner/drain_tracker_base.h"
+
+#include <algorithm>
+
+namespace acaciahill {
+
+DrainTracker::DrainTracker(PlannerLimits aLimits)
+  : limits_(aLimits)
+{
+}
+
+void
+DrainTracker::Observe(const PlannerView& aView, MonotonicTime aNow)
+{
+  const Millis gap = lastStep_ ? aNow - *lastStep_ : Millis{ 0 };
+  lastStep_ = aNow;
+  const auto& vms = aView.fleet_->Vms();
+  std::erase_if(drains_, [&vms](const auto& aItem) {
+    const auto vm = vms.find(aItem.first);
+    return vm == vms.end() || vm->second.phase_ != VmPhase::Draining ||
+           vm->second.epoch_ != aItem.second.epoch_;
+  });
+  for (const auto& [id, vm] : vms) {
+    if (vm.phase_ != VmPhase::Draining) {
+      continue;
+    }
+    const auto [drain, isNew] = drains_.try_emplace(id);
+    if (isNew) {
+      drain->second.epoch_ = vm.epoch_;
+      drain->second.firstSeen_ = aNow;
+      drain->second.index_ = aView.fleet_->AppliedIndex();
+    } else if (drain->second.acknowledgedAt_) {
+      drain->second.longestGap_ = std::max(drain->second.longestGap_, gap);
+    }
+    Update(drain->second, vm, aView, aNow);
+  }
+}
+
+void
+DrainTracker::Update(Drain& aDrain,
+                     const VmRecord& aVm,
+                     const PlannerView& aView,
+                     MonotonicTime aNow) const
+{
+  aDrain.complete_ = false;
+  const auto heard = aView.targets_.find(aVm.identity_.id_);
+  if (heard == aView.targets_.end()) {
+    return;
+  }
+  const auto& evidence = heard->second;
+  if (evidence.incarnation_ != aVm.identity_.incarnation_ ||
+      evidence.epoch_ != aVm.epoch_ || !evidence.draining_) {
+    return;
+  }
+  if (!aDrain.acknowledgedAt_) {
+    aDrain.acknowledgedAt_ = aNow;
+  }
+  if (!AreNodesDone(aDrain, aVm, aView, aNow)) {
+    aDrain.nodesDoneAt_.reset();
+  } else if (!aDrain.nodesDoneAt_) {
+    aDrain.nodesDoneAt_ = aNow;
+  }
+  if (evidence.running_ != 0 ||
+      aNow - evidence.madeAt_ > limits_.availableFor_) {
+    return;
+  }
+  // "Nothing running" counts only when it was said after the last moment at
+  // which a node could still send. A statement that waited in a buffer while
+  // this process was frozen is stamped too late by at most the gap between two
+  // steps, so a gap over the margin takes the margin's place.
+  const bool nodesDone =
+    aDrain.nodesDoneAt_ && evidence.madeAt_ >= *aDrain.nodesDoneAt_;
+  const auto leaseEnd = *aDrain.acknowledgedAt_ + limits_.routingLease_ +
+                        std::max(limits_.routingMargin_, aDrain.longestGap_);
+  aDrain.complete_ = nodesDone || evidence.madeAt_ >= leaseEnd;
+}
+
+bool
+DrainTracker::AreNodesDone(const Drain& aDrain,
+                           const VmRecord& aVm,
+                           const PlannerView& aView,
+                           MonotonicTime aNow) const
+{
+  const auto& nodes = aView.fleet_->Nodes();
+  return !nodes.empty() &&
+         std::all_of(nodes.begin(), nodes.end(), [&](const auto& aItem) {
+           const auto status = aView.nodes_.find(aItem.first);
+           if (status == aView.nodes_.end() ||
+               aNow - status->second.madeAt_ > limits_.availableFor_ ||
+               status->second.appliedIndex_ < aDrain.index_) {
+             return false;
+           }
+           const auto inFlight = status->second.inFlight_.find(aVm.number_);
+           return inFlight == status->second.inFlight_.end() ||
+                  inFlight->second == 0;
+         });
+}
+
+bool
+DrainTracker::IsComplete(const std::string& aVm) const
+{
+  const auto drain = drains_.find(aVm);
+  return drain != drains_.end() && drain->second.complete_;
+}
+
+Millis
+DrainTracker::DrainAge(const std::string& aVm, MonotonicTime aNow) const
+{
+  const auto drain = drains_.find(aVm);
+  return drain == drains_.end() ? Millis{ 0 } : aNow - drain->second.firstSeen_;
+}
+
+} // namespace acaciahill
--- /dev/null
+++ b/packages/planner/drain_tracker_base.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "planner/planner_type.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace acaciahill {
+
+/// Follows the drains of all VMs and tells which are complete (section 5 of the
+/// design page). All times start when this object first sees an event, so a new
+/// leader waits the full time again. Not thread-safe.
+class DrainTracker
+{
+public:
+  explicit DrainTracker(PlannerLimits aLimits);
+
+  /// Takes the present view. To be called in each step, before the questions.
+  void Observe(const PlannerView& aView, MonotonicTime aNow);
+
+  /// True when the VM's present drain is complete.
+  bool IsComplete(const std::string& aVm) const;
+
+  /// Time since the VM's present drain was first seen; 0 when it does not
+  /// drain.
+  Millis DrainAge(const std::string& aVm, MonotonicTime aNow) const;
+
+private:
+  struct Drain
+  {
+    std::uint64_t epoch_ = 0;
+    MonotonicTime firstSeen_{};
+    /// Log index applied when the drain was first seen; the drain is at or
+    /// below it.
+    std::uint64_t index_ = 0;
+    std::optional<MonotonicTime> acknowledgedAt_;
+    /// Since when every node is known to send nothing more.
+    std::optional<MonotonicTime> nodesDoneAt_;
+    /// Longest time between two steps since the acknowledgement was seen.
+    Millis longestGap_{ 0 };
+    bool complete_ = false;
+  };
+
+  void Update(Drain& aDrain,
+              const VmRecord& aVm,
+              const PlannerView& aView,
+              MonotonicTime aNow) const;
+  bool AreNodesDone(const Drain& aDrain,
+                    const VmRecord& aVm,
+                    const PlannerView& aView,
+                    MonotonicTime aNow) const;
+
+  PlannerLimits limits_;
+  std::optional<MonotonicTime> lastStep_;
+  std::map<std::string, Drain> drains_;
+};
+
+} // namespace acaciahill
--- /dev/null
+++ b/packages/planner/vm_watch.cpp
@@ -0,0 +1,100 @@
+#include "planner/vm_watch_base.h"
+
+namespace acaciahill {
+
+namespace {
+
+constexpr Millis kRetryAfter{ 3000 };
+// Commands proposed in one step at most; a failed rack or zone is marked over
+// several steps.
+constexpr std::size_t kCommandsPerStep = 32;
+// A planned reboot takes minutes; a VM that stops is marked as lost only after
+// this many times the usual silence.
+constexpr int kRebootFactor = 10;
+
+} // namespace
+
+VmWatch::VmWatch(PlannerLimits aLimits)
+  : limits_(aLimits)
+  , gate_(kRetryAfter)
+{
+}
+
+std::set<std::string>
+VmWatch::HeardZones(const PlannerView& aView, MonotonicTime aNow) const
+{
+  std::set<std::string> zones;
+  for (const auto& [id, vm] : aView.fleet_->Vms()) {
+    const auto heard = aView.targets_.find(id);
+    if (heard != aView.targets_.end() &&
+        aNow - heard->second.madeAt_ <= limits_.availableFor_ &&
+        aView.zonesInContact_.contains(vm.identity_.zone_)) {
+      zones.insert(vm.identity_.zone_);
+    }
+  }
+  return zones;
+}
+
+std::vector<PlannerAction>
+VmWatch::Step(const PlannerView& aView, MonotonicTime aNow)
+{
+  gate_.Advance(aNow);
+  const bool hasGap = !lastStep_ || aNow - *lastStep_ > limits_.availableFor_;
+  lastStep_ = aNow;
+  if (hasGap) {
+    // Nothing could be heard while this process was frozen.
+    silentSince_.clear();
+  }
+  const auto& vms = aView.fleet_->Vms();
+  std::erase_if(silentSince_,
+                [&](const auto& aItem) { return !vms.contains(aItem.first); });
+  const auto heardZones = HeardZones(aView, aNow);
+  std::vector<PlannerAction> actions;
+  for (const auto& [id, vm] : vms) {
+    const auto command = Decide(vm, aView, heardZones, aNow);
+    if (command && actions.size() < kCommandsPerStep &&
+        gate_.Pass(id + "/" + std::to_string(vm.epoch_), aNow)) {
+      actions.emplace_back(ProposeCommand{ *command });
+    }
+  }
+  return actions;
+}
+
+std::optional<Command>
+VmWatch::Decide(const VmRecord& aVm,
+                const PlannerView& aView,
+                const std::set<std::string>& aHeardZones,
+                MonotonicTime aNow)
+{
+  const auto& id = aVm.identity_.id_;
+  const auto heard = aView.targets_.find(id);
+  const bool isHeard =
+    heard != aView.targets_.end() &&
+    heard->second.incarnation_ == aVm.identity_.incarnation_ &&
+    aNow - heard->second.madeAt_ <= limits_.availableFor_;
+  if (isHeard || !aHeardZones.contains(aVm.identity_.zone_)) {
+    silentSince_.insert_or_assign(id, aNow);
+  } else {
+    silentSince_.try_emplace(id, aNow);
+  }
+  if (aVm.phase_ == VmPhase::Lost) {
+    const auto permit = aView.fleet_->Permits().find(aVm.permit_);
+    // The platform may carry out a confirmed stop at any time, so the VM must
+    // get no work before it has rebooted.
+    const bool maybeStopped =
+      permit != aView.fleet_->Permits().end() && permit->second.confirmed_;
+    if (!isHeard || maybeStopped) {
+      return std::nullopt;
+    }
+    return RecoverVm{ id, aVm.identity_.incarnation_ };
+  }
+  const auto limit = aVm.phase_ == VmPhase::Stopping
+                       ? kRebootFactor * limits_.lostAfter_
+                       : limits_.lostAfter_;
+  if (aNow - silentSince_.at(id) < limit) {
+    return std::nullopt;
+  }
+  return MarkVmLost{ id, aVm.identity_.incarnation_ };
+}
+
+} // namespace acaciahill
--- /dev/null
+++ b/packages/planner/wave_planner.cpp
@@ -0,0 +1,475 @@
+#include "planner/wave_planner_base.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace acaciahill {
+
+namespace {
+
+bool
+IsOpen(const Wave& aWave)
+{
+  return aWave.phase_ == WavePhase::Running || aWave.phase_ == WavePhase::Held;
+}
+
+// VMs named in a reason at most; the rest are counted.
+constexpr std::size_t kNamedVms = 5;
+
+std::string
+NameSome(const std::vector<const VmRecord*>& aVms)
+{
+  std::string text;
+  for (std::size_t i = 0; i < std::min(aVms.size(), kNamedVms); ++i) {
+    text += (i == 0 ? "" : ", ") + aVms[i]->identity_.id_;
+  }
+  if (aVms.size() > kNamedVms) {
+    text += " and " + std::to_string(aVms.size() - kNamedVms) + " more";
+  }
+  return text;
+}
+
+} // namespace
+
+WavePlanner::WavePlanner(PlannerLimits aLimits, WaveLimits aWaveLimits)
+  : limits_(aLimits)
+  , waveLimits_(aWaveLimits)
+  , drains_(aLimits)
+  , gate_(aWaveLimits.retryAfter_)
+  , asks_(aWaveLimits.askInterval_)
+{
+}
+
+std::vector<PlannerAction>
+WavePlanner::Step(const PlannerView& aView, MonotonicTime aNow)
+{
+  gate_.Advance(aNow);
+  asks_.Advance(aNow);
+  if (!lastStep_ || aNow - *lastStep_ > limits_.availableFor_) {
+    settledAt_ = aNow + waveLimits_.settleTime_;
+    holds_.clear();
+  }
+  lastStep_ = aNow;
+  drains_.Observe(aView, aNow);
+  ForgetVisibleGrants(aView, aNow);
+  const auto& waves = aView.fleet_->Waves();
+  std::erase_if(holds_, [&waves](const auto& aItem) {
+    const auto wave = waves.find(aItem.first);
+    return wave == waves.end() || !IsOpen(wave->second);
+  });
+  const bool hasWork =
+    !aView.fleet_->Permits().empty() ||
+    std::any_of(waves.begin(), waves.end(), [](const auto& aItem) {
+      return IsOpen(aItem.second);
+    });
+  if (!hasWork) {
+    return {};
+  }
+  auto round = BeginRound(aView, aNow);
+  RevokeOverBudget(round);
+  for (const auto& [id, permit] : aView.fleet_->Permits()) {
+    const auto vm = aView.fleet_->Vms().find(permit.vm_);
+    if (vm != aView.fleet_->Vms().end()) {
+      ServePermit(round, permit, vm->second);
+    }
+  }
+  for (const auto& [id, wave] : waves) {
+    if (wave.phase_ == WavePhase::Running) {
+      GrantNext(round, wave);
+    }
+    if (IsOpen(wave)) {
+      AdjustPhase(round, wave);
+    }
+  }
+  return std::move(round.actions_);
+}
+
+void
+WavePlanner::ForgetVisibleGrants(const PlannerView& aView, MonotonicTime aNow)
+{
+  const auto& vms = aView.fleet_->Vms();
+  std::erase_if(sentGrants_, [&](const auto& aItem) {
+    const auto vm = vms.find(aItem.first);
+    return vm == vms.end() || vm->second.epoch_ != aItem.second.epoch_ ||
+           aNow - aItem.second.sentAt_ >= waveLimits_.retryAfter_;
+  });
+}
+
+WavePlanner::Round
+WavePlanner::BeginRound(const PlannerView& aView, MonotonicTime aNow)
+{
+  Round round{
+    aView,
+    aNow,
+    PoolCapacities(aView, aNow, limits_),
+    PoolCapacities(aView, aNow, limits_, CountedOut::NotUnderPermit),
+    {},
+    {},
+    {},
+    {},
+    {},
+    0,
+  };
+  const auto& vms = aView.fleet_->Vms();
+  for (const auto& [id, permit] : aView.fleet_->Permits()) {
+    const auto vm = vms.find(permit.vm_);
+    // A lost VM may stay away for days; it counts in the budget only.
+    if (vm != vms.end() && vm->second.phase_ != VmPhase::Lost) {
+      CountInWork(round, vm->second, permit.wave_);
+    }
+  }
+  for (const auto& [id, grant] : sentGrants_) {
+    const auto& vm = vms.at(id);
+    CountInWork(round, vm, grant.wave_);
+    const auto capacity = round.capacities_.find(vm.pool_);
+    if (capacity != round.capacities_.end()) {
+      capacity->second.TakeOut(vm);
+    }
+  }
+  return round;
+}
+
+void
+WavePlanner::CountInWork(Round& aRound,
+                         const VmRecord& aVm,
+                         const std::string& aWave)
+{
+  aRound.zoneOfPool_.try_emplace(aVm.pool_, aVm.identity_.zone_);
+  aRound.rackOfZone_.try_emplace(aVm.identity_.zone_, aVm.identity_.rack_);
+  ++aRound.inWork_[aWave];
+}
+
+bool
+WavePlanner::Propose(Round& aRound,
+                     const std::string& aIntent,
+                     Command aCommand)
+{
+  if (gate_.IsPending(aIntent) || aRound.view_.fleet_->Check(aCommand)) {
+    return false;
+  }
+  gate_.Pass(aIntent, aRound.now_);
+  aRound.actions_.emplace_back(ProposeCommand{ std::move(aCommand) });
+  return true;
+}
+
+const std::vector<std::string>&
+WavePlanner::UnavailableOf(Round& aRound, const std::string& aPool) const
+{
+  const auto [item, isNew] = aRound.unavailable_.try_emplace(aPool);
+  if (isNew) {
+    item->second = UnavailableVms(aPool, aRound.view_, aRound.now_, limits_);
+  }
+  return item->second;
+}
+
+void
+WavePlanner::RevokeOverBudget(Round& aRound)
+{
+  if (aRound.now_ < settledAt_) {
+    return;
+  }
+  // The youngest grants go first: they have drained the least.
+  std::vector<const Permit*> revocable;
+  for (const auto& [id, permit] : aRound.view_.fleet_->Permits()) {
+    if (!permit.confirmed_) {
+      revocable.push_back(&permit);
+    }
+  }
+  std::sort(revocable.begin(), revocable.end(), [](auto* aLeft, auto* aRight) {
+    return std::tie(aRight->grantedAtMs_, aRight->id_) <
+           std::tie(aLeft->grantedAtMs_, aLeft->id_);
+  });
+  std::set<std::string> started;
+  for (const auto* permit : revocable) {
+    const auto vm = aRound.view_.fleet_->Vms().find(permit->vm_);
+    if (vm == aRound.view_.fleet_->Vms().end() ||
+        vm->second.phase_ != VmPhase::Draining) {
+      continue;
+    }
+    const auto& pool = vm->second.pool_;
+    const auto capacity = aRound.capacities_.find(pool);
+    if (capacity == aRound.capacities_.end() || capacity->second.Holds()) {
+      continue;
+    }
+    // One batch per pool at a time: a VM that returns is available only once it
+    // has echoed its new epoch, and must not cause further revocations.
+    if (!started.contains(pool) &&
+        !gate_.Pass("revoke-pool/" + pool, aRound.now_)) {
+      continue;
+    }
+    started.insert(pool);
+    Revoke(aRound,
+           *permit,
+           "pool " + pool +
+             " lost its headroom: " + capacity->second.Numbers());
+    capacity->second.GiveBack(vm->second);
+  }
+}
+
+void
+WavePlanner::Revoke(Round& aRound,
+                    const Permit& aPermit,
+                    const std::string& aReason)
+{
+  Propose(
+    aRound, "revoke/" + aPermit.id_, RevokePermit{ aPermit.id_, aReason });
+}
+
+void
+WavePlanner::ServePermit(Round& aRound,
+                         const Permit& aPermit,
+                         const VmRecord& aVm)
+{
+  if (aPermit.confirmed_) {
+    if (asks_.Pass(aPermit.id_, aRound.now_)) {
+      aRound.actions_.emplace_back(AskReboot{ aVm.identity_.id_, aPermit.id_ });
+    }
+    return;
+  }
+  const auto wave = aRound.view_.fleet_->Waves().find(aPermit.wave_);
+  if (wave == aRound.view_.fleet_->Waves().end() || !IsOpen(wave->second)) {
+    Revoke(aRound, aPermit, "wave " + aPermit.wave_ + " does not run");
+    return;
+  }
+  ConfirmWhenDrained(aRound, aPermit, aVm);
+}
+
+void
+WavePlanner::ConfirmWhenDrained(Round& aRound,
+                                const Permit& aPermit,
+                                const VmRecord& aVm)
+{
+  const auto capacity = aRound.capacities_.find(aVm.pool_);
+  if (capacity == aRound.capacities_.end() || !capacity->second.Holds() ||
+      aVm.phase_ != VmPhase::Draining ||
+      gate_.IsPending("revoke/" + aPermit.id_) ||
+      !aRound.view_.zonesInContact_.contains(aVm.identity_.zone_)) {
+    return;
+  }
+  const auto& row = capacity->second.Row();
+  const bool isLate = drains_.DrainAge(aVm.identity_.id_, aRound.now_) >=
+                      Millis{ row.drainLimitMs_ };
+  if (!drains_.IsComplete(aVm.identity_.id_) &&
+      !(isLate && row.drainAction_ == DrainAction::Stop)) {
+    return;
+  }
+  Propose(
+    aRound,
+    "confirm/" + aPermit.id_,
+    ConfirmStop{ aPermit.id_, aVm.epoch_, UnavailableOf(aRound, aVm.pool_) });
+}
+
+bool
+WavePlanner::IsReady(const Round& aRound, const VmRecord& aVm) const
+{
+  return aVm.moveTo_.empty() &&
+         AvailabilityOf(aVm, aRound.view_, aRound.now_, limits_) ==
+           VmAvailability::Available;
+}
+
+std::vector<const VmRecord*>
+WavePlanner::WaitingVms(const Round& aRound, const Wave& aWave) const
+{
+  std::vector<const VmRecord*> waiting;
+  for (const auto& id : aWave.pendingVms_) {
+    const auto vm = aRound.view_.fleet_->Vms().find(id);
+    if (vm != aRound.view_.fleet_->Vms().end() && vm->second.permit_.empty() &&
+        !sentGrants_.contains(id)) {
+      waiting.push_back(&vm->second);
+    }
+  }
+  std::sort(waiting.begin(), waiting.end(), [](auto* aLeft, auto* aRight) {
+    return std::tie(aLeft->maintainedAtMs_, aLeft->identity_.id_) <
+           std::tie(aRight->maintainedAtMs_, aRight->identity_.id_);
+  });
+  return waiting;
+}
+
+bool
+WavePlanner::MayGrant(const Round& aRound,
+                      const Wave& aWave,
+                      const VmRecord& aVm) const
+{
+  const auto inWork = aRound.inWork_.find(aWave.id_);
+  if (aWave.width_ > 0 && inWork != aRound.inWork_.end() &&
+      inWork->second >= aWave.width_) {
+    return false;
+  }
+  const auto zone = aRound.zoneOfPool_.find(aVm.pool_);
+  if (zone != aRound.zoneOfPool_.end() && zone->second != aVm.identity_.zone_) {
+    return false;
+  }
+  const auto rack = aRound.rackOfZone_.find(aVm.identity_.zone_);
+  if (rack != aRound.rackOfZone_.end() && rack->second != aVm.identity_.rack_) {
+    return false;
+  }
+  const auto capacity = aRound.capacities_.find(aVm.pool_);
+  return capacity != aRound.capacities_.end() &&
+         capacity->second.AllowsOut(aVm) && IsReady(aRound, aVm);
+}
+
+void
+WavePlanner::GrantNext(Round& aRound, const Wave& aWave)
+{
+  for (const auto* vm : WaitingVms(aRound, aWave)) {
+    if (aRound.grants_ >= waveLimits_.grantsPerStep_) {
+      return;
+    }
+    if (!MayGrant(aRound, aWave, *vm)) {
+      continue;
+    }
+    const auto& id = vm->identity_.id_;
+    // The epoch makes the permit, and with it the platform's operation, unique
+    // for each stop of the VM.
+    const auto permit = aWave.id_ + "/" + id + "/" + std::to_string(vm->epoch_);
+    if (Propose(aRound,
+                "grant/" + permit,
+                GrantPermit{
+                  aWave.id_, id, permit, UnavailableOf(aRound, vm->pool_) })) {
+      ++aRound.grants_;
+      sentGrants_.insert_or_assign(
+        id, SentGrant{ aWave.id_, vm->epoch_, aRound.now_ });
+      CountInWork(aRound, *vm, aWave.id_);
+      aRound.capacities_.at(vm->pool_).TakeOut(*vm);
+    }
+  }
+}
+
+std::string
+WavePlanner::HeadroomReason(const Round& aRound,
+                            const std::vector<const VmRecord*>& aWaiting) const
+{
+  std::map<std::string, std::vector<const VmRecord*>> byPool;
+  for (const auto* vm : aWaiting) {
+    byPool[vm->pool_].push_back(vm);
+  }
+  std::string reason;
+  for (const auto& [pool, vms] : byPool) {
+    const auto capacity = aRound.unplanned_.find(pool);
+    if (capacity == aRound.unplanned_.end()) {
+      continue;
+    }
+    std::vector<const VmRecord*> ready;
+    std::copy_if(vms.begin(),
+                 vms.end(),
+                 std::back_inserter(ready),
+                 [&](const auto* aVm) { return IsReady(aRound, *aVm); });
+    const bool allowed =
+      std::any_of(ready.begin(), ready.end(), [&](const auto* aVm) {
+        return capacity->second.AllowsOut(*aVm);
+      });
+    if (allowed) {
+      return {};
+    }
+    reason +=
+      (reason.empty() ? "" : "; ") + ("pool " + pool) +
+      (ready.empty() ? " waits for " + NameSome(vms) + ", not available: "
+                     : " has no headroom: ") +
+      capacity->second.Numbers();
+  }
+  std::set<std::string> silentZones;
+  for (const auto* vm : aWaiting) {
+    if (!aRound.view_.zonesInContact_.contains(vm->identity_.zone_)) {
+      silentZones.insert(vm->identity_.zone_);
+    }
+  }
+  for (const auto& zone : silentZones) {
+    reason += "; zone " + zone + " is out of contact";
+  }
+  return reason;
+}
+
+std::string
+WavePlanner::LateDrainReason(const Round& aRound, const Wave& aWave) const
+{
+  for (const auto& [id, permit] : aRound.view_.fleet_->Permits()) {
+    const auto vm = aRound.view_.fleet_->Vms().find(permit.vm_);
+    if (permit.wave_ != aWave.id_ || permit.confirmed_ ||
+        vm == aRound.view_.fleet_->Vms().end()) {
+      continue;
+    }
+    const auto row = aRound.view_.fleet_->Table().rows_.find(vm->second.pool_);
+    if (row == aRound.view_.fleet_->Table().rows_.end() ||
+        row->second.drainAction_ != DrainAction::Wait ||
+        drains_.DrainAge(permit.vm_, aRound.now_) <
+          Millis{ row->second.drainLimitMs_ }) {
+      continue;
+    }
+    const auto heard = aRound.view_.targets_.find(permit.vm_);
+    const auto running =
+      heard == aRound.view_.targets_.end() ? 0 : heard->second.running_;
+    return "pool " + vm->second.pool_ + ": VM " + permit.vm_ +
+           " still drains after its drain_limit_ms of " +
+           std::to_string(row->second.drainLimitMs_) + " with " +
+           std::to_string(running) +
+           " requests running, and drain_action is wait";
+  }
+  return {};
+}
+
+std::string
+WavePlanner::HoldReason(const Round& aRound, const Wave& aWave) const
+{
+  const auto waiting = WaitingVms(aRound, aWave);
+  const bool goesOn =
+    std::any_of(waiting.begin(), waiting.end(), [&](const auto* aVm) {
+      return MayGrant(aRound, aWave, *aVm);
+    });
+  if (goesOn) {
+    return {};
+  }
+  auto reason = HeadroomReason(aRound, waiting);
+  return reason.empty() ? LateDrainReason(aRound, aWave) : reason;
+}
+
+void
+WavePlanner::ProposePhase(Round& aRound,
+                          const Wave& aWave,
+                          WavePhase aPhase,
+                          const std::string& aReason)
+{
+  Propose(
+    aRound, "phase/" + aWave.id_, SetWavePhase{ aWave.id_, aPhase, aReason });
+}
+
+void
+WavePlanner::AdjustPhase(Round& aRound, const Wave& aWave)
+{
+  const auto inWork = aRound.inWork_.find(aWave.id_);
+  if (aWave.pendingVms_.empty() && inWork == aRound.inWork_.end()) {
+    ProposePhase(aRound, aWave, WavePhase::Completed, "");
+    return;
+  }
+  if (aRound.now_ < settledAt_) {
+    return;
+  }
+  auto& hold = holds_[aWave.id_];
+  const auto reason = HoldReason(aRound, aWave);
+  if (reason.empty()) {
+    hold.blockedSince_.reset();
+    if (!hold.freeSince_) {
+      hold.freeSince_ = aRound.now_;
+    }
+    // Hysteresis keeps a VM that comes and goes from switching the wave.
+    if (aWave.phase_ == WavePhase::Held &&
+        aRound.now_ - *hold.freeSince_ >= waveLimits_.resumeAfter_) {
+      ProposePhase(aRound, aWave, WavePhase::Running, "");
+    }
+    return;
+  }
+  hold.freeSince_.reset();
+  if (!hold.blockedSince_) {
+    hold.blockedSince_ = aRound.now_;
+  }
+  const bool reasonDue =
+    !hold.reasonSentAt_ ||
+    aRound.now_ - *hold.reasonSentAt_ >= waveLimits_.reasonInterval_;
+  const bool isHeld = aWave.phase_ == WavePhase::Held;
+  if (isHeld ? reason != aWave.reason_ && reasonDue
+             : aRound.now_ - *hold.blockedSince_ >= waveLimits_.holdAfter_) {
+    ProposePhase(aRound, aWave, WavePhase::Held, reason);
+    hold.reasonSentAt_ = aRound.now_;
+  }
+}
+
+} // namespace acaciahill
--- /dev/null
+++ b/packages/planner/wave_planner_base.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include "planner/availability_func.h"
+#include "planner/drain_tracker_base.h"
+#include "planner/planner_type.h"
+#include "planner/proposal_gate_base.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace acaciahill {
+
+/// Times of the wave planner.
+struct WaveLimits
+{
+  /// A command is not proposed again within this time.
+  Millis retryAfter_{ 3000 };
+  /// Interval at which a reboot is asked for again.
+  Millis askInterval_{ 5000 };
+  /// Time for which a cause must last before a running wave is held.
+  Millis holdAfter_{ 5000 };
+  /// Time for which the headroom must be back before a held wave resumes.
+  Millis resumeAfter_{ 10000 };
+  /// Shortest time between two changes of a held wave's reason.
+  Millis reasonInterval_{ 30000 };
+  /// Time after the first step, or after a gap between steps, in which missing
+  /// evidence revokes and holds nothing, as it may not have been collected yet.
+  Millis settleTime_{ 10000 };
+  std::size_t grantsPerStep_ = 16;
+
+  bool operator==(const WaveLimits&) const = default;
+};
+
+/// Runs maintenance waves: grants permits by the headroom there is now, follows
+/// the drains, confirms the stops, asks for the reboots, and holds and resumes
+/// waves by itself. Not thread-safe.
+class WavePlanner
+{
+public:
+  explicit WavePlanner(PlannerLimits aLimits, WaveLimits aWaveLimits = {});
+
+  std::vector<PlannerAction> Step(const PlannerView& aView, MonotonicTime aNow);
+
+private:
+  /// A grant that was proposed and is not visible in the fleet yet.
+  struct SentGrant
+  {
+    std::string wave_;
+    std::uint64_t epoch_ = 0;
+    MonotonicTime sentAt_{};
+  };
+
+  /// How long a wave has had, or has not had, a reason to be held.
+  struct HoldWatch
+  {
+    std::optional<MonotonicTime> blockedSince_;
+    std::optional<MonotonicTime> freeSince_;
+    std::optional<MonotonicTime> reasonSentAt_;
+  };
+
+  /// What one step works with.
+  struct Round
+  {
+    const PlannerView& view_;
+    MonotonicTime now_;
+    /// With everything that is out.
+    std::map<std::string, PoolCapacity> capacities_;
+    /// Without what waves have taken out themselves.
+    std::map<std::string, PoolCapacity> unplanned_;
+    /// VMs under work of a wave, and where: one zone for each pool and one rack
+    /// for each zone at a time.
+    std::map<std::string, std::string> zoneOfPool_;
+    std::map<std::string, std::string> rackOfZone_;
+    std::map<std::string, std::int64_t> inWork_;
+    std::map<std::string, std::vector<std::string>> unavailable_;
+    std::vector<PlannerAction> actions_;
+    std::size_t grants_ = 0;
+  };
+
+  Round BeginRound(const PlannerView& aView, MonotonicTime aNow);
+  void CountInWork(Round& aRound,
+                   const VmRecord& aVm,
+                   const std::string& aWave);
+  void ForgetVisibleGrants(const PlannerView& aView, MonotonicTime aNow);
+
+  void ServePermit(Round& aRound, const Permit& aPermit, const VmRecord& aVm);
+  void ConfirmWhenDrained(Round& aRound,
+                          const Permit& aPermit,
+                          const VmRecord& aVm);
+  void RevokeOverBudget(Round& aRound);
+  void Revoke(Round& aRound, const Permit& aPermit, const std::string& aReason);
+
+  void GrantNext(Round& aRound, const Wave& aWave);
+  bool MayGrant(const Round& aRound,
+                const Wave& aWave,
+                const VmRecord& aVm) const;
+  /// VMs that still wait for their permit, the oldest maintained first.
+  std::vector<const VmRecord*> WaitingVms(const Round& aRound,
+                                          const Wave& aWave) const;
+  bool IsReady(const Round& aRound, const VmRecord& aVm) const;
+
+  void AdjustPhase(Round& aRound, const Wave& aWave);
+  void ProposePhase(Round& aRound,
+                    const Wave& aWave,
+                    WavePhase aPhase,
+                    const std::string& aReason);
+  /// Why the wave cannot go on; empty when it can.
+  std::string HoldReason(const Round& aRound, const Wave& aWave) const;
+  std::string HeadroomReason(
+    const Round& aRound,
+    const std::vector<const VmRecord*>& aWaiting) const;
+  std::string LateDrainReason(const Round& aRound, const Wave& aWave) const;
+
+  bool Propose(Round& aRound, const std::string& aIntent, Command aCommand);
+  const std::vector<std::string>& UnavailableOf(Round& aRound,
+                                                const std::string& aPool) const;
+
+  PlannerLimits limits_;
+  WaveLimits waveLimits_;
+  DrainTracker drains_;
+  ProposalGate gate_;
+  ProposalGate asks_;
+  std::optional<MonotonicTime> lastStep_;
+  MonotonicTime settledAt_{};
+  std::map<std::string, SentGrant> sentGrants_;
+  std::map<std::string, HoldWatch> holds_;
+};
+
+} // namespace acaciahill
