--- /dev/null
+++ b/packages/planner/burst_meter.cpp
@@ -0,0 +1,76 @@
+#include "planner/burst_meter_base.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace acaciahill {
+
+namespace {
+
+constexpr double kSmoothingMs = 10000;
+constexpr double kMsPerHour = 3600.0 * 1000;
+// A longer gap between two steps says nothing about the load within it.
+constexpr Millis kLongestStep{ 2000 };
+// The pool counts as idle only below this share of its slots, so that the load
+// at which a VM is returned lies well under the one at which it is borrowed.
+constexpr double kIdleShare = 0.7;
+// Shortest idle time before a return, for a move_price of 0.
+constexpr Millis kShortestIdle{ 30000 };
+
+} // namespace
+
+void
+BurstMeter::Observe(const PoolLoad& aLoad,
+                    std::int64_t aSlots,
+                    std::int64_t aVms,
+                    Millis aElapsed)
+{
+  slots_ = std::max<std::int64_t>(aSlots, 1);
+  const auto step = std::min(aElapsed, kLongestStep);
+  const auto demand =
+    static_cast<double>(aLoad.inFlight_ + aLoad.queued_ + aLoad.refused_);
+  const double share =
+    hasDemand_ ? std::min(1.0, static_cast<double>(step.count()) / kSmoothingMs)
+               : 1.0;
+  demand_ += share * (demand - demand_);
+  hasDemand_ = true;
+  const auto capacity = static_cast<double>(slots_ * aVms);
+  overloaded_ = demand > capacity ? overloaded_ + step
+                                  : std::max(overloaded_ - step, Millis{ 0 });
+  // Idle means that one VM less would still leave the reserve.
+  const auto smaller =
+    static_cast<double>(slots_ * std::max<std::int64_t>(aVms - 1, 0));
+  idle_ = std::max(demand, demand_) <= kIdleShare * smaller ? idle_ + step
+                                                            : Millis{ 0 };
+}
+
+std::int64_t
+BurstMeter::NeededVms() const
+{
+  return static_cast<std::int64_t>(
+    std::ceil(demand_ / static_cast<double>(slots_)));
+}
+
+bool
+BurstMeter::IsBorrowWorthIt(const PoolRow& aRow, Millis aMoveTime) const
+{
+  // A burst of unknown length that has lasted for some time is expected to last
+  // as long again. What the operator pays to hold an idle VM for bursts is what
+  // a VM is worth during one.
+  const auto useful =
+    static_cast<double>(std::max(overloaded_ - aMoveTime, Millis{ 0 }).count());
+  const double gain =
+    static_cast<double>(aRow.holdPrice_) * useful / kMsPerHour;
+  const double price = 2.0 * static_cast<double>(aRow.movePrice_);
+  return gain > price;
+}
+
+bool
+BurstMeter::IsReturnWorthIt(const PoolRow& aRow) const
+{
+  const double held = static_cast<double>(aRow.holdPrice_) *
+                      static_cast<double>(idle_.count()) / kMsPerHour;
+  return idle_ >= kShortestIdle && held >= static_cast<double>(aRow.movePrice_);
+}
+
+} // namespace acaciahill
--- /dev/null
+++ b/packages/planner/move_planner.cpp
@@ -0,0 +1,428 @@
+#include "planner/move_planner_base.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace acaciahill {
+
+namespace {
+
+// Slots assumed for a pool without VMs.
+constexpr std::int64_t kDefaultSlots = 8;
+
+bool
+IsMoving(const VmRecord& aVm)
+{
+  return aVm.phase_ == VmPhase::Draining && !aVm.moveTo_.empty();
+}
+
+template<typename Key>
+std::int64_t
+CountOf(const std::map<Key, std::int64_t>& aCounts, const Key& aKey)
+{
+  const auto found = aCounts.find(aKey);
+  return found == aCounts.end() ? 0 : found->second;
+}
+
+} // namespace
+
+MovePlanner::MovePlanner(PlannerLimits aLimits, MoveLimits aMoveLimits)
+  : limits_(aLimits)
+  , moveLimits_(aMoveLimits)
+  , drains_(aLimits)
+  , gate_(aMoveLimits.retryAfter_)
+  , avoid_(aMoveLimits.avoidFor_)
+{
+}
+
+std::vector<PlannerAction>
+MovePlanner::Step(const PlannerView& aView, MonotonicTime aNow)
+{
+  gate_.Advance(aNow);
+  avoid_.Advance(aNow);
+  const Millis elapsed = lastStep_ ? aNow - *lastStep_ : Millis{ 0 };
+  if (!lastStep_ || elapsed > limits_.availableFor_) {
+    settledAt_ = aNow + moveLimits_.settleTime_;
+  }
+  lastStep_ = aNow;
+  drains_.Observe(aView, aNow);
+  ForgetVisible(aView, aNow);
+  auto round = BeginRound(aView, aNow);
+  SetTargets(round, elapsed);
+  CompleteMoves(round);
+  if (aNow >= settledAt_) {
+    AbortMoves(round);
+    FillLacks(round);
+    LendForBursts(round);
+    ReturnSurplus(round);
+  }
+  return std::move(round.actions_);
+}
+
+void
+MovePlanner::ForgetVisible(const PlannerView& aView, MonotonicTime aNow)
+{
+  const auto& vms = aView.fleet_->Vms();
+  std::erase_if(sentMoves_, [&](const auto& aItem) {
+    const auto vm = vms.find(aItem.first);
+    return vm == vms.end() || vm->second.epoch_ != aItem.second.epoch_ ||
+           aNow - aItem.second.sentAt_ >= moveLimits_.retryAfter_;
+  });
+  const auto& rows = aView.fleet_->Table().rows_;
+  std::erase_if(memory_,
+                [&](const auto& aItem) { return !rows.contains(aItem.first); });
+}
+
+MovePlanner::Round
+MovePlanner::BeginRound(const PlannerView& aView, MonotonicTime aNow)
+{
+  Round round{ aView, aNow, PoolCapacities(aView, aNow, limits_), {}, {}, {} };
+  for (const auto& [pool, row] : aView.fleet_->Table().rows_) {
+    round.pools_[pool].row_ = &row;
+  }
+  for (const auto& [id, vm] : aView.fleet_->Vms()) {
+    const auto pool = round.pools_.find(vm.pool_);
+    if (pool == round.pools_.end() || vm.phase_ == VmPhase::Lost) {
+      continue;
+    }
+    ++pool->second.vms_;
+    pool->second.slotSum_ += vm.identity_.slots_;
+    ++pool->second.byZone_[vm.identity_.zone_];
+    ++pool->second.byRack_[RackOf(vm)];
+    const auto sent = sentMoves_.find(id);
+    if (sent != sentMoves_.end()) {
+      CountMove(round, vm, sent->second.to_);
+    } else if (IsMoving(vm)) {
+      CountMove(round, vm, vm.moveTo_);
+    } else if (AvailabilityOf(vm, aView, aNow, limits_) ==
+                 VmAvailability::Available &&
+               !avoid_.IsPending(id)) {
+      round.movable_[vm.pool_].push_back(&vm);
+    }
+  }
+  return round;
+}
+
+void
+MovePlanner::CountMove(Round& aRound,
+                       const VmRecord& aVm,
+                       const std::string& aTo)
+{
+  auto& from = aRound.pools_.at(aVm.pool_);
+  --from.vms_;
+  ++from.movesOut_;
+  --from.byZone_[aVm.identity_.zone_];
+  --from.byRack_[RackOf(aVm)];
+  aRound.capacities_.at(aVm.pool_).TakeOut(aVm);
+  const auto to = aRound.pools_.find(aTo);
+  if (to != aRound.pools_.end()) {
+    ++to->second.vms_;
+    ++to->second.movesIn_;
+    ++to->second.byZone_[aVm.identity_.zone_];
+    ++to->second.byRack_[RackOf(aVm)];
+  }
+}
+
+void
+MovePlanner::SetTargets(Round& aRound, Millis aElapsed)
+{
+  for (auto& [name, pool] : aRound.pools_) {
+    auto& memory = memory_[name];
+    const auto& row = *pool.row_;
+    // Lent VMs count as serving only once they have arrived.
+    const auto serving = std::max<std::int64_t>(pool.vms_ - pool.movesIn_, 0);
+    const auto held = serving + pool.movesOut_;
+    const auto load = aRound.view_.loads_.find(name);
+    memory.meter_.Observe(load == aRound.view_.loads_.end() ? PoolLoad{}
+                                                            : load->second,
+                          held > 0 ? pool.slotSum_ / held : kDefaultSlots,
+                          serving,
+                          aElapsed);
+    const auto surplus = std::max<std::int64_t>(pool.vms_ - row.size_, 0);
+    memory.borrowed_ = std::min(memory.borrowed_, surplus);
+    if (memory.borrowed_ > 0 && memory.meter_.IsReturnWorthIt(row)) {
+      --memory.borrowed_;
+      memory.meter_.RestartIdleTime();
+    }
+    // A new leader does not know which VMs were borrowed, but sees the load
+    // that still needs them.
+    const auto needed =
+      std::max<std::int64_t>(memory.meter_.NeededVms() - row.size_, 0);
+    pool.target_ =
+      row.size_ + std::min(surplus, std::max(memory.borrowed_, needed));
+    const auto since = [&aRound](std::optional<MonotonicTime>& aSince,
+                                 bool aHolds) {
+      if (!aHolds) {
+        aSince.reset();
+      } else if (!aSince) {
+        aSince = aRound.now_;
+      }
+    };
+    since(memory.lacksSince_, pool.vms_ < row.size_);
+    since(memory.surplusSince_, pool.vms_ > pool.target_);
+  }
+}
+
+bool
+MovePlanner::Propose(Round& aRound,
+                     const std::string& aIntent,
+                     Command aCommand)
+{
+  if (gate_.IsPending(aIntent) || aRound.view_.fleet_->Check(aCommand)) {
+    return false;
+  }
+  gate_.Pass(aIntent, aRound.now_);
+  aRound.actions_.emplace_back(ProposeCommand{ std::move(aCommand) });
+  return true;
+}
+
+void
+MovePlanner::CompleteMoves(Round& aRound)
+{
+  for (const auto& [id, vm] : aRound.view_.fleet_->Vms()) {
+    if (IsMoving(vm) && drains_.IsComplete(id) &&
+        aRound.view_.zonesInContact_.contains(vm.identity_.zone_)) {
+      Propose(aRound,
+              "end/" + id + "/" + std::to_string(vm.epoch_),
+              CompleteMove{ id, vm.epoch_ });
+    }
+  }
+}
+
+bool
+MovePlanner::IsGivenUp(const Round& aRound, const VmRecord& aVm) const
+{
+  // A move must not cut off requests, so a pool that does not wait gives it up
+  // and another VM is chosen.
+  const auto pool = aRound.pools_.find(aVm.pool_);
+  return pool != aRound.pools_.end() &&
+         pool->second.row_->drainAction_ == DrainAction::Stop &&
+         drains_.DrainAge(aVm.identity_.id_, aRound.now_) >=
+           Millis{ pool->second.row_->drainLimitMs_ };
+}
+
+std::string
+MovePlanner::AbortReason(const Round& aRound, const VmRecord& aVm) const
+{
+  if (!aRound.view_.zonesInContact_.contains(aVm.identity_.zone_)) {
+    return "zone " + aVm.identity_.zone_ + " is out of contact";
+  }
+  const auto from = aRound.pools_.find(aVm.pool_);
+  const auto to = aRound.pools_.find(aVm.moveTo_);
+  if (to == aRound.pools_.end()) {
+    return "pool " + aVm.moveTo_ + " is gone";
+  }
+  if (from == aRound.pools_.end()) {
+    return {};
+  }
+  const auto& donor = from->second;
+  const auto& taker = to->second;
+  if (!taker.row_->spare_ && taker.vms_ > taker.target_) {
+    return "pool " + aVm.moveTo_ + " has " + std::to_string(taker.vms_) +
+           " VMs and needs " + std::to_string(taker.target_);
+  }
+  if (!donor.row_->spare_ && donor.vms_ < donor.row_->size_) {
+    return "pool " + aVm.pool_ + " would have " + std::to_string(donor.vms_) +
+           " of " + std::to_string(donor.row_->size_) + " wanted VMs";
+  }
+  if (IsGivenUp(aRound, aVm)) {
+    return "not drained within " + std::to_string(donor.row_->drainLimitMs_) +
+           " ms";
+  }
+  return {};
+}
+
+void
+MovePlanner::AbortMoves(Round& aRound)
+{
+  for (const auto& [id, vm] : aRound.view_.fleet_->Vms()) {
+    if (!IsMoving(vm)) {
+      continue;
+    }
+    const auto intent = "end/" + id + "/" + std::to_string(vm.epoch_);
+    const auto reason = AbortReason(aRound, vm);
+    if (reason.empty() || drains_.IsComplete(id) ||
+        !Propose(aRound, intent, AbortMove{ id, vm.epoch_, reason })) {
+      continue;
+    }
+    if (IsGivenUp(aRound, vm)) {
+      avoid_.Pass(id, aRound.now_);
+    }
+    // The counts follow, so that one cause aborts one move.
+    ++aRound.pools_.at(vm.pool_).vms_;
+    const auto to = aRound.pools_.find(vm.moveTo_);
+    if (to != aRound.pools_.end()) {
+      --to->second.vms_;
+    }
+  }
+}
+
+std::vector<std::string>
+MovePlanner::SparePools(const Round& aRound) const
+{
+  std::vector<std::string> pools;
+  for (const auto& [name, pool] : aRound.pools_) {
+    if (pool.row_->spare_) {
+      pools.push_back(name);
+    }
+  }
+  return pools;
+}
+
+std::vector<std::string>
+MovePlanner::PoolsAbove(const Round& aRound, bool aBorrowedToo) const
+{
+  std::vector<std::string> pools;
+  for (const auto& [name, pool] : aRound.pools_) {
+    const auto kept = aBorrowedToo ? pool.row_->size_ : pool.target_;
+    if (!pool.row_->spare_ && pool.vms_ > kept) {
+      pools.push_back(name);
+    }
+  }
+  return pools;
+}
+
+const VmRecord*
+MovePlanner::BestVm(const Round& aRound,
+                    const std::string& aFrom,
+                    const std::string& aTo) const
+{
+  const auto movable = aRound.movable_.find(aFrom);
+  const auto& donor = aRound.pools_.at(aFrom);
+  const auto& taker = aRound.pools_.at(aTo);
+  if (movable == aRound.movable_.end() ||
+      donor.movesOut_ >= moveLimits_.movesPerPool_) {
+    return nullptr;
+  }
+  const VmRecord* best = nullptr;
+  std::tuple<std::int64_t, std::int64_t, std::uint32_t> bestScore;
+  for (const auto* vm : movable->second) {
+    if (sentMoves_.contains(vm->identity_.id_) ||
+        !aRound.capacities_.at(aFrom).AllowsOut(*vm)) {
+      continue;
+    }
+    const auto& zone = vm->identity_.zone_;
+    const auto rack = RackOf(*vm);
+    const std::tuple score{
+      CountOf(taker.byZone_, zone) - CountOf(donor.byZone_, zone),
+      CountOf(taker.byRack_, rack) - CountOf(donor.byRack_, rack),
+      aRound.view_.targets_.at(vm->identity_.id_).running_
+    };
+    if (best == nullptr || score < bestScore) {
+      best = vm;
+      bestScore = score;
+    }
+  }
+  return best;
+}
+
+bool
+MovePlanner::MoveOne(Round& aRound,
+                     const std::vector<std::string>& aDonors,
+                     const std::string& aTo,
+                     const std::string& aReason)
+{
+  if (aRound.pools_.at(aTo).movesIn_ >= moveLimits_.movesPerPool_) {
+    return false;
+  }
+  for (const auto& from : aDonors) {
+    const auto* vm = from == aTo ? nullptr : BestVm(aRound, from, aTo);
+    if (vm == nullptr) {
+      continue;
+    }
+    const auto& id = vm->identity_.id_;
+    if (Propose(aRound,
+                "begin/" + id,
+                BeginMove{
+                  id,
+                  aTo,
+                  aReason,
+                  UnavailableVms(from, aRound.view_, aRound.now_, limits_) })) {
+      sentMoves_.insert_or_assign(id, SentMove{ aTo, vm->epoch_, aRound.now_ });
+      CountMove(aRound, *vm, aTo);
+      return true;
+    }
+  }
+  return false;
+}
+
+void
+MovePlanner::FillLacks(Round& aRound)
+{
+  std::vector<std::pair<std::int64_t, std::string>> lacks;
+  for (const auto& [name, pool] : aRound.pools_) {
+    const auto& since = memory_.at(name).lacksSince_;
+    if (!pool.row_->spare_ && pool.vms_ < pool.row_->size_ && since &&
+        aRound.now_ - *since >= moveLimits_.steadyFor_) {
+      lacks.emplace_back(pool.vms_ - pool.row_->size_, name);
+    }
+  }
+  std::sort(lacks.begin(), lacks.end());
+  for (const auto& [lack, name] : lacks) {
+    const auto& pool = aRound.pools_.at(name);
+    const auto reason = [&] {
+      return "pool " + name + " has " + std::to_string(pool.vms_) + " of " +
+             std::to_string(pool.row_->size_) + " wanted VMs";
+    };
+    while (pool.vms_ < pool.row_->size_ &&
+           (MoveOne(aRound, PoolsAbove(aRound, false), name, reason()) ||
+            MoveOne(aRound, SparePools(aRound), name, reason()) ||
+            MoveOne(aRound, PoolsAbove(aRound, true), name, reason()))) {
+    }
+  }
+}
+
+void
+MovePlanner::LendForBursts(Round& aRound)
+{
+  // The drain of a spare VM ends at the latest with the lease.
+  const auto moveTime = limits_.routingLease_ + limits_.routingMargin_;
+  for (const auto& [name, pool] : aRound.pools_) {
+    auto& memory = memory_.at(name);
+    if (pool.row_->spare_ || pool.vms_ < pool.row_->size_ ||
+        !memory.meter_.IsBorrowWorthIt(*pool.row_, moveTime)) {
+      continue;
+    }
+    while (pool.vms_ < memory.meter_.NeededVms() &&
+           MoveOne(aRound,
+                   SparePools(aRound),
+                   name,
+                   "pool " + name + " needs " +
+                     std::to_string(memory.meter_.NeededVms()) +
+                     " VMs in a burst and has " + std::to_string(pool.vms_))) {
+      ++memory.borrowed_;
+    }
+  }
+}
+
+void
+MovePlanner::ReturnSurplus(Round& aRound)
+{
+  auto spares = SparePools(aRound);
+  std::sort(spares.begin(), spares.end(), [&](auto& aLeft, auto& aRight) {
+    const auto lack = [&](const std::string& aName) {
+      const auto& pool = aRound.pools_.at(aName);
+      return pool.row_->size_ - pool.vms_;
+    };
+    return lack(aLeft) > lack(aRight);
+  });
+  if (spares.empty()) {
+    return;
+  }
+  for (const auto& [name, pool] : aRound.pools_) {
+    const auto& since = memory_.at(name).surplusSince_;
+    if (pool.row_->spare_ || !since ||
+        aRound.now_ - *since < moveLimits_.steadyFor_) {
+      continue;
+    }
+    while (pool.vms_ > pool.target_ &&
+           MoveOne(aRound,
+                   { name },
+                   spares.front(),
+                   "pool " + name + " has " + std::to_string(pool.vms_) +
+                     " VMs and needs " + std::to_string(pool.target_))) {
+    }
+  }
+}
+
+} // namespace acaciahill
--- /dev/null
+++ b/packages/planner/move_planner_base.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include "planner/availability_func.h"
+#include "planner/burst_meter_base.h"
+#include "planner/drain_tracker_base.h"
+#include "planner/planner_type.h"
+#include "planner/proposal_gate_base.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace acaciahill {
+
+/// Times and numbers of the move planner.
+struct MoveLimits
+{
+  /// A command is not proposed again within this time.
+  Millis retryAfter_{ 3000 };
+  /// Time for which a pool must lack VMs, or have too many, before a move.
+  Millis steadyFor_{ 5000 };
+  /// Time after the first step, or after a gap between steps, in which no move
+  /// is begun or aborted, as evidence and load may not have been collected yet.
+  Millis settleTime_{ 10000 };
+  /// Time for which a VM whose drain was given up is not chosen again.
+  Millis avoidFor_{ 300000 };
+  /// Moves into a pool, and moves out of it, at once.
+  std::int64_t movesPerPool_ = 3;
+
+  bool operator==(const MoveLimits&) const = default;
+};
+
+/// Keeps each pool at its wanted size with the VMs of the spare pools, and
+/// lends spare VMs to pools in a burst when that is worth the price. Not
+/// thread-safe.
+class MovePlanner
+{
+public:
+  explicit MovePlanner(PlannerLimits aLimits, MoveLimits aMoveLimits = {});
+
+  std::vector<PlannerAction> Step(const PlannerView& aView, MonotonicTime aNow);
+
+private:
+  /// A move that was proposed and is not visible in the fleet yet.
+  struct SentMove
+  {
+    std::string to_;
+    std::uint64_t epoch_ = 0;
+    MonotonicTime sentAt_{};
+  };
+
+  /// What is remembered of a pool between steps.
+  struct PoolMemory
+  {
+    BurstMeter meter_;
+    /// VMs borrowed for a burst and not returned yet.
+    std::int64_t borrowed_ = 0;
+    std::optional<MonotonicTime> lacksSince_;
+    std::optional<MonotonicTime> surplusSince_;
+  };
+
+  /// A pool in one step. Counts leave out lost VMs and VMs on their way out,
+  /// and include VMs on their way in.
+  struct PoolRound
+  {
+    const PoolRow* row_ = nullptr;
+    std::int64_t vms_ = 0;
+    std::int64_t target_ = 0;
+    std::int64_t movesIn_ = 0;
+    std::int64_t movesOut_ = 0;
+    std::int64_t slotSum_ = 0;
+    std::map<std::string, std::int64_t> byZone_;
+    std::map<RackKey, std::int64_t> byRack_;
+  };
+
+  struct Round
+  {
+    const PlannerView& view_;
+    MonotonicTime now_;
+    std::map<std::string, PoolCapacity> capacities_;
+    std::map<std::string, PoolRound> pools_;
+    /// VMs that may move, by pool.
+    std::map<std::string, std::vector<const VmRecord*>> movable_;
+    std::vector<PlannerAction> actions_;
+  };
+
+  Round BeginRound(const PlannerView& aView, MonotonicTime aNow);
+  void CountMove(Round& aRound, const VmRecord& aVm, const std::string& aTo);
+  void ForgetVisible(const PlannerView& aView, MonotonicTime aNow);
+  void SetTargets(Round& aRound, Millis aElapsed);
+  void CompleteMoves(Round& aRound);
+  void AbortMoves(Round& aRound);
+  bool IsGivenUp(const Round& aRound, const VmRecord& aVm) const;
+  std::string AbortReason(const Round& aRound, const VmRecord& aVm) const;
+
+  void FillLacks(Round& aRound);
+  void LendForBursts(Round& aRound);
+  void ReturnSurplus(Round& aRound);
+
+  /// Begins the best move into a pool from one of the donors; false when there
+  /// is none.
+  bool MoveOne(Round& aRound,
+               const std::vector<std::string>& aDonors,
+               const std::string& aTo,
+               const std::string& aReason);
+  const VmRecord* BestVm(const Round& aRound,
+                         const std::string& aFrom,
+                         const std::string& aTo) const;
+  std::vector<std::string> SparePools(const Round& aRound) const;
+  /// Pools that hold more VMs than the operator wants, or than they need.
+  std::vector<std::string> PoolsAbove(const Round& aRound,
+                                      bool aBorrowedToo) const;
+
+  bool Propose(Round& aRound, const std::string& aIntent, Command aCommand);
+
+  PlannerLimits limits_;
+  MoveLimits moveLimits_;
+  DrainTracker drains_;
+  ProposalGate gate_;
+  ProposalGate avoid_;
+  std::optional<MonotonicTime> lastStep_;
+  MonotonicTime settledAt_{};
+  std::map<std::string, SentMove> sentMoves_;
+  std::map<std::string, PoolMemory> memory_;
+};
+
+} // namespace acaciahill
