--- /dev/null
+++ b/packages/planner/job_sizes_base.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "kernel/time_type.h"
+#include "state/fleet_type.h"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace acaciahill {
+
+/// What one task takes of a VM.
+struct TaskSize
+{
+  std::int64_t milliCores_ = 0;
+  std::int64_t memoryMb_ = 0;
+  std::int64_t slots_ = 0;
+
+  bool operator==(const TaskSize&) const = default;
+};
+
+inline TaskSize
+Sum(const TaskSize& aLeft, const TaskSize& aRight)
+{
+  return { aLeft.milliCores_ + aRight.milliCores_,
+           aLeft.memoryMb_ + aRight.memoryMb_,
+           aLeft.slots_ + aRight.slots_ };
+}
+
+inline TaskSize
+Less(const TaskSize& aLeft, const TaskSize& aRight)
+{
+  return { aLeft.milliCores_ - aRight.milliCores_,
+           aLeft.memoryMb_ - aRight.memoryMb_,
+           aLeft.slots_ - aRight.slots_ };
+}
+
+/// True when a task of this size has room in what is free.
+inline bool
+Fits(const TaskSize& aSize, const TaskSize& aFree)
+{
+  return aSize.milliCores_ <= aFree.milliCores_ &&
+         aSize.memoryMb_ <= aFree.memoryMb_ && aSize.slots_ <= aFree.slots_;
+}
+
+namespace detail {
+
+/// High quantile of samples whose weight halves with time. Samples are counted
+/// in buckets of logarithmic width.
+class DecayedQuantile
+{
+public:
+  explicit DecayedQuantile(Millis aHalfLife)
+    : halfLife_(aHalfLife)
+  {
+  }
+
+  void Add(std::int64_t aValue, MonotonicTime aNow);
+
+  /// Upper bound of the bucket that holds the quantile; 0 without samples.
+  std::int64_t Value() const;
+
+private:
+  // Four buckets for each doubling, up to 2^20: an error of at most 19%.
+  static constexpr std::size_t kBuckets = 80;
+
+  Millis halfLife_;
+  MonotonicTime decayedAt_{};
+  std::array<float, kBuckets> weights_{};
+};
+
+} // namespace detail
+
+/// Learns the real size of each job's tasks from usage samples. Not
+/// thread-safe.
+class JobSizes
+{
+public:
+  /// Takes a usage sample of one task. The caller leaves out samples that were
+  /// measured before the task did its work.
+  void Learn(const std::string& aJob,
+             std::int64_t aMilliCores,
+             std::int64_t aMemoryMb,
+             MonotonicTime aNow);
+
+  /// The learned size, or the declared one while too few samples are known.
+  TaskSize Estimate(const JobRecord& aJob) const;
+
+  /// Forgets jobs that are gone.
+  void Retain(const std::map<std::string, JobRecord>& aJobs);
+
+private:
+  /// Short and long memory of one resource; the larger one counts, so that a
+  /// quiet hour does not hide the daily peak and a rise is seen at once.
+  struct Learned
+  {
+    detail::DecayedQuantile recent_{ Millis{ 10 * 60 * 1000 } };
+    detail::DecayedQuantile longTerm_{ Millis{ 6 * 3600 * 1000 } };
+  };
+
+  struct Entry
+  {
+    std::int64_t samples_ = 0;
+    Learned milliCores_;
+    Learned memoryMb_;
+  };
+
+  static std::int64_t Size(const Learned& aLearned, std::int64_t aDeclared);
+
+  std::map<std::string, Entry> entries_;
+};
+
+} // namespace acaciahill
--- a/packages/planner/move_planner.cpp
+++ b/packages/planner/move_planner.cpp
@@ -358,7 +358,8 @@
     }
   }
   std::sort(lacks.begin(), lacks.end());
-  for (const auto& [lack, name] : lacks) {
+  for (const auto& lack : lacks) {
+    const auto& name = lack.second;
     const auto& pool = aRound.pools_.at(name);
     const auto reason = [&] {
       return "pool " + name + " has " + std::to_string(pool.vms_) + " of " +
