--- a/packages/daemon/admin_service.cpp
+++ b/packages/daemon/admin_service.cpp
@@ -146,7 +146,8 @@
   , server_([this](const HttpCall& aCall) { return Handle(aCall); },
             kMaxThreads,
             kMaxBodyBytes)
-{}
+{
+}
 
 Result<Done>
 AdminService::Start()
@@ -297,9 +298,8 @@
     std::map<std::string, PoolCounts> counts;
     for (const auto& [id, vm] : aFleet.Vms()) {
       const auto found = evidence.find(vm.number_);
-      const auto heard = found == evidence.end()
-                           ? std::nullopt
-                           : std::optional(found->second);
+      const auto heard =
+        found == evidence.end() ? std::nullopt : std::optional(found->second);
       CountVm(counts[vm.pool_],
               vm,
               MayRoute(vm, heard, now, settings_.routingLease_));
@@ -344,9 +344,8 @@
   replica_->Read([&](const Fleet& aFleet) {
     for (const auto& [id, vm] : aFleet.Vms()) {
       const auto found = evidence.find(vm.number_);
-      const auto heard = found == evidence.end()
-                           ? std::nullopt
-                           : std::optional(found->second);
+      const auto heard =
+        found == evidence.end() ? std::nullopt : std::optional(found->second);
       Json json = { { "id", id },
                     { "pool", vm.pool_ },
                     { "phase", WordOf(vm.phase_) },
@@ -537,7 +536,8 @@
 {
   auto json = Json::parse(aCall.body_, nullptr, false);
   if (!json.is_object()) {
-    return ErrorAnswerOf({ ErrorKind::BadRequest, "the body is not a JSON object" });
+    return ErrorAnswerOf(
+      { ErrorKind::BadRequest, "the body is not a JSON object" });
   }
   const auto requestId = json.find("request_id");
   if (requestId == json.end() || !requestId->is_string() ||
--- a/packages/daemon/announce_service.cpp
+++ b/packages/daemon/announce_service.cpp
@@ -3,6 +3,7 @@
 #include "kernel/error_func.h"
 #include "kernel/log_func.h"
 #include "kernel/os_clock_func.h"
+#include "kernel/settings_base.h"
 
 #include <nlohmann/json.hpp>
 
@@ -142,7 +143,8 @@
   , server_([this](const HttpCall& aCall) { return Handle(aCall); },
             kMaxThreads,
             kMaxBodyBytes)
-{}
+{
+}
 
 Result<Done>
 AnnounceService::Start()
--- a/packages/daemon/daemon_settings.cpp
+++ b/packages/daemon/daemon_settings.cpp
@@ -42,7 +42,8 @@
   Section(const Settings& aSettings, std::string_view aName)
     : settings_(aSettings)
     , name_(aName)
-  {}
+  {
+  }
 
   const std::string& Text(std::string_view aKey) const
   {
--- a/packages/daemon/directory_service.cpp
+++ b/packages/daemon/directory_service.cpp
@@ -10,7 +10,8 @@
   : directory_(aSelf)
   , exchange_(aSelf, aBoot)
   , maxAge_(aMaxAge)
-{}
+{
+}
 
 bool
 DirectoryService::Hear(const TargetEvidence& aEvidence)
--- a/packages/daemon/http_server.cpp
+++ b/packages/daemon/http_server.cpp
@@ -83,7 +83,8 @@
   RequestHandler(const HttpServer::Handler& aHandler, std::int64_t aMaxBytes)
     : handler_(aHandler)
     , maxBytes_(aMaxBytes)
-  {}
+  {
+  }
 
   void handleRequest(Poco::Net::HTTPServerRequest& aRequest,
                      Poco::Net::HTTPServerResponse& aResponse) override
@@ -139,7 +140,8 @@
   HandlerFactory(const HttpServer::Handler& aHandler, std::int64_t aMaxBytes)
     : handler_(aHandler)
     , maxBytes_(aMaxBytes)
-  {}
+  {
+  }
 
   Poco::Net::HTTPRequestHandler* createRequestHandler(
     const Poco::Net::HTTPServerRequest&) override
@@ -186,7 +188,8 @@
                        std::int64_t aMaxBodyBytes)
   : impl_(std::make_unique<Impl>(
       Impl{ std::move(aHandler), aMaxThreads, aMaxBodyBytes, {}, {} }))
-{}
+{
+}
 
 HttpServer::~HttpServer()
 {
@@ -216,8 +219,7 @@
     impl_->server_->start();
   } catch (const Poco::Exception& error) {
     return Error{ ErrorKind::IoError,
-                  "cannot listen on " + aAddress + ": " +
-                    error.displayText() };
+                  "cannot listen on " + aAddress + ": " + error.displayText() };
   }
   return Done{};
 }
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -41,8 +41,8 @@
 InitFolder(const DaemonSettings& aSettings)
 {
   if (!aSettings.voter_) {
-    return Fail({ ErrorKind::BadSetting,
-                  "--init is for nodes with node.role = voter" });
+    return Fail(
+      { ErrorKind::BadSetting, "--init is for nodes with node.role = voter" });
   }
   if (OsFileSystem().Exists(aSettings.dataDir_ + "/disk_id")) {
     return Fail({ ErrorKind::InvalidState,
@@ -106,18 +106,15 @@
   registry.Add(kDirectoryServiceName,
                std::make_unique<DirectoryService>(
                  aSettings.node_, RandomNumber(), digestAge));
-  registry.Add(
-    kReplicaServiceName,
-    std::make_unique<ReplicaService>(aSettings, registry, metrics));
-  registry.Add(
-    kAnnounceServiceName,
-    std::make_unique<AnnounceService>(aSettings, registry, metrics));
+  registry.Add(kReplicaServiceName,
+               std::make_unique<ReplicaService>(aSettings, registry, metrics));
+  registry.Add(kAnnounceServiceName,
+               std::make_unique<AnnounceService>(aSettings, registry, metrics));
   registry.Add(
     kRelayServiceName,
     std::make_unique<RelayService>(aSettings, registry, traceSink, metrics));
-  registry.Add(
-    kPlannerServiceName,
-    std::make_unique<PlannerService>(aSettings, registry, metrics));
+  registry.Add(kPlannerServiceName,
+               std::make_unique<PlannerService>(aSettings, registry, metrics));
   registry.Add(kAdminServiceName,
                std::make_unique<AdminService>(aSettings, registry, metrics));
 
@@ -147,7 +144,8 @@
 {
   cxxopts::Options options(
     "acaciahilld", "Fleet capacity and maintenance manager: the daemon");
-  options.add_options()("config", "settings file", cxxopts::value<std::string>())(
+  options.add_options()(
+    "config", "settings file", cxxopts::value<std::string>())(
     "check-config",
     "check a settings file and exit",
     cxxopts::value<std::string>())(
--- a/packages/daemon/peer_client.cpp
+++ b/packages/daemon/peer_client.cpp
@@ -131,7 +131,8 @@
 
 PeerClient::PeerClient()
   : impl_(std::make_unique<Impl>())
-{}
+{
+}
 
 PeerClient::~PeerClient()
 {
@@ -160,21 +161,20 @@
     impl_->calls_.insert(&call->context_);
   }
   auto* stub = call->stub_.get();
-  stub->async()->Raft(
-    &call->context_,
-    &call->request_,
-    &call->reply_,
-    [this, call, aAddress, onReply = std::move(aOnReply)](
-      const grpc::Status& aStatus) {
-      if (aStatus.ok()) {
-        onReply(FromWire(call->reply_));
-      }
-      const std::lock_guard lock(impl_->mutex_);
-      --impl_->links_[aAddress].raftInFlight_;
-      impl_->calls_.erase(&call->context_);
-      impl_->Judge(aAddress, aStatus);
-      impl_->idle_.notify_all();
-    });
+  stub->async()->Raft(&call->context_,
+                      &call->request_,
+                      &call->reply_,
+                      [this, call, aAddress, onReply = std::move(aOnReply)](
+                        const grpc::Status& aStatus) {
+                        if (aStatus.ok()) {
+                          onReply(FromWire(call->reply_));
+                        }
+                        const std::lock_guard lock(impl_->mutex_);
+                        --impl_->links_[aAddress].raftInFlight_;
+                        impl_->calls_.erase(&call->context_);
+                        impl_->Judge(aAddress, aStatus);
+                        impl_->idle_.notify_all();
+                      });
 }
 
 Result<PeerPullReply>
--- a/packages/daemon/peer_codec.cpp
+++ b/packages/daemon/peer_codec.cpp
@@ -65,14 +65,13 @@
                                aWire.target_age_ms_size(),
                                aWire.target_flags_size() });
   for (int i = 0; i < count; ++i) {
-    digest.targets_.push_back(
-      { { aWire.target_number(i),
-          aWire.target_incarnation(i),
-          aWire.target_epoch(i),
-          (aWire.target_flags(i) & kDrainingFlag) != 0,
-          aWire.target_running(i),
-          MonotonicTime{} },
-        Millis(aWire.target_age_ms(i)) });
+    digest.targets_.push_back({ { aWire.target_number(i),
+                                  aWire.target_incarnation(i),
+                                  aWire.target_epoch(i),
+                                  (aWire.target_flags(i) & kDrainingFlag) != 0,
+                                  aWire.target_running(i),
+                                  MonotonicTime{} },
+                                Millis(aWire.target_age_ms(i)) });
   }
   for (const auto& node : aWire.nodes()) {
     NodeStatus status;
--- a/packages/daemon/peer_server.cpp
+++ b/packages/daemon/peer_server.cpp
@@ -23,7 +23,8 @@
   PeerService(PeerHandler& aHandler, std::string aCluster)
     : handler_(aHandler)
     , cluster_(std::move(aCluster))
-  {}
+  {
+  }
 
   grpc::Status Raft(grpc::ServerContext*,
                     const wire::RaftEnvelope* aRequest,
@@ -84,7 +85,8 @@
 {
   explicit Impl(PeerHandler& aHandler)
     : handler_(aHandler)
-  {}
+  {
+  }
 
   PeerHandler& handler_;
   std::unique_ptr<PeerService> service_;
@@ -93,7 +95,8 @@
 
 PeerServer::PeerServer(PeerHandler& aHandler)
   : impl_(std::make_unique<Impl>(aHandler))
-{}
+{
+}
 
 PeerServer::~PeerServer()
 {
@@ -106,8 +109,7 @@
   impl_->service_ = std::make_unique<PeerService>(impl_->handler_, aCluster);
   grpc::ServerBuilder builder;
   int port = 0;
-  builder.AddListeningPort(
-    aAddress, grpc::InsecureServerCredentials(), &port);
+  builder.AddListeningPort(aAddress, grpc::InsecureServerCredentials(), &port);
   builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
   builder.AddChannelArgument(
     GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, kMinPingIntervalMs);
--- a/packages/daemon/planner_service.cpp
+++ b/packages/daemon/planner_service.cpp
@@ -35,7 +35,8 @@
     : watch_(aLimits)
     , waves_(aLimits)
     , moves_(aLimits)
-  {}
+  {
+  }
 
   VmWatch watch_;
   WavePlanner waves_;
@@ -48,7 +49,8 @@
   : settings_(aSettings)
   , registry_(aRegistry)
   , metrics_(aMetrics)
-{}
+{
+}
 
 PlannerService::~PlannerService()
 {
@@ -135,18 +137,16 @@
       }
     }
     const auto append = [&actions](std::vector<PlannerAction> aActions) {
-      std::move(
-        aActions.begin(), aActions.end(), std::back_inserter(actions));
+      std::move(aActions.begin(), aActions.end(), std::back_inserter(actions));
     };
     append(aPlanners.watch_.Step(view, now));
     append(aPlanners.waves_.Step(view, now));
     append(aPlanners.moves_.Step(view, now));
   });
   CarryOut(actions);
-  metrics_.Observe(
-    "acaciahill_planner_step_seconds",
-    {},
-    static_cast<double>((MonotonicNow() - now).count()) / 1e3);
+  metrics_.Observe("acaciahill_planner_step_seconds",
+                   {},
+                   static_cast<double>((MonotonicNow() - now).count()) / 1e3);
 }
 
 void
@@ -190,8 +190,7 @@
         askReady_.notify_one();
       }
     } else if (const auto* propose = std::get_if<ProposeCommand>(&action)) {
-      const auto result =
-        replica_->Propose(propose->command_, kProposeTimeout);
+      const auto result = replica_->Propose(propose->command_, kProposeTimeout);
       if (result.error_) {
         LogInfo("a planned command was refused",
                 { { "error", Describe(*result.error_) } });
@@ -243,8 +242,7 @@
     session.setTimeout(Poco::Timespan(kPlatformTimeoutMs * 1000));
     Poco::Net::HTTPRequest request(
       "POST", "/v1/vms/" + vm + "/reboot", "HTTP/1.1");
-    const auto body =
-      nlohmann::json{ { "operation", aAsk.operation_ } }.dump();
+    const auto body = nlohmann::json{ { "operation", aAsk.operation_ } }.dump();
     request.setContentType("application/json");
     request.setContentLength(static_cast<std::streamsize>(body.size()));
     session.sendRequest(request) << body;
--- a/packages/daemon/relay_service.cpp
+++ b/packages/daemon/relay_service.cpp
@@ -35,7 +35,8 @@
   , traces_(aTraces)
   , metrics_(aMetrics)
   , ownerPrefix_(aSettings.node_ + "-" + RandomId() + "-")
-{}
+{
+}
 
 RelayService::~RelayService()
 {
@@ -47,8 +48,8 @@
 {
   replica_ = &registry_.Find<ReplicaService>(kReplicaServiceName);
   directory_ = &registry_.Find<DirectoryService>(kDirectoryServiceName);
-  relay_ = std::make_unique<Relay>(
-    settings_.relay_, *this, *this, traces_, metrics_);
+  relay_ =
+    std::make_unique<Relay>(settings_.relay_, *this, *this, traces_, metrics_);
   auto started = relay_->Start();
   if (!IsOk(started)) {
     return started;
@@ -105,10 +106,8 @@
   PoolsChanged pools;
   std::map<std::string, std::uint32_t> leaving;
 
-  const auto evidence =
-    directory_->Read([](const Directory& aDirectory) {
-      return aDirectory.Targets();
-    });
+  const auto evidence = directory_->Read(
+    [](const Directory& aDirectory) { return aDirectory.Targets(); });
   replica_->Read([&](const Fleet& aFleet) {
     status.appliedIndex_ = aFleet.AppliedIndex();
     status.tableVersion_ = aFleet.Table().version_;
@@ -126,9 +125,8 @@
                     }));
     for (const auto& [id, vm] : aFleet.Vms()) {
       const auto found = evidence.find(vm.number_);
-      const auto heard = found == evidence.end()
-                           ? std::nullopt
-                           : std::optional(found->second);
+      const auto heard =
+        found == evidence.end() ? std::nullopt : std::optional(found->second);
       if (vm.phase_ == VmPhase::Draining) {
         leaving.emplace(id, vm.number_);
       }
@@ -184,10 +182,8 @@
     const auto now = MonotonicNow();
     // Evidence is renewed before it ends; announcements normally do so.
     const auto due = settings_.routingLease_ * 3 / 5;
-    const auto evidence =
-      directory_->Read([](const Directory& aDirectory) {
-        return aDirectory.Targets();
-      });
+    const auto evidence = directory_->Read(
+      [](const Directory& aDirectory) { return aDirectory.Targets(); });
     std::vector<std::pair<MonotonicTime, VmIdentity>> silent;
     replica_->Read([&](const Fleet& aFleet) {
       for (const auto& [id, vm] : aFleet.Vms()) {
@@ -201,12 +197,14 @@
     });
     // Targets of the own zone come first: a zone that is cut off has only
     // these, and each probe of another zone's target would wait in vain.
-    std::stable_sort(
-      silent.begin(), silent.end(), [this](const auto& aLeft, const auto& aRight) {
-        const bool left = aLeft.second.zone_ == settings_.zone_;
-        const bool right = aRight.second.zone_ == settings_.zone_;
-        return left != right ? left : aLeft.first > aRight.first;
-      });
+    std::stable_sort(silent.begin(),
+                     silent.end(),
+                     [this](const auto& aLeft, const auto& aRight) {
+                       const bool left = aLeft.second.zone_ == settings_.zone_;
+                       const bool right =
+                         aRight.second.zone_ == settings_.zone_;
+                       return left != right ? left : aLeft.first > aRight.first;
+                     });
     silent.resize(std::min(silent.size(), kProbesPerRound));
     for (const auto& [madeAt, identity] : silent) {
       if (stopping_) {
@@ -220,8 +218,8 @@
 void
 RelayService::Hear(const TargetEcho& aEcho)
 {
-  const auto identity = replica_->Read(
-    [&aEcho](const Fleet& aFleet) -> std::optional<VmRecord> {
+  const auto identity =
+    replica_->Read([&aEcho](const Fleet& aFleet) -> std::optional<VmRecord> {
       const auto found = aFleet.Vms().find(aEcho.vm_);
       if (found == aFleet.Vms().end()) {
         return std::nullopt;
@@ -292,8 +290,8 @@
     EndClaim end;
     {
       std::unique_lock lock(claimMutex_);
-      claimReady_.wait(
-        lock, [this] { return stopping_ || !claimEnds_.empty(); });
+      claimReady_.wait(lock,
+                       [this] { return stopping_ || !claimEnds_.empty(); });
       if (claimEnds_.empty()) {
         return;
       }
--- a/packages/daemon/replica_follower.cpp
+++ b/packages/daemon/replica_follower.cpp
@@ -34,8 +34,7 @@
       return std::tie(rank_, node_) < std::tie(aOther.rank_, aOther.node_);
     }
   };
-  const auto nodes =
-    Read([](const Fleet& aFleet) { return aFleet.Nodes(); });
+  const auto nodes = Read([](const Fleet& aFleet) { return aFleet.Nodes(); });
   const auto isInOwnZone = [&](const std::string& aNode) {
     const auto found = nodes.find(aNode);
     return found != nodes.end() && found->second.zone_ == settings_.zone_;
--- a/packages/daemon/replica_service.cpp
+++ b/packages/daemon/replica_service.cpp
@@ -80,7 +80,8 @@
   , registry_(aRegistry)
   , metrics_(aMetrics)
   , requestPrefix_(aSettings.node_ + "-" + RandomId() + "-")
-{}
+{
+}
 
 ReplicaService::~ReplicaService()
 {
@@ -174,8 +175,8 @@
 void
 ReplicaService::RunVoter()
 {
-  const auto tick = std::max(Millis(10), settings_.raft_.heartbeat_ /
-                                           kTicksPerHeartbeat);
+  const auto tick =
+    std::max(Millis(10), settings_.raft_.heartbeat_ / kTicksPerHeartbeat);
   auto nextTick = MonotonicNow();
   while (!stopping_) {
     std::deque<Work> work;
@@ -220,9 +221,8 @@
     auto stepped = core_->Step(MessageInput{ *reply }, MonotonicNow());
     std::move(stepped.begin(), stepped.end(), std::back_inserter(aActions));
   } else if (const auto* change = std::get_if<ChangeVoters>(&aWork)) {
-    auto stepped =
-      core_->Step(ChangeVoterInput{ 0, change->voter_, change->add_ },
-                  MonotonicNow());
+    auto stepped = core_->Step(
+      ChangeVoterInput{ 0, change->voter_, change->add_ }, MonotonicNow());
     std::move(stepped.begin(), stepped.end(), std::back_inserter(aActions));
   }
 }
@@ -238,8 +238,7 @@
   const auto reply = std::find_if(
     stepped.begin(), stepped.end(), [&aMessage](const RaftAction& aAction) {
       const auto* send = std::get_if<SendMessage>(&aAction);
-      return send != nullptr &&
-             send->message_.to_ == aMessage->message_.from_;
+      return send != nullptr && send->message_.to_ == aMessage->message_.from_;
     });
   std::optional<RaftMessage> answer;
   if (reply != stepped.end()) {
@@ -366,16 +365,15 @@
                           settings_.node_,
                           aMessage,
                           directory_->MakeDigestFor(aMessage.to_) };
-  client_.SendRaft(
-    *address,
-    request,
-    settings_.raft_.electionMin_,
-    [this](const PeerRaft& aReply) {
-      directory_->AcceptDigest(aReply.from_, aReply.digest_);
-      if (aReply.message_) {
-        Enqueue(*aReply.message_);
-      }
-    });
+  client_.SendRaft(*address,
+                   request,
+                   settings_.raft_.electionMin_,
+                   [this](const PeerRaft& aReply) {
+                     directory_->AcceptDigest(aReply.from_, aReply.digest_);
+                     if (aReply.message_) {
+                       Enqueue(*aReply.message_);
+                     }
+                   });
 }
 
 void
@@ -601,19 +599,18 @@
       break;
     }
     auto result = HandlePropose({ settings_.cluster_, envelope, left, 0 });
-    if (!result.error_ || (result.error_->kind_ != ErrorKind::NotLeader &&
-                           result.error_->kind_ != ErrorKind::ProposalLost &&
-                           result.error_->kind_ !=
-                             ErrorKind::ControlUnreachable)) {
+    if (!result.error_ ||
+        (result.error_->kind_ != ErrorKind::NotLeader &&
+         result.error_->kind_ != ErrorKind::ProposalLost &&
+         result.error_->kind_ != ErrorKind::ControlUnreachable)) {
       return result;
     }
     mayBeAccepted |= result.error_->kind_ == ErrorKind::ProposalLost;
     std::this_thread::sleep_for(std::min(kProposePause, left));
   }
-  return mayBeAccepted
-           ? Failed(ErrorKind::ProposalLost, "")
-           : Failed(ErrorKind::ControlUnreachable,
-                    "no leader took the change; it was not made");
+  return mayBeAccepted ? Failed(ErrorKind::ProposalLost, "")
+                       : Failed(ErrorKind::ControlUnreachable,
+                                "no leader took the change; it was not made");
 }
 
 CommandResult
--- a/packages/daemon/trace_service.cpp
+++ b/packages/daemon/trace_service.cpp
@@ -12,7 +12,8 @@
 TraceService::TraceService(std::string aFile, std::string aNode)
   : path_(std::move(aFile))
   , node_(std::move(aNode))
-{}
+{
+}
 
 TraceService::~TraceService()
 {
--- a/packages/membership/digest_exchange.cpp
+++ b/packages/membership/digest_exchange.cpp
@@ -24,7 +24,8 @@
 DigestExchange::DigestExchange(std::string aSelf, std::uint64_t aBoot)
   : self_(std::move(aSelf))
   , boot_(aBoot)
-{}
+{
+}
 
 DigestMessage
 DigestExchange::MakeFor(const std::string& aPeer,
--- a/packages/membership/test/digest_exchange_test.cpp
+++ b/packages/membership/test/digest_exchange_test.cpp
@@ -17,7 +17,8 @@
   Node(const std::string& aName, std::uint64_t aBoot)
     : directory_(aName)
     , exchange_(aName, aBoot)
-  {}
+  {
+  }
 };
 
 MonotonicTime
