--- /dev/null
+++ b/packages/routing/router.cpp
@@ -0,0 +1,938 @@
+#include "routing/router_base.h"
+
+#include "kernel/error_func.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace acaciahill {
+
+using detail::Breaker;
+using detail::BreakerPhase;
+using detail::RoutedPhase;
+using detail::RoutedPool;
+using detail::RoutedRequest;
+using detail::RoutedTarget;
+
+namespace {
+
+// Weight of the newest answer in the moving average of the service time.
+constexpr double kServiceWeight = 1.0 / 8;
+constexpr Millis kRetryAfterFloor{ 1000 };
+constexpr std::int64_t kMsPerSecond = 1000;
+
+bool
+HasReached(AttemptEnd aEnd)
+{
+  return aEnd != AttemptEnd::NotSent && aEnd != AttemptEnd::TargetRefused &&
+         aEnd != AttemptEnd::Expired;
+}
+
+/// The kind that tells a caller of a request that may have run.
+ErrorKind
+KindOfDelivered(AttemptEnd aEnd)
+{
+  switch (aEnd) {
+    case AttemptEnd::TimedOut:
+      return ErrorKind::AnswerTimeout;
+    case AttemptEnd::Malformed:
+      return ErrorKind::AnswerMalformed;
+    case AttemptEnd::TooLarge:
+      return ErrorKind::AnswerTooLarge;
+    default:
+      return ErrorKind::AnswerLost;
+  }
+}
+
+bool
+IsRetryableStatus(std::int64_t aStatus)
+{
+  return aStatus == 502 || aStatus == 503 || aStatus == 504;
+}
+
+std::int64_t
+DivideUp(std::int64_t aWhole, std::int64_t aParts)
+{
+  const auto parts = std::max<std::int64_t>(aParts, 1);
+  return (aWhole + parts - 1) / parts;
+}
+
+std::int64_t
+Kept(std::int64_t aWhole, const RouterSettings& aSettings)
+{
+  if (aSettings.urgentPercent_ <= 0 || aWhole < aSettings.urgentFloor_) {
+    return 0;
+  }
+  return std::max<std::int64_t>(1, aWhole * aSettings.urgentPercent_ / 100);
+}
+
+std::size_t
+WaitingIn(const RoutedPool& aPool)
+{
+  return aPool.urgent_.size() + aPool.normal_.size();
+}
+
+/// Load relative to the pool's weight after one more request.
+double
+ShareUsed(const RoutedPool& aPool)
+{
+  if (aPool.row_.weight_ <= 0) {
+    return std::numeric_limits<double>::max();
+  }
+  return static_cast<double>(aPool.inFlight_ + 1) /
+         static_cast<double>(aPool.row_.weight_);
+}
+
+} // namespace
+
+RouterCore::RouterCore(RouterSettings aSettings)
+  : settings_(std::move(aSettings))
+  , random_(settings_.seed_)
+{
+}
+
+std::vector<RouterAction>
+RouterCore::Step(const RouterInput& aInput, MonotonicTime aNow)
+{
+  Actions actions;
+  std::visit(
+    [this, aNow, &actions](const auto& aAlternative) {
+      Take(aAlternative, aNow, actions);
+    },
+    aInput);
+  return actions;
+}
+
+std::optional<ErrorKind>
+RouterCore::Precheck(const std::string& aPool, const std::string& aCaller) const
+{
+  if (stopping_) {
+    return ErrorKind::NodeStopping;
+  }
+  const auto pool = pools_.find(aPool);
+  if (pool == pools_.end() || !pool->second.listed_) {
+    return ErrorKind::UnknownPool;
+  }
+  const auto caller = pool->second.callers_.find(aCaller);
+  if (caller != pool->second.callers_.end() &&
+      caller->second >= pool->second.row_.callerLimit_) {
+    return ErrorKind::CallerLimit;
+  }
+  return std::nullopt;
+}
+
+std::map<std::string, std::uint32_t>
+RouterCore::InFlight(MonotonicTime aNow) const
+{
+  std::map<std::string, std::uint32_t> counts;
+  for (const auto& [vm, target] : targets_) {
+    const auto lingering = std::count_if(
+      target.lingering_.begin(),
+      target.lingering_.end(),
+      [aNow](const MonotonicTime& aUntil) { return aUntil > aNow; });
+    const auto count = target.inFlight_ + lingering;
+    if (count > 0) {
+      counts.emplace(vm, static_cast<std::uint32_t>(count));
+    }
+  }
+  return counts;
+}
+
+std::map<std::string, RouterPoolLoad>
+RouterCore::Loads() const
+{
+  std::map<std::string, RouterPoolLoad> loads;
+  for (const auto& [name, pool] : pools_) {
+    loads.emplace(name,
+                  RouterPoolLoad{ pool.inFlight_,
+                                  static_cast<std::int64_t>(WaitingIn(pool)),
+                                  pool.refused_,
+                                  pool.retried_ });
+  }
+  return loads;
+}
+
+std::size_t
+RouterCore::Waiting() const
+{
+  std::size_t count = 0;
+  for (const auto& [name, pool] : pools_) {
+    count += WaitingIn(pool);
+  }
+  return count;
+}
+
+void
+RouterCore::Take(const RequestArrived& aInput,
+                 MonotonicTime aNow,
+                 Actions& aOut)
+{
+  if (requests_.contains(aInput.id_)) {
+    return;
+  }
+  if (const auto kind = Precheck(aInput.pool_, aInput.caller_)) {
+    RefuseArrival(aInput, *kind, kRetryAfterFloor, aOut);
+    return;
+  }
+  auto& pool = pools_.at(aInput.pool_);
+  const auto expected = ExpectedTime(pool, aInput.urgent_, aNow);
+  if (aInput.deadline_ <= aNow || aNow + expected > aInput.deadline_) {
+    RefuseArrival(aInput, ErrorKind::DeadlineTooShort, expected, aOut);
+    return;
+  }
+  RoutedRequest request;
+  request.input_ = aInput;
+  request.waitingSince_ = aNow;
+  request.notBefore_ = aNow;
+  requests_.emplace(aInput.id_, std::move(request));
+  ++pool.callers_[aInput.caller_];
+  Enqueue(pool, aInput.id_, false);
+  Pump(aNow, aOut);
+  const auto still = requests_.find(aInput.id_);
+  if (still == requests_.end() ||
+      still->second.phase_ != RoutedPhase::Waiting ||
+      static_cast<std::int64_t>(WaitingIn(pool)) <= pool.row_.queueLimit_) {
+    return;
+  }
+  if (!aInput.urgent_ || !DisplaceNormal(pool, aOut)) {
+    EndRequest(aInput.id_, ErrorKind::QueueFull, expected, aOut);
+  }
+}
+
+void
+RouterCore::Take(const RequestCancelled& aInput, MonotonicTime, Actions& aOut)
+{
+  const auto found = requests_.find(aInput.id_);
+  if (found == requests_.end()) {
+    return;
+  }
+  auto& request = found->second;
+  if (request.phase_ == RoutedPhase::Waiting) {
+    if (request.delivered_) {
+      aOut.emplace_back(RefuseRequest{
+        aInput.id_, ErrorKind::CancelledInFlight, kRetryAfterFloor });
+      Forget(aInput.id_);
+      return;
+    }
+    EndRequest(aInput.id_, ErrorKind::Cancelled, kRetryAfterFloor, aOut);
+  } else if (request.phase_ == RoutedPhase::InFlight) {
+    request.phase_ = RoutedPhase::Abandoned;
+    aOut.emplace_back(RefuseRequest{
+      aInput.id_, ErrorKind::CancelledInFlight, kRetryAfterFloor });
+  }
+}
+
+void
+RouterCore::Take(const AttemptFinished& aInput,
+                 MonotonicTime aNow,
+                 Actions& aOut)
+{
+  const auto found = requests_.find(aInput.id_);
+  if (found == requests_.end() ||
+      found->second.phase_ == RoutedPhase::Waiting ||
+      found->second.vm_ != aInput.vm_) {
+    return;
+  }
+  auto& request = found->second;
+  auto& pool = pools_.at(request.input_.pool_);
+  auto& target = targets_.at(aInput.vm_);
+  --target.inFlight_;
+  --pool.inFlight_;
+  --inFlight_;
+  JudgeTarget(target, aInput, aNow);
+  if (aInput.end_ == AttemptEnd::Answered &&
+      !IsRetryableStatus(aInput.status_)) {
+    const auto took = static_cast<double>(aInput.took_.count());
+    pool.serviceMs_ = pool.serviceMs_ == 0
+                        ? took
+                        : pool.serviceMs_ +
+                            kServiceWeight * (took - pool.serviceMs_);
+  } else if (HasReached(aInput.end_) && aInput.end_ != AttemptEnd::Answered) {
+    target.lingering_.push_back(aNow + settings_.lingerTime_);
+  }
+
+  if (request.phase_ == RoutedPhase::Abandoned) {
+    Forget(aInput.id_);
+  } else if (aInput.end_ == AttemptEnd::Answered &&
+             (!IsRetryableStatus(aInput.status_) ||
+              !request.input_.repeatable_)) {
+    aOut.emplace_back(CompleteRequest{ aInput.id_ });
+    Forget(aInput.id_);
+  } else {
+    Continue(request, aInput.end_, aNow, aOut);
+  }
+  Pump(aNow, aOut);
+}
+
+void
+RouterCore::Take(const TargetsChanged& aInput,
+                 MonotonicTime aNow,
+                 Actions& aOut)
+{
+  for (auto& [vm, target] : targets_) {
+    target.listed_ = false;
+  }
+  for (auto& [name, pool] : pools_) {
+    pool.vms_.clear();
+  }
+  for (const auto& view : aInput.targets_) {
+    auto& target = targets_[view.vm_];
+    if (target.listed_) {
+      continue;
+    }
+    if (target.view_.epoch_ != view.epoch_ ||
+        target.view_.address_ != view.address_) {
+      target.breaker_ = Breaker{};
+    }
+    // The announcement counted what this node had there at that time; what is
+    // left of it is the other entry VMs' work.
+    if (target.view_.announcedRunning_ != view.announcedRunning_ ||
+        target.view_.validUntil_ != view.validUntil_) {
+      target.others_ = std::max<std::int64_t>(
+        0, std::int64_t{ view.announcedRunning_ } - target.inFlight_);
+    }
+    target.view_ = view;
+    target.listed_ = true;
+    const auto pool = pools_.find(view.pool_);
+    if (pool != pools_.end()) {
+      pool->second.vms_.push_back(view.vm_);
+    }
+  }
+  for (auto& [vm, target] : targets_) {
+    std::erase_if(target.lingering_, [aNow](const MonotonicTime& aUntil) {
+      return aUntil <= aNow;
+    });
+  }
+  std::erase_if(targets_, [](const auto& aItem) {
+    const auto& target = aItem.second;
+    return !target.listed_ && target.inFlight_ == 0 &&
+           target.lingering_.empty();
+  });
+  Expire(aNow, aOut);
+  Pump(aNow, aOut);
+}
+
+void
+RouterCore::Take(const PoolsChanged& aInput, MonotonicTime aNow, Actions& aOut)
+{
+  entryNodes_ = aInput.entryNodes_;
+  entryNodesInZone_ = aInput.entryNodesInZone_;
+  for (auto& [name, pool] : pools_) {
+    pool.listed_ = false;
+    pool.vms_.clear();
+  }
+  for (const auto& row : aInput.rows_) {
+    const bool isNew = !pools_.contains(row.pool_);
+    auto& pool = pools_[row.pool_];
+    pool.row_ = row;
+    pool.listed_ = true;
+    if (isNew) {
+      pool.retryTokens_ = settings_.retryStart_;
+    }
+  }
+  for (const auto& [vm, target] : targets_) {
+    const auto pool = pools_.find(target.view_.pool_);
+    if (target.listed_ && pool != pools_.end()) {
+      pool->second.vms_.push_back(vm);
+    }
+  }
+  for (auto& [name, pool] : pools_) {
+    if (pool.listed_) {
+      continue;
+    }
+    auto waiting = pool.urgent_;
+    waiting.insert(waiting.end(), pool.normal_.begin(), pool.normal_.end());
+    for (const auto id : waiting) {
+      EndRequest(id, ErrorKind::UnknownPool, kRetryAfterFloor, aOut);
+    }
+  }
+  std::erase_if(pools_, [](const auto& aItem) {
+    return !aItem.second.listed_ && aItem.second.callers_.empty();
+  });
+  Expire(aNow, aOut);
+  Pump(aNow, aOut);
+}
+
+void
+RouterCore::Take(const RouterTick&, MonotonicTime aNow, Actions& aOut)
+{
+  Expire(aNow, aOut);
+  Pump(aNow, aOut);
+}
+
+void
+RouterCore::Take(const RouterStop&, MonotonicTime aNow, Actions& aOut)
+{
+  stopping_ = true;
+  // A request that was sent before waits for another try only; it is finished
+  // like one in flight.
+  std::vector<RequestId> unsent;
+  for (const auto& [id, request] : requests_) {
+    if (request.phase_ == RoutedPhase::Waiting && request.attempts_ == 0) {
+      unsent.push_back(id);
+    }
+  }
+  std::sort(unsent.begin(), unsent.end());
+  for (const auto id : unsent) {
+    EndRequest(id, ErrorKind::NodeStopping, kRetryAfterFloor, aOut);
+  }
+  Pump(aNow, aOut);
+}
+
+void
+RouterCore::EndRequest(RequestId aId,
+                       ErrorKind aKind,
+                       Millis aRetryAfter,
+                       Actions& aOut)
+{
+  const auto& request = requests_.at(aId);
+  if (request.delivered_ == AttemptEnd::Answered) {
+    aOut.emplace_back(CompleteRequest{ aId });
+  } else if (request.delivered_) {
+    aOut.emplace_back(RefuseRequest{
+      aId, KindOfDelivered(*request.delivered_), kRetryAfterFloor });
+  } else {
+    ++pools_.at(request.input_.pool_).refused_;
+    aOut.emplace_back(
+      RefuseRequest{ aId, aKind, std::max(aRetryAfter, kRetryAfterFloor) });
+  }
+  Forget(aId);
+}
+
+void
+RouterCore::RefuseArrival(const RequestArrived& aInput,
+                          ErrorKind aKind,
+                          Millis aRetryAfter,
+                          Actions& aOut)
+{
+  const auto pool = pools_.find(aInput.pool_);
+  if (pool != pools_.end()) {
+    ++pool->second.refused_;
+  }
+  aOut.emplace_back(RefuseRequest{
+    aInput.id_, aKind, std::max(aRetryAfter, kRetryAfterFloor) });
+}
+
+void
+RouterCore::Forget(RequestId aId)
+{
+  const auto found = requests_.find(aId);
+  const auto& input = found->second.input_;
+  const auto pool = pools_.find(input.pool_);
+  if (found->second.phase_ == RoutedPhase::Waiting) {
+    Unqueue(pool->second, aId);
+  }
+  const auto caller = pool->second.callers_.find(input.caller_);
+  if (--caller->second == 0) {
+    pool->second.callers_.erase(caller);
+  }
+  requests_.erase(found);
+}
+
+void
+RouterCore::Unqueue(RoutedPool& aPool, RequestId aId)
+{
+  aPool.urgent_.remove(aId);
+  aPool.normal_.remove(aId);
+}
+
+void
+RouterCore::Enqueue(RoutedPool& aPool, RequestId aId, bool aFront)
+{
+  auto& queue =
+    requests_.at(aId).input_.urgent_ ? aPool.urgent_ : aPool.normal_;
+  queue.insert(aFront ? queue.begin() : queue.end(), aId);
+}
+
+bool
+RouterCore::DisplaceNormal(RoutedPool& aPool, Actions& aOut)
+{
+  const auto newest = std::find_if(
+    aPool.normal_.rbegin(), aPool.normal_.rend(), [this](RequestId aId) {
+      return requests_.at(aId).attempts_ == 0;
+    });
+  if (newest == aPool.normal_.rend()) {
+    return false;
+  }
+  EndRequest(*newest, ErrorKind::QueueFull, kRetryAfterFloor, aOut);
+  return true;
+}
+
+void
+RouterCore::Continue(RoutedRequest& aRequest,
+                     AttemptEnd aEnd,
+                     MonotonicTime aNow,
+                     Actions& aOut)
+{
+  auto& pool = pools_.at(aRequest.input_.pool_);
+  const bool reached = HasReached(aEnd);
+  if (reached) {
+    aRequest.delivered_ = aEnd;
+  }
+  aRequest.refusedByTarget_ = aEnd == AttemptEnd::TargetRefused;
+  if (aRequest.refusedByTarget_) {
+    aRequest.refusedBy_.insert(aRequest.vm_);
+  }
+  const bool hasOther = std::any_of(
+    pool.vms_.begin(), pool.vms_.end(), [&](const std::string& aVm) {
+      return !aRequest.tried_.contains(aVm) &&
+             IsUsable(targets_.at(aVm), aNow);
+    });
+
+  bool again = aRequest.attempts_ < settings_.maxAttempts_ &&
+               aNow < aRequest.input_.deadline_ && pool.listed_;
+  if (aEnd == AttemptEnd::TooLarge) {
+    again = false;
+  } else if (aEnd == AttemptEnd::Answered) {
+    again = again && hasOther && TakeRetryToken(pool);
+  } else if (reached) {
+    again = again && aRequest.input_.repeatable_ && TakeRetryToken(pool);
+  }
+  const bool atOnce = !reached && hasOther;
+  const auto pause = atOnce ? Millis{ 0 } : Backoff(aRequest.attempts_);
+  if (!again || aNow + pause >= aRequest.input_.deadline_) {
+    const auto kind = aRequest.refusedByTarget_ ? ErrorKind::TargetRefused
+                                                : ErrorKind::NoTarget;
+    EndRequest(aRequest.input_.id_, kind, kRetryAfterFloor, aOut);
+    return;
+  }
+  ++pool.retried_;
+  aRequest.phase_ = RoutedPhase::Waiting;
+  aRequest.notBefore_ = aNow + pause;
+  aRequest.waitingSince_ = aNow;
+  Enqueue(pool, aRequest.input_.id_, true);
+}
+
+bool
+RouterCore::TakeRetryToken(RoutedPool& aPool)
+{
+  if (aPool.row_.retryPercent_ <= 0 || aPool.retryTokens_ < 1) {
+    return false;
+  }
+  aPool.retryTokens_ -= 1;
+  return true;
+}
+
+Millis
+RouterCore::Backoff(int aAttempts)
+{
+  const auto whole =
+    std::min(settings_.backoffBase_ * (std::int64_t{ 1 } << (aAttempts - 1)),
+             settings_.backoffLimit_);
+  std::uniform_int_distribution<std::int64_t> pick(whole.count() / 2,
+                                                   whole.count());
+  return Millis{ pick(random_) };
+}
+
+void
+RouterCore::Expire(MonotonicTime aNow, Actions& aOut)
+{
+  std::vector<std::pair<RequestId, ErrorKind>> ended;
+  for (const auto& [name, pool] : pools_) {
+    if (WaitingIn(pool) == 0) {
+      continue;
+    }
+    const bool hasTarget = HasTarget(pool, aNow);
+    for (const auto* queue : { &pool.urgent_, &pool.normal_ }) {
+      for (const auto id : *queue) {
+        const auto& request = requests_.at(id);
+        const auto hasUntested = [&](const std::string& aVm) {
+          return !request.refusedBy_.contains(aVm) &&
+                 IsUsable(targets_.at(aVm), aNow);
+        };
+        if (request.input_.deadline_ <= aNow) {
+          ended.emplace_back(id, ErrorKind::DeadlineTooShort);
+        } else if (!hasTarget &&
+                   aNow - request.waitingSince_ >= settings_.noTargetWait_) {
+          ended.emplace_back(id,
+                             request.refusedByTarget_ ? ErrorKind::TargetRefused
+                                                      : ErrorKind::NoTarget);
+        } else if (hasTarget && !request.refusedBy_.empty() &&
+                   std::none_of(
+                     pool.vms_.begin(), pool.vms_.end(), hasUntested)) {
+          ended.emplace_back(id, ErrorKind::TargetRefused);
+        }
+      }
+    }
+  }
+  for (const auto& [id, kind] : ended) {
+    EndRequest(id, kind, kRetryAfterFloor, aOut);
+  }
+}
+
+void
+RouterCore::Pump(MonotonicTime aNow, Actions& aOut)
+{
+  std::vector<RoutedPool*> waiting;
+  for (auto& [name, pool] : pools_) {
+    if (WaitingIn(pool) > 0) {
+      waiting.push_back(&pool);
+    }
+  }
+  while (!waiting.empty() && inFlight_ < settings_.maxInFlight_) {
+    const auto next =
+      std::min_element(waiting.begin(),
+                       waiting.end(),
+                       [](const RoutedPool* aLeft, const RoutedPool* aRight) {
+                         return ShareUsed(*aLeft) < ShareUsed(*aRight);
+                       });
+    if (!DispatchOne(**next, aNow, aOut) || WaitingIn(**next) == 0) {
+      waiting.erase(next);
+    }
+  }
+}
+
+bool
+RouterCore::DispatchOne(RoutedPool& aPool, MonotonicTime aNow, Actions& aOut)
+{
+  const auto [whole, open] = Capacity(aPool, aNow);
+  if (open <= 0) {
+    return false;
+  }
+  if (DispatchFrom(aPool, aPool.urgent_, aNow, aOut)) {
+    return true;
+  }
+  const auto openOnNode = settings_.maxInFlight_ - inFlight_;
+  if (open <= Kept(whole, settings_) ||
+      openOnNode <= Kept(settings_.maxInFlight_, settings_)) {
+    return false;
+  }
+  return DispatchFrom(aPool, aPool.normal_, aNow, aOut);
+}
+
+bool
+RouterCore::DispatchFrom(RoutedPool& aPool,
+                         const std::list<RequestId>& aQueue,
+                         MonotonicTime aNow,
+                         Actions& aOut)
+{
+  for (const auto id : aQueue) {
+    auto& request = requests_.at(id);
+    if (request.notBefore_ > aNow || request.input_.deadline_ <= aNow) {
+      continue;
+    }
+    if (auto* target = ChooseTarget(aPool, request, aNow)) {
+      Dispatch(aPool, request, *target, aNow, aOut);
+      return true;
+    }
+  }
+  return false;
+}
+
+void
+RouterCore::Dispatch(RoutedPool& aPool,
+                     RoutedRequest& aRequest,
+                     RoutedTarget& aTarget,
+                     MonotonicTime aNow,
+                     Actions& aOut)
+{
+  const auto id = aRequest.input_.id_;
+  Unqueue(aPool, id);
+  aRequest.phase_ = RoutedPhase::InFlight;
+  aRequest.vm_ = aTarget.view_.vm_;
+  aRequest.tried_.insert(aRequest.vm_);
+  ++aRequest.attempts_;
+  ++aTarget.inFlight_;
+  ++aPool.inFlight_;
+  ++inFlight_;
+  if (aRequest.attempts_ == 1) {
+    aPool.retryTokens_ = std::min(
+      settings_.retryBurst_,
+      aPool.retryTokens_ +
+        static_cast<double>(aPool.row_.retryPercent_) / 100.0);
+  }
+  auto& breaker = aTarget.breaker_;
+  if (breaker.phase_ == BreakerPhase::Open && aNow >= breaker.openUntil_) {
+    breaker.phase_ = BreakerPhase::Probing;
+    breaker.probe_ = id;
+  }
+  auto timeout = aRequest.input_.deadline_;
+  if (aRequest.input_.repeatable_ &&
+      aRequest.attempts_ < settings_.maxAttempts_) {
+    timeout = std::min(
+      timeout,
+      aNow + std::max(settings_.attemptFloor_, (timeout - aNow) / 2));
+  }
+  aOut.emplace_back(DispatchRequest{ id,
+                                     aTarget.view_.vm_,
+                                     aTarget.view_.address_,
+                                     aTarget.view_.epoch_,
+                                     aRequest.attempts_,
+                                     timeout,
+                                     aTarget.view_.validUntil_ });
+}
+
+RoutedTarget*
+RouterCore::ChooseTarget(const RoutedPool& aPool,
+                         const RoutedRequest& aRequest,
+                         MonotonicTime aNow)
+{
+  std::vector<RoutedTarget*> usable;
+  bool allOpen = true;
+  bool hasUntried = false;
+  for (const auto& vm : aPool.vms_) {
+    auto& target = targets_.at(vm);
+    if (!IsUsable(target, aNow)) {
+      continue;
+    }
+    allOpen = allOpen && target.breaker_.phase_ != BreakerPhase::Closed;
+    if (!aRequest.refusedBy_.contains(vm)) {
+      hasUntried = hasUntried || !aRequest.tried_.contains(vm);
+      usable.push_back(&target);
+    }
+  }
+  std::erase_if(usable, [&](const RoutedTarget* aTarget) {
+    return Room(*aTarget) <= 0 ||
+           (hasUntried && aRequest.tried_.contains(aTarget->view_.vm_));
+  });
+  const auto others = std::stable_partition(
+    usable.begin(), usable.end(), [this](const RoutedTarget* aTarget) {
+      return aTarget->view_.zone_ == settings_.zone_;
+    });
+  const std::vector<RoutedTarget*> ownZone(usable.begin(), others);
+  const std::vector<RoutedTarget*> otherZones(others, usable.end());
+  if (auto* target = ChooseAmong(ownZone, aPool, aRequest, allOpen, aNow)) {
+    return target;
+  }
+  return ChooseAmong(otherZones, aPool, aRequest, allOpen, aNow);
+}
+
+RoutedTarget*
+RouterCore::ChooseAmong(const std::vector<RoutedTarget*>& aUsable,
+                        const RoutedPool& aPool,
+                        const RoutedRequest& aRequest,
+                        bool aAllOpen,
+                        MonotonicTime aNow)
+{
+  if (aAllOpen) {
+    return TwoChoices(aUsable);
+  }
+  std::vector<RoutedTarget*> closed;
+  for (auto* target : aUsable) {
+    if (target->breaker_.phase_ == BreakerPhase::Closed) {
+      closed.push_back(target);
+    }
+  }
+  for (auto* target : aUsable) {
+    if (MayProbe(*target, aPool, aRequest, !closed.empty(), aNow)) {
+      return target;
+    }
+  }
+  return TwoChoices(closed);
+}
+
+RoutedTarget*
+RouterCore::TwoChoices(const std::vector<RoutedTarget*>& aTargets)
+{
+  if (aTargets.empty()) {
+    return nullptr;
+  }
+  std::uniform_int_distribution<std::size_t> pick(0, aTargets.size() - 1);
+  auto* first = aTargets[pick(random_)];
+  auto* second = aTargets[pick(random_)];
+  const auto load = [](const RoutedTarget& aTarget) {
+    return static_cast<double>(aTarget.inFlight_ + aTarget.others_) /
+           static_cast<double>(
+             std::max<std::int64_t>(aTarget.view_.slots_, 1));
+  };
+  return load(*second) < load(*first) ? second : first;
+}
+
+bool
+RouterCore::MayProbe(const RoutedTarget& aTarget,
+                     const RoutedPool& aPool,
+                     const RoutedRequest& aRequest,
+                     bool aHasClosed,
+                     MonotonicTime aNow) const
+{
+  const auto& breaker = aTarget.breaker_;
+  if (breaker.phase_ != BreakerPhase::Open || aNow < breaker.openUntil_) {
+    return false;
+  }
+  return aRequest.input_.repeatable_ ||
+         aNow >= breaker.openUntil_ + settings_.probePatience_ ||
+         (!aHasClosed && !HasRepeatableWaiting(aPool));
+}
+
+bool
+RouterCore::HasRepeatableWaiting(const RoutedPool& aPool) const
+{
+  const auto isRepeatable = [this](RequestId aId) {
+    return requests_.at(aId).input_.repeatable_;
+  };
+  return std::any_of(
+           aPool.urgent_.begin(), aPool.urgent_.end(), isRepeatable) ||
+         std::any_of(aPool.normal_.begin(), aPool.normal_.end(), isRepeatable);
+}
+
+std::int64_t
+RouterCore::Share(std::int64_t aWhole, const std::string& aZone) const
+{
+  return DivideUp(
+    aWhole, aZone == settings_.zone_ ? entryNodesInZone_ : entryNodes_);
+}
+
+std::int64_t
+RouterCore::Room(const RoutedTarget& aTarget) const
+{
+  const auto& view = aTarget.view_;
+  auto limit =
+    std::max(Share(view.slots_, view.zone_), view.slots_ - aTarget.others_);
+  if (view.connections_ > 0) {
+    limit = std::min(limit, Share(view.connections_, view.zone_));
+  }
+  return std::max<std::int64_t>(0, limit - aTarget.inFlight_);
+}
+
+bool
+RouterCore::IsUsable(const RoutedTarget& aTarget, MonotonicTime aNow)
+{
+  return aTarget.listed_ && aTarget.view_.validUntil_ > aNow;
+}
+
+bool
+RouterCore::HasTarget(const RoutedPool& aPool, MonotonicTime aNow) const
+{
+  return std::any_of(
+    aPool.vms_.begin(), aPool.vms_.end(), [this, aNow](const auto& aVm) {
+      return IsUsable(targets_.at(aVm), aNow);
+    });
+}
+
+std::pair<std::int64_t, std::int64_t>
+RouterCore::Capacity(const RoutedPool& aPool, MonotonicTime aNow) const
+{
+  std::int64_t closedWhole = 0;
+  std::int64_t closedRoom = 0;
+  std::int64_t openWhole = 0;
+  std::int64_t openRoom = 0;
+  std::int64_t probes = 0;
+  bool hasClosed = false;
+  for (const auto& vm : aPool.vms_) {
+    const auto& target = targets_.at(vm);
+    if (!IsUsable(target, aNow)) {
+      continue;
+    }
+    const auto room = Room(target);
+    if (target.breaker_.phase_ == BreakerPhase::Closed) {
+      hasClosed = true;
+      closedWhole += target.inFlight_ + room;
+      closedRoom += room;
+      continue;
+    }
+    openWhole += target.inFlight_ + room;
+    openRoom += room;
+    const bool mayProbe = target.breaker_.phase_ == BreakerPhase::Open &&
+                          aNow >= target.breaker_.openUntil_ && room > 0;
+    probes += mayProbe ? 1 : 0;
+  }
+  if (!hasClosed) {
+    return { openWhole, openRoom };
+  }
+  return { closedWhole + probes, closedRoom + probes };
+}
+
+Millis
+RouterCore::ExpectedTime(const RoutedPool& aPool,
+                         bool aUrgent,
+                         MonotonicTime aNow) const
+{
+  // With nothing in flight there is no newer observation to come; one request
+  // is let through to make it, or a pool that was slow once would stay shut.
+  if (aPool.serviceMs_ == 0 || aPool.inFlight_ == 0) {
+    return Millis{ 0 };
+  }
+  const auto [whole, open] = Capacity(aPool, aNow);
+  if (whole <= 0) {
+    return Millis{ 0 };
+  }
+  const auto ahead = static_cast<std::int64_t>(
+    aUrgent ? aPool.urgent_.size() : WaitingIn(aPool));
+  const auto rounds = static_cast<double>(
+                        std::max<std::int64_t>(0, ahead - open + 1)) /
+                      static_cast<double>(whole);
+  return Millis{ static_cast<std::int64_t>(
+    std::ceil(aPool.serviceMs_ * (1 + rounds))) };
+}
+
+void
+RouterCore::JudgeTarget(RoutedTarget& aTarget,
+                        const AttemptFinished& aInput,
+                        MonotonicTime aNow)
+{
+  auto& breaker = aTarget.breaker_;
+  const bool isProbe = breaker.phase_ == BreakerPhase::Probing &&
+                       breaker.probe_ == aInput.id_;
+  // A deadline far below the usual time says nothing of the target; counted, a
+  // caller with short deadlines would shut it for everybody.
+  const bool isTooShort = aInput.end_ == AttemptEnd::TimedOut &&
+                          aInput.took_ < settings_.attemptFloor_;
+  if (aInput.end_ == AttemptEnd::Expired || isTooShort) {
+    if (isProbe) {
+      breaker.phase_ = BreakerPhase::Open;
+    }
+    return;
+  }
+  const bool isHard = aInput.end_ == AttemptEnd::NotSent ||
+                      aInput.end_ == AttemptEnd::Lost ||
+                      aInput.end_ == AttemptEnd::TimedOut ||
+                      aInput.end_ == AttemptEnd::Malformed;
+  const bool isError = isHard || (aInput.end_ == AttemptEnd::Answered &&
+                                  aInput.status_ >= 500 &&
+                                  aInput.status_ != 503);
+  if (isProbe) {
+    if (isError) {
+      OpenBreaker(breaker, aNow);
+    } else {
+      breaker = Breaker{};
+    }
+    return;
+  }
+  breaker.consecutive_ = isHard ? breaker.consecutive_ + 1 : 0;
+  if (breaker.phase_ == BreakerPhase::Closed) {
+    CountOutcome(breaker, isError, aNow);
+  }
+}
+
+void
+RouterCore::CountOutcome(Breaker& aBreaker, bool aError, MonotonicTime aNow)
+{
+  const auto second = aNow.time_since_epoch().count() / kMsPerSecond;
+  auto& bucket = aBreaker.buckets_[static_cast<std::size_t>(second) %
+                                   detail::kBreakerWindowSeconds];
+  if (bucket.second_ != second) {
+    bucket = { second, 0, 0 };
+  }
+  ++bucket.total_;
+  bucket.errors_ += aError ? 1 : 0;
+  std::int64_t total = 0;
+  std::int64_t errors = 0;
+  for (const auto& each : aBreaker.buckets_) {
+    if (each.second_ + static_cast<std::int64_t>(
+                         detail::kBreakerWindowSeconds) > second) {
+      total += each.total_;
+      errors += each.errors_;
+    }
+  }
+  const bool isRateOver = total >= settings_.breakerFloor_ &&
+                          errors * 100 > total * settings_.breakerPercent_;
+  if (aBreaker.consecutive_ >= settings_.breakerFailures_ || isRateOver) {
+    OpenBreaker(aBreaker, aNow);
+  }
+}
+
+void
+RouterCore::OpenBreaker(Breaker& aBreaker, MonotonicTime aNow)
+{
+  const auto cooldown =
+    aBreaker.cooldown_ == Millis{ 0 }
+      ? settings_.breakerCooldown_
+      : std::min(aBreaker.cooldown_ * 2, settings_.breakerCooldownLimit_);
+  aBreaker = Breaker{};
+  aBreaker.phase_ = BreakerPhase::Open;
+  aBreaker.cooldown_ = cooldown;
+  aBreaker.openUntil_ = aNow + cooldown;
+}
+
+} // namespace acaciahill
--- a/packages/routing/router_type.h
+++ b/packages/routing/router_type.h
@@ -67,6 +67,7 @@
   TimedOut,      ///< Sent, and no whole answer came in time.
   Malformed,     ///< Sent, and the answer was not valid.
   TooLarge,      ///< Sent, and the answer was over the size limit.
+  Expired,       ///< Not sent: the target might not be used any more by then.
 };
 
 struct AttemptFinished
