--- /dev/null
+++ b/packages/relay/buffer_budget_base.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+
+namespace acaciahill {
+
+/// Bytes of messages held at once over all connections. Requests may use half
+/// of it only, so that the answers of requests that were sent find room.
+/// Thread-safe.
+class BufferBudget
+{
+public:
+  explicit BufferBudget(std::int64_t aLimit)
+    : limit_(aLimit)
+  {
+  }
+
+  /// Takes bytes; false, and nothing taken, when that is over the limit.
+  bool Take(std::int64_t aBytes, bool aForRequest)
+  {
+    const auto limit = aForRequest ? limit_ / 2 : limit_;
+    auto used = used_.load();
+    do {
+      if (used + aBytes > limit) {
+        return false;
+      }
+    } while (!used_.compare_exchange_weak(used, used + aBytes));
+    return true;
+  }
+
+  void GiveBack(std::int64_t aBytes) { used_ -= aBytes; }
+  std::int64_t Used() const { return used_; }
+
+private:
+  std::int64_t limit_;
+  std::atomic<std::int64_t> used_{ 0 };
+};
+
+/// The bytes that one message takes of the budget; given back at its end.
+class BufferLease
+{
+public:
+  BufferLease(BufferBudget& aBudget, bool aForRequest)
+    : budget_(aBudget)
+    , forRequest_(aForRequest)
+  {
+  }
+  BufferLease(const BufferLease&) = delete;
+  BufferLease& operator=(const BufferLease&) = delete;
+  ~BufferLease() { Clear(); }
+
+  bool Grow(std::size_t aBytes)
+  {
+    const auto bytes = static_cast<std::int64_t>(aBytes);
+    if (!budget_.Take(bytes, forRequest_)) {
+      return false;
+    }
+    held_ += bytes;
+    return true;
+  }
+
+  void Clear()
+  {
+    budget_.GiveBack(held_);
+    held_ = 0;
+  }
+
+private:
+  BufferBudget& budget_;
+  bool forRequest_;
+  std::int64_t held_ = 0;
+};
+
+} // namespace acaciahill
--- /dev/null
+++ b/packages/relay/call_spec_type.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "kernel/error_type.h"
+#include "kernel/time_type.h"
+#include "relay/http_message_type.h"
+
+#include <cstdint>
+#include <string>
+
+namespace acaciahill {
+
+/// What a caller's request asks of the relay.
+struct CallSpec
+{
+  std::string pool_;
+  /// Path and query for the target; begins with "/".
+  std::string path_;
+  std::string caller_;
+  /// 0 when the caller named none.
+  Millis deadline_{ 0 };
+  bool urgent_ = false;
+  bool repeatable_ = false;
+  /// Empty without an Idempotency-Key.
+  std::string key_;
+
+  bool operator==(const CallSpec&) const = default;
+};
+
+/// Reads a request's path and headers. A deadline over the limit is cut to it.
+/// Errors: BadRequest, UnknownPool when the path does not begin with
+/// "/pools/{pool}".
+Result<CallSpec>
+ReadCallSpec(const HttpRequest& aRequest,
+             const std::string& aPeerIp,
+             Millis aMaxDeadline);
+
+/// The key under which a claim is held: that of the caller, within its pool.
+std::string
+ClaimKeyOf(const CallSpec& aSpec);
+
+/// Hash of method, path and body, so that a key is not used for two requests.
+std::uint64_t
+FingerprintOf(const HttpRequest& aRequest);
+
+} // namespace acaciahill
--- /dev/null
+++ b/packages/relay/caller_server.cpp
@@ -0,0 +1,454 @@
+#include "relay/caller_server_base.h"
+
+#include "kernel/os_clock_func.h"
+#include "relay/http_framing_func.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Runnable.h>
+
+#include <algorithm>
+#include <array>
+#include <variant>
+
+namespace acaciahill {
+
+using Poco::Net::StreamSocket;
+
+namespace {
+
+constexpr int kBacklog = 256;
+// Threads whose connection has ended but that the pool does not yet see as
+// idle.
+constexpr int kSpareThreads = 16;
+constexpr int kStackBytes = 512 * 1024;
+constexpr Millis kCallerUserTimeout{ 30000 };
+// A caller that does not close after the last answer is given this long to
+// read it; closing with unread bytes would reset the connection and could take
+// the answer with it.
+constexpr Millis kLingerTime{ 500 };
+// While the node stops, a request already under way on an idle connection is
+// waited for, so that it gets a clear refusal.
+constexpr Millis kStopGrace{ 100 };
+constexpr Millis kAcceptPause{ 50 };
+constexpr std::size_t kMaxRejected = 64;
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+/// The caller has closed its connection, or it must be closed without an
+/// answer.
+struct Gone
+{};
+
+using ReadOutcome = std::variant<HttpRequest, Error, Gone>;
+
+} // namespace
+
+class CallerServer::Connection : public Poco::Runnable
+{
+public:
+  Connection(CallerServer& aServer, StreamSocket aSocket)
+    : server_(aServer)
+    , socket_(std::move(aSocket))
+  {
+  }
+
+  void run() override
+  {
+    try {
+      SetTcpOptions(Fd(), kCallerUserTimeout);
+      link_ = { Fd(), socket_.peerAddress().host().toString() };
+      while (ServeOne()) {
+      }
+    } catch (const std::exception&) {
+      // The caller sees its connection end without a whole answer.
+    }
+    socket_.close();
+    server_.Remove(this);
+  }
+
+private:
+  int Fd() const { return socket_.impl()->sockfd(); }
+  bool IsStopping() const { return server_.stop_.IsRaised(); }
+
+  bool ServeOne();
+  bool WaitForRequest();
+  ReadOutcome ReadRequest(BufferLease& aLease);
+  ReadOutcome Reader(RequestParser& aParser, BufferLease& aLease);
+  /// What ends the reading early, if anything does.
+  std::optional<ReadOutcome> ReadMore(BufferLease& aLease,
+                                      MonotonicTime aReadUntil);
+  bool Write(std::string_view aHead, std::string_view aBody);
+  void Refuse(const Error& aError, bool aToHead);
+  void Linger();
+
+  CallerServer& server_;
+  StreamSocket socket_;
+  CallerLink link_;
+  /// Bytes read beyond the present request.
+  std::string buffer_;
+};
+
+bool
+CallerServer::Connection::ServeOne()
+{
+  if (!WaitForRequest()) {
+    return false;
+  }
+  BufferLease lease(server_.budget_, true);
+  auto read = ReadRequest(lease);
+  if (std::holds_alternative<Gone>(read)) {
+    return false;
+  }
+  if (const auto* error = std::get_if<Error>(&read)) {
+    Refuse(*error, false);
+    return false;
+  }
+  auto request = std::get<HttpRequest>(std::move(read));
+  const bool toHead = request.method_ == "HEAD";
+  const bool keepAlive = request.keepAlive_;
+  const auto reply = server_.handler_.Handle(std::move(request), link_);
+  const bool closes = !keepAlive || IsStopping();
+  const auto head = AnswerHead(reply.answer_, toHead, closes);
+  if (!Write(head, toHead ? std::string_view() : reply.answer_.body_)) {
+    return false;
+  }
+  if (closes) {
+    Linger();
+  }
+  return !closes;
+}
+
+bool
+CallerServer::Connection::WaitForRequest()
+{
+  if (!buffer_.empty()) {
+    return true;
+  }
+  std::array<SocketInterest, 3> waits{
+    SocketInterest{ Fd(), true, false, false },
+    { server_.stop_.Fd(), true, false, false },
+    { server_.abort_.Fd(), true, false, false }
+  };
+  WaitForSockets(waits.data(), waits.size(), server_.settings_.idleTimeout_);
+  if (waits[1].read_ && !waits[0].read_ && !waits[2].read_) {
+    waits = { SocketInterest{ Fd(), true, false, false },
+              { -1, false, false, false },
+              { server_.abort_.Fd(), true, false, false } };
+    WaitForSockets(waits.data(), waits.size(), kStopGrace);
+  }
+  return waits[0].read_ && !waits[2].read_;
+}
+
+ReadOutcome
+CallerServer::Connection::ReadRequest(BufferLease& aLease)
+{
+  const auto& settings = server_.settings_;
+  RequestParser parser({ static_cast<std::size_t>(settings.maxHeaderBytes_),
+                         static_cast<std::size_t>(settings.maxRequestBytes_) });
+  return Reader(parser, aLease);
+}
+
+ReadOutcome
+CallerServer::Connection::Reader(RequestParser& aParser, BufferLease& aLease)
+{
+  const auto readUntil = MonotonicNow() + server_.settings_.readTimeout_;
+  for (;;) {
+    auto status = Result<FramingStatus>(FramingStatus::NeedMore);
+    status = aParser.Put(buffer_);
+    if (!IsOk(status)) {
+      server_.handler_.OnRefused(ErrorOf(status).kind_);
+      return ErrorOf(status);
+    }
+    if (ValueOf(status) == FramingStatus::Complete) {
+      return aParser.TakeRequest();
+    }
+    if (ValueOf(status) == FramingStatus::HeadDone) {
+      if (const auto error = server_.handler_.CheckHead(aParser.Request())) {
+        server_.handler_.OnRefused(error->kind_);
+        return *error;
+      }
+      if (aParser.Request().expectsContinue_ && buffer_.empty() &&
+          !Write(kContinue, {})) {
+        return Gone{};
+      }
+      continue;
+    }
+    if (auto end = ReadMore(aLease, readUntil)) {
+      return std::move(*end);
+    }
+  }
+}
+
+std::optional<ReadOutcome>
+CallerServer::Connection::ReadMore(BufferLease& aLease,
+                                   MonotonicTime aReadUntil)
+{
+  const auto refusal = [this](ErrorKind aKind, std::string aDetail) {
+    server_.handler_.OnRefused(aKind);
+    return ReadOutcome(Error{ aKind, std::move(aDetail) });
+  };
+  std::array<SocketInterest, 3> waits{
+    SocketInterest{ Fd(), true, false, false },
+    { server_.stop_.Fd(), true, false, false },
+    { server_.abort_.Fd(), true, false, false }
+  };
+  const auto left = aReadUntil - MonotonicNow();
+  WaitForSockets(
+    waits.data(), waits.size(), std::min(left, server_.settings_.idleTimeout_));
+  if (waits[2].read_) {
+    return Gone{};
+  }
+  if (!waits[0].read_) {
+    if (waits[1].read_) {
+      return refusal(ErrorKind::NodeStopping, {});
+    }
+    return refusal(ErrorKind::BadRequest,
+                   "the request was not read whole in time");
+  }
+  const auto read = ReadSome(Fd(), buffer_);
+  if (read.status_ == IoStatus::End || read.status_ == IoStatus::Failed) {
+    return Gone{};
+  }
+  if (!aLease.Grow(read.size_)) {
+    return refusal(ErrorKind::NodeOverloaded,
+                   "no buffer is left for the request");
+  }
+  if (MonotonicNow() >= aReadUntil) {
+    return refusal(ErrorKind::BadRequest,
+                   "the request was not read whole in time");
+  }
+  return std::nullopt;
+}
+
+bool
+CallerServer::Connection::Write(std::string_view aHead, std::string_view aBody)
+{
+  // A caller that takes its answer too slowly holds a thread; twice the idle
+  // time is enough for any link that makes progress at all.
+  const auto until = MonotonicNow() + 2 * server_.settings_.idleTimeout_;
+  std::size_t written = 0;
+  while (written < aHead.size() + aBody.size()) {
+    const auto result = WriteSome(Fd(), aHead, aBody, written);
+    if (result.status_ == IoStatus::Moved) {
+      written += result.size_;
+      continue;
+    }
+    const auto left = until - MonotonicNow();
+    if (result.status_ == IoStatus::Failed || left <= Millis{ 0 }) {
+      return false;
+    }
+    std::array<SocketInterest, 2> waits{
+      SocketInterest{ Fd(), false, true, false },
+      { server_.abort_.Fd(), true, false, false }
+    };
+    if (!WaitForSockets(waits.data(),
+                        waits.size(),
+                        std::min(left, server_.settings_.idleTimeout_)) ||
+        waits[1].read_) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void
+CallerServer::Connection::Refuse(const Error& aError, bool aToHead)
+{
+  const auto answer = AnswerOfError(aError, Millis{ 0 });
+  if (Write(AnswerHead(answer, aToHead, true), answer.body_)) {
+    Linger();
+  }
+}
+
+void
+CallerServer::Connection::Linger()
+{
+  try {
+    socket_.shutdownSend();
+  } catch (const Poco::Exception&) {
+    return;
+  }
+  const auto until = MonotonicNow() + kLingerTime;
+  std::string dropped;
+  for (;;) {
+    const auto left = until - MonotonicNow();
+    std::array<SocketInterest, 2> waits{
+      SocketInterest{ Fd(), true, false, false },
+      { server_.abort_.Fd(), true, false, false }
+    };
+    if (left <= Millis{ 0 } ||
+        !WaitForSockets(waits.data(), waits.size(), left) || waits[1].read_) {
+      return;
+    }
+    dropped.clear();
+    const auto status = ReadSome(Fd(), dropped).status_;
+    if (status == IoStatus::End || status == IoStatus::Failed) {
+      return;
+    }
+  }
+}
+
+CallerServer::CallerServer(RelaySettings aSettings,
+                           CallerHandler& aHandler,
+                           BufferBudget& aBudget,
+                           const StickyEvent& aStop,
+                           const StickyEvent& aAbort)
+  : settings_(std::move(aSettings))
+  , handler_(aHandler)
+  , budget_(aBudget)
+  , stop_(aStop)
+  , abort_(aAbort)
+  , threads_("callers",
+             2,
+             static_cast<int>(settings_.maxConnections_) + kSpareThreads,
+             60,
+             kStackBytes)
+{
+}
+
+CallerServer::~CallerServer()
+{
+  StopListening();
+  Join();
+}
+
+Result<Done>
+CallerServer::Start()
+{
+  try {
+    listener_.bind(Poco::Net::SocketAddress(settings_.listen_), true);
+    listener_.listen(kBacklog);
+    listener_.setBlocking(false);
+    port_ = listener_.address().port();
+  } catch (const Poco::Exception& error) {
+    return Error{ ErrorKind::IoError,
+                  "cannot listen on " + settings_.listen_ + ": " +
+                    error.displayText() };
+  }
+  acceptor_ = std::thread([this] { AcceptLoop(); });
+  return Done{};
+}
+
+void
+CallerServer::StopListening()
+{
+  closeListener_.Raise();
+  if (acceptor_.joinable()) {
+    acceptor_.join();
+    listener_.close();
+  }
+}
+
+bool
+CallerServer::WaitForEnd(MonotonicTime aUntil)
+{
+  std::unique_lock lock(mutex_);
+  return ended_.wait_until(
+    lock, aUntil, [this] { return connections_.empty(); });
+}
+
+void
+CallerServer::Join()
+{
+  threads_.joinAll();
+}
+
+void
+CallerServer::AcceptLoop()
+{
+  for (;;) {
+    std::array<SocketInterest, 2> waits{
+      SocketInterest{ listener_.impl()->sockfd(), true, false, false },
+      { closeListener_.Fd(), true, false, false }
+    };
+    WaitForSockets(waits.data(),
+                   waits.size(),
+                   rejected_.empty() ? Millis{ 60000 } : kAcceptPause);
+    if (waits[1].read_) {
+      rejected_.clear();
+      return;
+    }
+    if (waits[0].read_) {
+      AcceptOne();
+    }
+    DrainRejected();
+  }
+}
+
+void
+CallerServer::AcceptOne()
+{
+  try {
+    auto socket = listener_.acceptConnection();
+    std::unique_lock lock(mutex_);
+    if (static_cast<std::int64_t>(connections_.size()) >=
+        settings_.maxConnections_) {
+      lock.unlock();
+      Reject(std::move(socket));
+      return;
+    }
+    auto connection = std::make_unique<Connection>(*this, socket);
+    auto* const started = connection.get();
+    connections_.emplace(started, std::move(connection));
+    try {
+      threads_.start(*started);
+    } catch (const Poco::Exception&) {
+      connections_.erase(started);
+      lock.unlock();
+      Reject(std::move(socket));
+    }
+  } catch (const Poco::Exception&) {
+    // The caller has gone already, or descriptors have run out; the pause keeps
+    // the loop from spinning on a socket that stays readable.
+    SocketInterest closing{ closeListener_.Fd(), true, false, false };
+    WaitForSockets(&closing, 1, kAcceptPause);
+  }
+}
+
+void
+CallerServer::Reject(StreamSocket aSocket)
+{
+  handler_.OnRefused(ErrorKind::NodeOverloaded);
+  const auto answer =
+    AnswerOfError({ ErrorKind::NodeOverloaded, {} }, Millis{ 0 });
+  WriteSome(
+    aSocket.impl()->sockfd(), AnswerHead(answer, false, true), answer.body_, 0);
+  try {
+    aSocket.shutdownSend();
+  } catch (const Poco::Exception&) {
+    return;
+  }
+  if (rejected_.size() >= kMaxRejected) {
+    rejected_.erase(rejected_.begin());
+  }
+  rejected_.push_back({ std::move(aSocket), MonotonicNow() + kLingerTime });
+}
+
+void
+CallerServer::DrainRejected()
+{
+  const auto now = MonotonicNow();
+  std::erase_if(rejected_, [now](const Rejected& aRejected) {
+    std::string dropped;
+    const auto status =
+      ReadSome(aRejected.socket_.impl()->sockfd(), dropped).status_;
+    return now >= aRejected.until_ || status == IoStatus::End ||
+           status == IoStatus::Failed;
+  });
+}
+
+void
+CallerServer::Remove(const Connection* aConnection)
+{
+  // Declared before the lock, so that the connection is destroyed after it is
+  // released.
+  std::unique_ptr<Connection> removed;
+  const std::lock_guard lock(mutex_);
+  const auto found = connections_.find(aConnection);
+  removed = std::move(found->second);
+  connections_.erase(found);
+  ended_.notify_all();
+}
+
+} // namespace acaciahill
--- /dev/null
+++ b/packages/relay/caller_server_base.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "kernel/error_type.h"
+#include "relay/buffer_budget_base.h"
+#include "relay/http_message_type.h"
+#include "relay/os_socket_func.h"
+#include "relay/relay_type.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/ThreadPool.h>
+
+#include <condition_variable>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace acaciahill {
+
+/// The connection on which a request came.
+struct CallerLink
+{
+  int fd_ = -1;
+  std::string peerIp_;
+
+  bool operator==(const CallerLink&) const = default;
+};
+
+struct CallerReply
+{
+  HttpAnswer answer_;
+  /// Released once the answer is written or given up.
+  std::shared_ptr<void> held_;
+};
+
+/// Answers callers' requests. Called from many threads.
+class CallerHandler
+{
+public:
+  CallerHandler() = default;
+  CallerHandler(const CallerHandler&) = delete;
+  CallerHandler& operator=(const CallerHandler&) = delete;
+  virtual ~CallerHandler() = default;
+
+  /// Reason to refuse a request before its body is read; nothing to read on.
+  virtual std::optional<Error> CheckHead(const HttpRequest& aRequest) = 0;
+
+  /// Blocks until the request is answered.
+  virtual CallerReply Handle(HttpRequest aRequest, const CallerLink& aLink) = 0;
+
+  /// A request was refused before it reached Handle.
+  virtual void OnRefused(ErrorKind aKind) = 0;
+};
+
+/// The callers' port: one thread for each connection, requests in their order.
+class CallerServer
+{
+public:
+  /// Raising aStop refuses what is not read whole yet and closes idle
+  /// connections; raising aAbort ends every wait.
+  CallerServer(RelaySettings aSettings,
+               CallerHandler& aHandler,
+               BufferBudget& aBudget,
+               const StickyEvent& aStop,
+               const StickyEvent& aAbort);
+  CallerServer(const CallerServer&) = delete;
+  CallerServer& operator=(const CallerServer&) = delete;
+  ~CallerServer();
+
+  Result<Done> Start();
+  std::uint16_t Port() const { return port_; }
+
+  /// Closes the listening socket.
+  void StopListening();
+
+  /// True when every connection has ended by then.
+  bool WaitForEnd(MonotonicTime aUntil);
+
+  /// Waits for the threads; aAbort must have been raised.
+  void Join();
+
+private:
+  class Connection;
+
+  /// A connection over the limit that was answered; it is kept open for a while
+  /// so that the caller can read the answer.
+  struct Rejected
+  {
+    Poco::Net::StreamSocket socket_;
+    MonotonicTime until_{};
+  };
+
+  void AcceptLoop();
+  void AcceptOne();
+  void Reject(Poco::Net::StreamSocket aSocket);
+  void DrainRejected();
+  void Remove(const Connection* aConnection);
+
+  RelaySettings settings_;
+  CallerHandler& handler_;
+  BufferBudget& budget_;
+  const StickyEvent& stop_;
+  const StickyEvent& abort_;
+  StickyEvent closeListener_;
+  Poco::Net::ServerSocket listener_;
+  std::uint16_t port_ = 0;
+  Poco::ThreadPool threads_;
+  std::thread acceptor_;
+  std::mutex mutex_;
+  std::condition_variable ended_;
+  std::map<const Connection*, std::unique_ptr<Connection>> connections_;
+  std::vector<Rejected> rejected_;
+};
+
+} // namespace acaciahill
--- /dev/null
+++ b/packages/relay/http_message_type.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace acaciahill {
+
+struct HttpHeader
+{
+  std::string name_;
+  std::string value_;
+
+  bool operator==(const HttpHeader&) const = default;
+};
+
+using HttpHeaders = std::vector<HttpHeader>;
+
+/// A request with its whole body. Trailer fields are dropped.
+struct HttpRequest
+{
+  std::string method_;
+  /// As on the request line, beginning with "/".
+  std::string target_;
+  HttpHeaders headers_;
+  std::string body_;
+  /// The sender takes another answer on the same connection.
+  bool keepAlive_ = true;
+  bool expectsContinue_ = false;
+
+  bool operator==(const HttpRequest&) const = default;
+};
+
+/// A final answer (not 1xx) with its whole body. Trailer fields are dropped.
+struct HttpAnswer
+{
+  std::int64_t status_ = 0;
+  std::string reason_;
+  HttpHeaders headers_;
+  std::string body_;
+  bool keepAlive_ = true;
+
+  bool operator==(const HttpAnswer&) const = default;
+};
+
+/// Limits of one message, in bytes.
+struct HttpLimits
+{
+  std::size_t maxHeaderBytes_ = 16 * 1024;
+  std::size_t maxBodyBytes_ = 1024 * 1024;
+
+  bool operator==(const HttpLimits&) const = default;
+};
+
+} // namespace acaciahill
--- /dev/null
+++ b/packages/relay/target_client.cpp
@@ -0,0 +1,344 @@
+#include "relay/target_client_base.h"
+
+#include "kernel/os_clock_func.h"
+#include "relay/http_framing_func.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <algorithm>
+#include <array>
+#include <optional>
+
+namespace acaciahill {
+
+using Poco::Net::StreamSocket;
+
+namespace {
+
+// The time for which a silent peer may leave bytes unacknowledged.
+constexpr Millis kUserTimeout{ 10000 };
+constexpr std::int64_t kMisdirected = 421;
+constexpr std::int64_t kUnavailable = 503;
+constexpr std::int64_t kUsPerMs = 1000;
+
+AttemptEnd
+EndOfError(ErrorKind aKind)
+{
+  switch (aKind) {
+    case ErrorKind::AnswerTooLarge:
+      return AttemptEnd::TooLarge;
+    case ErrorKind::AnswerMalformed:
+      return AttemptEnd::Malformed;
+    default:
+      return AttemptEnd::Lost;
+  }
+}
+
+} // namespace
+
+/// One request on one connection.
+struct TargetClient::Exchange
+{
+  const TargetAttempt& attempt_;
+  StreamSocket socket_;
+  std::string head_;
+  std::size_t written_ = 0;
+  bool writeFailed_ = false;
+  bool callerGone_ = false;
+  AnswerParser parser_;
+  std::string buffer_;
+  /// Set once the exchange is over.
+  std::optional<AttemptEnd> end_;
+  std::string detail_;
+  MonotonicTime sentAt_{};
+
+  int Fd() const { return socket_.impl()->sockfd(); }
+  bool IsWritten() const
+  {
+    return written_ == head_.size() + attempt_.body_.size();
+  }
+
+  void End(AttemptEnd aEnd, std::string aDetail)
+  {
+    end_ = aEnd;
+    detail_ = std::move(aDetail);
+  }
+};
+
+TargetClient::TargetClient(TargetClientSettings aSettings,
+                           const StickyEvent& aAbort)
+  : settings_(std::move(aSettings))
+  , abort_(aAbort)
+{
+}
+
+TargetOutcome
+TargetClient::Send(const TargetAttempt& aAttempt, BufferLease& aLease)
+{
+  const auto idleAge =
+    aAttempt.repeatable_ ? settings_.idleAge_ : settings_.idleAgeUnrepeatable_;
+  for (;;) {
+    StreamSocket socket;
+    const bool reused =
+      !aAttempt.ownConnection_ && TakeIdle(aAttempt.address_, idleAge, socket);
+    if (!reused) {
+      auto connected =
+        Connect(aAttempt.address_, aAttempt.timeout_ - MonotonicNow());
+      if (!IsOk(connected)) {
+        return { AttemptEnd::NotSent, {}, {}, ErrorOf(connected).detail_ };
+      }
+      socket = ValueOf(connected);
+    }
+    Exchange exchange{ aAttempt,
+                       socket,
+                       {},
+                       0,
+                       false,
+                       false,
+                       AnswerParser(settings_.limits_, aAttempt.toHead_),
+                       {},
+                       {},
+                       {},
+                       {} };
+    if (!WriteFirst(exchange)) {
+      if (exchange.end_ == AttemptEnd::NotSent && reused) {
+        // Nothing of the request has left; the next try uses another one.
+        continue;
+      }
+      if (exchange.end_ == AttemptEnd::Expired && !aAttempt.ownConnection_) {
+        KeepIdle(aAttempt.address_, socket);
+      }
+      return { *exchange.end_, {}, {}, exchange.detail_ };
+    }
+    Converse(exchange, aLease);
+    TargetOutcome outcome{
+      *exchange.end_, {}, exchange.sentAt_, exchange.detail_
+    };
+    if (outcome.end_ == AttemptEnd::Answered) {
+      outcome.answer_ = exchange.parser_.TakeAnswer();
+      Judge(outcome, aAttempt.requestId_);
+      if (outcome.end_ != AttemptEnd::Malformed && outcome.answer_.keepAlive_ &&
+          exchange.IsWritten() && exchange.buffer_.empty() &&
+          !aAttempt.ownConnection_) {
+        KeepIdle(aAttempt.address_, socket);
+      }
+    }
+    return outcome;
+  }
+}
+
+void
+TargetClient::Judge(TargetOutcome& aOutcome, const std::string& aRequestId)
+{
+  const auto& answer = aOutcome.answer_;
+  const auto echoedId = FindHeader(answer.headers_, "Acaciahill-Request-Id");
+  if (echoedId && *echoedId != aRequestId) {
+    aOutcome.end_ = AttemptEnd::Malformed;
+    aOutcome.detail_ = "the answer names another request";
+    return;
+  }
+  const bool mayRefuse =
+    answer.status_ == kMisdirected || answer.status_ == kUnavailable;
+  const auto said = FindHeader(answer.headers_, "Acaciahill-Outcome");
+  if (mayRefuse && said && *said == "not-run") {
+    aOutcome.end_ = AttemptEnd::TargetRefused;
+  }
+}
+
+Result<StreamSocket>
+TargetClient::Connect(const std::string& aAddress, Millis aTimeout) const
+{
+  const auto limit = std::min(aTimeout, settings_.connectTimeout_);
+  if (limit <= Millis{ 0 }) {
+    return Error{ ErrorKind::Timeout, "no time is left to connect" };
+  }
+  try {
+    StreamSocket socket;
+    socket.connect(Poco::Net::SocketAddress(aAddress),
+                   Poco::Timespan(limit.count() * kUsPerMs));
+    SetTcpOptions(socket.impl()->sockfd(), kUserTimeout);
+    return socket;
+  } catch (const Poco::TimeoutException&) {
+    return Error{ ErrorKind::Timeout, "connecting took too long" };
+  } catch (const Poco::Exception& error) {
+    return Error{ ErrorKind::IoError, error.displayText() };
+  }
+}
+
+bool
+TargetClient::WriteFirst(Exchange& aExchange) const
+{
+  const auto& attempt = aExchange.attempt_;
+  for (;;) {
+    IoResult result;
+    const bool allowed = attempt.permission_([&] {
+      aExchange.sentAt_ = MonotonicNow();
+      aExchange.head_ = RequestHead(attempt.makeRequest_(aExchange.sentAt_),
+                                    attempt.body_.size());
+      result = WriteSome(aExchange.Fd(), aExchange.head_, attempt.body_, 0);
+    });
+    if (!allowed) {
+      aExchange.End(AttemptEnd::Expired, "the target may not be used any more");
+      return false;
+    }
+    if (result.status_ == IoStatus::Moved && result.size_ > 0) {
+      aExchange.written_ = result.size_;
+      return true;
+    }
+    const auto left = attempt.timeout_ - MonotonicNow();
+    if (result.status_ == IoStatus::Failed || left <= Millis{ 0 }) {
+      aExchange.End(AttemptEnd::NotSent, "no byte could be written");
+      return false;
+    }
+    std::array<SocketInterest, 2> waits{ SocketInterest{
+                                           aExchange.Fd(), false, true, false },
+                                         { abort_.Fd(), true, false, false } };
+    WaitForSockets(waits.data(), waits.size(), left);
+    if (waits[1].read_) {
+      aExchange.End(AttemptEnd::NotSent, "the node stops");
+      return false;
+    }
+  }
+}
+
+void
+TargetClient::Converse(Exchange& aExchange, BufferLease& aLease) const
+{
+  const auto& attempt = aExchange.attempt_;
+  while (!aExchange.end_) {
+    const auto left = attempt.timeout_ - MonotonicNow();
+    if (left <= Millis{ 0 }) {
+      aExchange.End(AttemptEnd::TimedOut, "no whole answer in time");
+      return;
+    }
+    const bool watchesCaller = attempt.callerFd_ >= 0 && !aExchange.callerGone_;
+    const bool writes = !aExchange.IsWritten() && !aExchange.writeFailed_;
+    std::array<SocketInterest, 3> waits{
+      SocketInterest{ aExchange.Fd(), true, writes, false },
+      { abort_.Fd(), true, false, false },
+      { watchesCaller ? attempt.callerFd_ : -1, false, false, true }
+    };
+    if (!WaitForSockets(waits.data(), waits.size(), left)) {
+      continue;
+    }
+    if (waits[1].read_) {
+      aExchange.End(AttemptEnd::Lost, "the node stops");
+      return;
+    }
+    if (waits[2].hangup_) {
+      aExchange.callerGone_ = true;
+      attempt.onCallerGone_();
+    }
+    if (waits[0].read_) {
+      ReadMore(aExchange, aLease);
+    }
+    if (waits[0].write_ && !aExchange.end_) {
+      WriteMore(aExchange);
+    }
+  }
+}
+
+void
+TargetClient::WriteMore(Exchange& aExchange) const
+{
+  const auto result = WriteSome(aExchange.Fd(),
+                                aExchange.head_,
+                                aExchange.attempt_.body_,
+                                aExchange.written_);
+  if (result.status_ == IoStatus::Moved) {
+    aExchange.written_ += result.size_;
+  } else if (result.status_ == IoStatus::Failed) {
+    // The target may have answered before it closed; reading goes on.
+    aExchange.writeFailed_ = true;
+  }
+}
+
+void
+TargetClient::ReadMore(Exchange& aExchange, BufferLease& aLease) const
+{
+  const auto read = ReadSome(aExchange.Fd(), aExchange.buffer_);
+  if (read.status_ == IoStatus::WouldBlock) {
+    return;
+  }
+  if (read.status_ == IoStatus::Failed) {
+    aExchange.End(AttemptEnd::Lost, "the connection failed");
+    return;
+  }
+  if (read.status_ == IoStatus::Moved && !aLease.Grow(read.size_)) {
+    aExchange.End(AttemptEnd::TooLarge, "no buffer is left for the answer");
+    return;
+  }
+  const auto status = read.status_ == IoStatus::End
+                        ? aExchange.parser_.PutEnd()
+                        : aExchange.parser_.Put(aExchange.buffer_);
+  if (!IsOk(status)) {
+    const auto& error = ErrorOf(status);
+    aExchange.End(EndOfError(error.kind_), error.detail_);
+  } else if (ValueOf(status) == FramingStatus::Complete) {
+    aExchange.End(AttemptEnd::Answered, {});
+  }
+}
+
+bool
+TargetClient::TakeIdle(const std::string& aAddress,
+                       Millis aMaxAge,
+                       StreamSocket& aSocket)
+{
+  const auto now = MonotonicNow();
+  const std::lock_guard lock(mutex_);
+  const auto found = idle_.find(aAddress);
+  if (found == idle_.end()) {
+    return false;
+  }
+  auto& connections = found->second;
+  while (!connections.empty()) {
+    const auto newest = connections.back();
+    if (now - newest.since_ > aMaxAge) {
+      // The others are older still. One makes room for the fresh connection, so
+      // that a target sees no more of them than requests at a time.
+      connections.pop_front();
+      return false;
+    }
+    connections.pop_back();
+    // A close by the target, or bytes that no request asked for.
+    if (!IsReadable(newest.socket_.impl()->sockfd())) {
+      aSocket = newest.socket_;
+      return true;
+    }
+  }
+  return false;
+}
+
+void
+TargetClient::KeepIdle(const std::string& aAddress, const StreamSocket& aSocket)
+{
+  const std::lock_guard lock(mutex_);
+  auto& connections = idle_[aAddress];
+  connections.push_back({ aSocket, MonotonicNow() });
+  if (connections.size() > settings_.maxIdlePerTarget_) {
+    connections.pop_front();
+  }
+}
+
+void
+TargetClient::CloseOldIdle(MonotonicTime aNow)
+{
+  const std::lock_guard lock(mutex_);
+  for (auto& [address, connections] : idle_) {
+    connections.remove_if([aNow, this](const IdleConnection& aConnection) {
+      return aNow - aConnection.since_ > settings_.idleAge_ ||
+             IsReadable(aConnection.socket_.impl()->sockfd());
+    });
+  }
+  std::erase_if(idle_, [](const auto& aItem) { return aItem.second.empty(); });
+}
+
+void
+TargetClient::CloseAllIdle()
+{
+  const std::lock_guard lock(mutex_);
+  idle_.clear();
+}
+
+} // namespace acaciahill
--- a/packages/routing/router.cpp
+++ b/packages/routing/router.cpp
@@ -96,11 +96,9 @@
 RouterCore::Step(const RouterInput& aInput, MonotonicTime aNow)
 {
   Actions actions;
-  std::visit(
-    [this, aNow, &actions](const auto& aAlternative) {
-      Take(aAlternative, aNow, actions);
-    },
-    aInput);
+  std::visit([this, aNow, &actions](
+               const auto& aAlternative) { Take(aAlternative, aNow, actions); },
+             aInput);
   return actions;
 }
 
@@ -244,10 +242,10 @@
   if (aInput.end_ == AttemptEnd::Answered &&
       !IsRetryableStatus(aInput.status_)) {
     const auto took = static_cast<double>(aInput.took_.count());
-    pool.serviceMs_ = pool.serviceMs_ == 0
-                        ? took
-                        : pool.serviceMs_ +
-                            kServiceWeight * (took - pool.serviceMs_);
+    pool.serviceMs_ =
+      pool.serviceMs_ == 0
+        ? took
+        : pool.serviceMs_ + kServiceWeight * (took - pool.serviceMs_);
   } else if (HasReached(aInput.end_) && aInput.end_ != AttemptEnd::Answered) {
     target.lingering_.push_back(aNow + settings_.lingerTime_);
   }
@@ -476,8 +474,7 @@
   }
   const bool hasOther = std::any_of(
     pool.vms_.begin(), pool.vms_.end(), [&](const std::string& aVm) {
-      return !aRequest.tried_.contains(aVm) &&
-             IsUsable(targets_.at(aVm), aNow);
+      return !aRequest.tried_.contains(aVm) && IsUsable(targets_.at(aVm), aNow);
     });
 
   bool again = aRequest.attempts_ < settings_.maxAttempts_ &&
@@ -637,10 +634,10 @@
   ++aPool.inFlight_;
   ++inFlight_;
   if (aRequest.attempts_ == 1) {
-    aPool.retryTokens_ = std::min(
-      settings_.retryBurst_,
-      aPool.retryTokens_ +
-        static_cast<double>(aPool.row_.retryPercent_) / 100.0);
+    aPool.retryTokens_ =
+      std::min(settings_.retryBurst_,
+               aPool.retryTokens_ +
+                 static_cast<double>(aPool.row_.retryPercent_) / 100.0);
   }
   auto& breaker = aTarget.breaker_;
   if (breaker.phase_ == BreakerPhase::Open && aNow >= breaker.openUntil_) {
@@ -651,8 +648,7 @@
   if (aRequest.input_.repeatable_ &&
       aRequest.attempts_ < settings_.maxAttempts_) {
     timeout = std::min(
-      timeout,
-      aNow + std::max(settings_.attemptFloor_, (timeout - aNow) / 2));
+      timeout, aNow + std::max(settings_.attemptFloor_, (timeout - aNow) / 2));
   }
   aOut.emplace_back(DispatchRequest{ id,
                                      aTarget.view_.vm_,
@@ -733,8 +729,7 @@
   auto* second = aTargets[pick(random_)];
   const auto load = [](const RoutedTarget& aTarget) {
     return static_cast<double>(aTarget.inFlight_ + aTarget.others_) /
-           static_cast<double>(
-             std::max<std::int64_t>(aTarget.view_.slots_, 1));
+           static_cast<double>(std::max<std::int64_t>(aTarget.view_.slots_, 1));
   };
   return load(*second) < load(*first) ? second : first;
 }
@@ -769,8 +764,8 @@
 std::int64_t
 RouterCore::Share(std::int64_t aWhole, const std::string& aZone) const
 {
-  return DivideUp(
-    aWhole, aZone == settings_.zone_ ? entryNodesInZone_ : entryNodes_);
+  return DivideUp(aWhole,
+                  aZone == settings_.zone_ ? entryNodesInZone_ : entryNodes_);
 }
 
 std::int64_t
@@ -847,11 +842,11 @@
   if (whole <= 0) {
     return Millis{ 0 };
   }
-  const auto ahead = static_cast<std::int64_t>(
-    aUrgent ? aPool.urgent_.size() : WaitingIn(aPool));
-  const auto rounds = static_cast<double>(
-                        std::max<std::int64_t>(0, ahead - open + 1)) /
-                      static_cast<double>(whole);
+  const auto ahead = static_cast<std::int64_t>(aUrgent ? aPool.urgent_.size()
+                                                       : WaitingIn(aPool));
+  const auto rounds =
+    static_cast<double>(std::max<std::int64_t>(0, ahead - open + 1)) /
+    static_cast<double>(whole);
   return Millis{ static_cast<std::int64_t>(
     std::ceil(aPool.serviceMs_ * (1 + rounds))) };
 }
@@ -862,8 +857,8 @@
                         MonotonicTime aNow)
 {
   auto& breaker = aTarget.breaker_;
-  const bool isProbe = breaker.phase_ == BreakerPhase::Probing &&
-                       breaker.probe_ == aInput.id_;
+  const bool isProbe =
+    breaker.phase_ == BreakerPhase::Probing && breaker.probe_ == aInput.id_;
   // A deadline far below the usual time says nothing of the target; counted, a
   // caller with short deadlines would shut it for everybody.
   const bool isTooShort = aInput.end_ == AttemptEnd::TimedOut &&
@@ -874,13 +869,12 @@
     }
     return;
   }
-  const bool isHard = aInput.end_ == AttemptEnd::NotSent ||
-                      aInput.end_ == AttemptEnd::Lost ||
-                      aInput.end_ == AttemptEnd::TimedOut ||
-                      aInput.end_ == AttemptEnd::Malformed;
-  const bool isError = isHard || (aInput.end_ == AttemptEnd::Answered &&
-                                  aInput.status_ >= 500 &&
-                                  aInput.status_ != 503);
+  const bool isHard =
+    aInput.end_ == AttemptEnd::NotSent || aInput.end_ == AttemptEnd::Lost ||
+    aInput.end_ == AttemptEnd::TimedOut || aInput.end_ == AttemptEnd::Malformed;
+  const bool isError =
+    isHard || (aInput.end_ == AttemptEnd::Answered && aInput.status_ >= 500 &&
+               aInput.status_ != 503);
   if (isProbe) {
     if (isError) {
       OpenBreaker(breaker, aNow);
@@ -909,8 +903,9 @@
   std::int64_t total = 0;
   std::int64_t errors = 0;
   for (const auto& each : aBreaker.buckets_) {
-    if (each.second_ + static_cast<std::int64_t>(
-                         detail::kBreakerWindowSeconds) > second) {
+    if (each.second_ +
+          static_cast<std::int64_t>(detail::kBreakerWindowSeconds) >
+        second) {
       total += each.total_;
       errors += each.errors_;
     }
