Fix: two classes of one name in daemon and relay

The daemon crashed when it answered its first request. gdb showed the destructor of the daemon's HttpAnswer running on the relay's class of the same name: a violation of the one-definition rule, silent at link time. The daemon's classes are now ServerCall and ServerAnswer.

--- a/packages/daemon/admin_service.cpp
+++ b/packages/daemon/admin_service.cpp
@@ -30,26 +30,26 @@
   "remove_node", "put_job",     "cancel_job", "set_quota",
 };
 
-HttpAnswer
+ServerAnswer
 JsonAnswer(const Json& aBody)
 {
-  HttpAnswer answer;
+  ServerAnswer answer;
   answer.body_ =
     aBody.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n";
   return answer;
 }
 
-HttpAnswer
+ServerAnswer
 TextAnswer(std::string aBody, const std::string& aType)
 {
-  HttpAnswer answer;
+  ServerAnswer answer;
   answer.contentType_ = aType;
   answer.body_ = std::move(aBody);
   return answer;
 }
 
 std::optional<std::uint64_t>
-QueryNumber(const HttpCall& aCall, const std::string& aKey)
+QueryNumber(const ServerCall& aCall, const std::string& aKey)
 {
   const auto found = aCall.query_.find(aKey);
   if (found == aCall.query_.end()) {
@@ -143,7 +143,7 @@
   : settings_(aSettings)
   , registry_(aRegistry)
   , metrics_(aMetrics)
-  , server_([this](const HttpCall& aCall) { return Handle(aCall); },
+  , server_([this](const ServerCall& aCall) { return Handle(aCall); },
             kMaxThreads,
             kMaxBodyBytes)
 {
@@ -164,8 +164,8 @@
   server_.Stop();
 }
 
-HttpAnswer
-AdminService::Handle(const HttpCall& aCall)
+ServerAnswer
+AdminService::Handle(const ServerCall& aCall)
 {
   if (aCall.method_ == "POST" && aCall.path_ == "/v1/commands") {
     return PostCommand(aCall);
@@ -173,13 +173,13 @@
   if (aCall.method_ == "GET") {
     return Get(aCall);
   }
-  return ErrorAnswerOf({ ErrorKind::BadRequest,
+  return ServerErrorOf({ ErrorKind::BadRequest,
                          aCall.method_ + " " + aCall.path_ +
                            " is not part of the API; see docs/admin-api.md" });
 }
 
-HttpAnswer
-AdminService::Get(const HttpCall& aCall)
+ServerAnswer
+AdminService::Get(const ServerCall& aCall)
 {
   const auto& path = aCall.path_;
   if (path == "/v1/table") {
@@ -240,11 +240,11 @@
   if (path == "/readyz") {
     return Ready();
   }
-  return ErrorAnswerOf(
+  return ServerErrorOf(
     { ErrorKind::BadRequest, path + " is not part of the API" });
 }
 
-HttpAnswer
+ServerAnswer
 AdminService::Table() const
 {
   const bool stale = replica_->Control().stale_;
@@ -259,7 +259,7 @@
   });
 }
 
-HttpAnswer
+ServerAnswer
 AdminService::TableCsv() const
 {
   return replica_->Read([](const Fleet& aFleet) {
@@ -270,7 +270,7 @@
   });
 }
 
-HttpAnswer
+ServerAnswer
 AdminService::Columns() const
 {
   auto list = Json::array();
@@ -285,7 +285,7 @@
   return JsonAnswer(list);
 }
 
-HttpAnswer
+ServerAnswer
 AdminService::Pools() const
 {
   const auto now = MonotonicNow();
@@ -334,7 +334,7 @@
   return JsonAnswer(list);
 }
 
-HttpAnswer
+ServerAnswer
 AdminService::Vms() const
 {
   const auto now = MonotonicNow();
@@ -366,7 +366,7 @@
   return JsonAnswer(list);
 }
 
-HttpAnswer
+ServerAnswer
 AdminService::Nodes() const
 {
   const auto now = MonotonicNow();
@@ -406,13 +406,13 @@
                       { "nodes", list } });
 }
 
-HttpAnswer
-AdminService::InForce(const HttpCall& aCall) const
+ServerAnswer
+AdminService::InForce(const ServerCall& aCall) const
 {
   const auto version = QueryNumber(aCall, "version");
   const auto index = QueryNumber(aCall, "index");
   if (!version && !index) {
-    return ErrorAnswerOf(
+    return ServerErrorOf(
       { ErrorKind::BadRequest, "give version=NUMBER or index=NUMBER" });
   }
   const auto statuses = directory_->Read(
@@ -444,7 +444,7 @@
   return JsonAnswer(body);
 }
 
-HttpAnswer
+ServerAnswer
 AdminService::Waves(const std::string& aWave) const
 {
   auto list = Json::array();
@@ -470,12 +470,12 @@
     return JsonAnswer(list);
   }
   if (list.empty()) {
-    return ErrorAnswerOf({ ErrorKind::UnknownWave, aWave });
+    return ServerErrorOf({ ErrorKind::UnknownWave, aWave });
   }
   return JsonAnswer(list.front());
 }
 
-HttpAnswer
+ServerAnswer
 AdminService::Why(const std::string& aSubject) const
 {
   auto list = Json::array();
@@ -487,7 +487,7 @@
   return JsonAnswer(list);
 }
 
-HttpAnswer
+ServerAnswer
 AdminService::Ready() const
 {
   std::string reason;
@@ -507,7 +507,7 @@
   return answer;
 }
 
-HttpAnswer
+ServerAnswer
 AdminService::PrintMetrics()
 {
   const auto control = replica_->Control();
@@ -531,18 +531,18 @@
                     "text/plain; version=0.0.4; charset=utf-8");
 }
 
-HttpAnswer
-AdminService::PostCommand(const HttpCall& aCall)
+ServerAnswer
+AdminService::PostCommand(const ServerCall& aCall)
 {
   auto json = Json::parse(aCall.body_, nullptr, false);
   if (!json.is_object()) {
-    return ErrorAnswerOf(
+    return ServerErrorOf(
       { ErrorKind::BadRequest, "the body is not a JSON object" });
   }
   const auto requestId = json.find("request_id");
   if (requestId == json.end() || !requestId->is_string() ||
       requestId->get<std::string>().empty()) {
-    return ErrorAnswerOf(
+    return ServerErrorOf(
       { ErrorKind::BadRequest, "request_id is missing; make one per change" });
   }
   const auto id = requestId->get<std::string>();
@@ -554,18 +554,18 @@
               kOperatorCommands.end(),
               type->get<std::string>()) != kOperatorCommands.end();
   if (!isAllowed) {
-    return ErrorAnswerOf(
+    return ServerErrorOf(
       { ErrorKind::BadRequest, "type is not a command for operators" });
   }
   if (const auto csv = json.find("csv"); csv != json.end()) {
     if (!csv->is_string()) {
-      return ErrorAnswerOf({ ErrorKind::BadRequest, "csv is not a text" });
+      return ServerErrorOf({ ErrorKind::BadRequest, "csv is not a text" });
     }
     const auto table =
       replica_->Read([](const Fleet& aFleet) { return aFleet.Table(); });
     const auto rows = RowsFromCsv(csv->get<std::string>(), table);
     if (!IsOk(rows)) {
-      return ErrorAnswerOf(ErrorOf(rows));
+      return ServerErrorOf(ErrorOf(rows));
     }
     json.erase("csv");
     json["rows"] = Json::array();
@@ -575,13 +575,13 @@
   }
   const auto command = CommandFromJson(json);
   if (!IsOk(command)) {
-    return ErrorAnswerOf(ErrorOf(command));
+    return ServerErrorOf(ErrorOf(command));
   }
   // The prefix keeps operators' request ids apart from the nodes' own.
   const auto result =
     replica_->Propose(ValueOf(command), "op-" + id, kCommandTimeout);
   if (result.error_) {
-    auto answer = ErrorAnswerOf(*result.error_);
+    auto answer = ServerErrorOf(*result.error_);
     auto body = Json::parse(answer.body_);
     body["table_version"] = result.tableVersion_;
     answer.body_ = body.dump();
--- a/packages/daemon/admin_service_base.h
+++ b/packages/daemon/admin_service_base.h
@@ -31,20 +31,20 @@
   void SetStopping() { stopping_ = true; }
 
 private:
-  HttpAnswer Handle(const HttpCall& aCall);
-  HttpAnswer Get(const HttpCall& aCall);
-  HttpAnswer Table() const;
-  HttpAnswer TableCsv() const;
-  HttpAnswer Columns() const;
-  HttpAnswer Pools() const;
-  HttpAnswer Vms() const;
-  HttpAnswer Nodes() const;
-  HttpAnswer Waves(const std::string& aWave) const;
-  HttpAnswer Why(const std::string& aSubject) const;
-  HttpAnswer InForce(const HttpCall& aCall) const;
-  HttpAnswer Ready() const;
-  HttpAnswer PrintMetrics();
-  HttpAnswer PostCommand(const HttpCall& aCall);
+  ServerAnswer Handle(const ServerCall& aCall);
+  ServerAnswer Get(const ServerCall& aCall);
+  ServerAnswer Table() const;
+  ServerAnswer TableCsv() const;
+  ServerAnswer Columns() const;
+  ServerAnswer Pools() const;
+  ServerAnswer Vms() const;
+  ServerAnswer Nodes() const;
+  ServerAnswer Waves(const std::string& aWave) const;
+  ServerAnswer Why(const std::string& aSubject) const;
+  ServerAnswer InForce(const ServerCall& aCall) const;
+  ServerAnswer Ready() const;
+  ServerAnswer PrintMetrics();
+  ServerAnswer PostCommand(const ServerCall& aCall);
 
   const DaemonSettings settings_;
   const ServiceRegistry& registry_;
--- a/packages/daemon/announce_service.cpp
+++ b/packages/daemon/announce_service.cpp
@@ -140,7 +140,7 @@
   : settings_(aSettings)
   , registry_(aRegistry)
   , metrics_(aMetrics)
-  , server_([this](const HttpCall& aCall) { return Handle(aCall); },
+  , server_([this](const ServerCall& aCall) { return Handle(aCall); },
             kMaxThreads,
             kMaxBodyBytes)
 {
@@ -160,24 +160,24 @@
   server_.Stop();
 }
 
-HttpAnswer
-AnnounceService::Handle(const HttpCall& aCall)
+ServerAnswer
+AnnounceService::Handle(const ServerCall& aCall)
 {
   if (aCall.method_ != "POST" || aCall.path_ != "/v1/announce") {
-    return ErrorAnswerOf(
+    return ServerErrorOf(
       { ErrorKind::BadRequest, "this port takes POST /v1/announce" });
   }
   const auto madeAt = MonotonicNow() - Millis(aCall.waitedMs_);
   const auto announcement = ParseAnnouncement(aCall.body_);
   if (!IsOk(announcement)) {
     metrics_.Count("acaciahill_announcements_refused_total", {});
-    return ErrorAnswerOf(ErrorOf(announcement));
+    return ServerErrorOf(ErrorOf(announcement));
   }
   metrics_.Count("acaciahill_announcements_total", {});
   return Take(ValueOf(announcement), madeAt);
 }
 
-HttpAnswer
+ServerAnswer
 AnnounceService::Take(const Announcement& aAnnouncement, MonotonicTime aMadeAt)
 {
   const auto find = [&] {
@@ -193,11 +193,11 @@
   if (!vm || vm->identity_ != aAnnouncement.identity_) {
     const auto registered = Register(aAnnouncement);
     if (!IsOk(registered)) {
-      return ErrorAnswerOf(ErrorOf(registered));
+      return ServerErrorOf(ErrorOf(registered));
     }
     vm = find();
     if (!vm) {
-      return ErrorAnswerOf({ ErrorKind::ControlUnreachable, "" });
+      return ServerErrorOf({ ErrorKind::ControlUnreachable, "" });
     }
   }
   // A target that has just booted has seen no assignment yet and reports epoch
@@ -236,7 +236,7 @@
   return Done{};
 }
 
-HttpAnswer
+ServerAnswer
 AnnounceService::AssignmentOf(const VmRecord& aVm)
 {
   auto tasks = Json::array();
@@ -278,7 +278,7 @@
     { "tasks", tasks },
     { "next_ms", NextInterval(aVm).count() },
   };
-  HttpAnswer answer;
+  ServerAnswer answer;
   answer.body_ = body.dump();
   return answer;
 }
--- a/packages/daemon/announce_service_base.h
+++ b/packages/daemon/announce_service_base.h
@@ -47,10 +47,10 @@
   std::map<std::string, std::vector<TaskReport>> TaskReports() const;
 
 private:
-  HttpAnswer Handle(const HttpCall& aCall);
-  HttpAnswer Take(const Announcement& aAnnouncement, MonotonicTime aMadeAt);
+  ServerAnswer Handle(const ServerCall& aCall);
+  ServerAnswer Take(const Announcement& aAnnouncement, MonotonicTime aMadeAt);
   Result<Done> Register(const Announcement& aAnnouncement);
-  HttpAnswer AssignmentOf(const VmRecord& aVm);
+  ServerAnswer AssignmentOf(const VmRecord& aVm);
   Millis NextInterval(const VmRecord& aVm);
 
   const DaemonSettings settings_;
--- a/packages/daemon/http_server.cpp
+++ b/packages/daemon/http_server.cpp
@@ -105,11 +105,11 @@
   }
 
 private:
-  HttpAnswer AnswerTo(Poco::Net::HTTPServerRequest& aRequest) const
+  ServerAnswer AnswerTo(Poco::Net::HTTPServerRequest& aRequest) const
   {
     try {
       const Poco::URI uri(aRequest.getURI());
-      HttpCall call;
+      ServerCall call;
       call.method_ = aRequest.getMethod();
       call.path_ = uri.getPath();
       for (const auto& [key, value] : uri.getQueryParameters()) {
@@ -117,16 +117,16 @@
       }
       auto body = ReadBody(aRequest, maxBytes_);
       if (!IsOk(body)) {
-        return ErrorAnswerOf(ErrorOf(body));
+        return ServerErrorOf(ErrorOf(body));
       }
       call.body_ = ValueOf(std::move(body));
       call.waitedMs_ = WaitedMs(aRequest);
       return handler_(call);
     } catch (const Poco::Exception& error) {
-      return ErrorAnswerOf({ ErrorKind::BadRequest, error.displayText() });
+      return ServerErrorOf({ ErrorKind::BadRequest, error.displayText() });
     } catch (const std::exception& error) {
       LogError("a request handler failed", { { "error", error.what() } });
-      return ErrorAnswerOf({ ErrorKind::Internal, "" });
+      return ServerErrorOf({ ErrorKind::Internal, "" });
     }
   }
 
@@ -156,11 +156,11 @@
 
 } // namespace
 
-HttpAnswer
-ErrorAnswerOf(const Error& aError)
+ServerAnswer
+ServerErrorOf(const Error& aError)
 {
   const auto& row = AnswerOf(aError.kind_);
-  HttpAnswer answer;
+  ServerAnswer answer;
   answer.status_ = row.httpStatus_;
   answer.headers_.emplace_back("Acaciahill-Outcome", OutcomeName(row.outcome_));
   const nlohmann::json body = {
--- a/packages/daemon/http_server_base.h
+++ b/packages/daemon/http_server_base.h
@@ -12,7 +12,7 @@
 namespace acaciahill {
 
 /// A whole request to one of the daemon's own HTTP ports.
-struct HttpCall
+struct ServerCall
 {
   std::string method_;
   /// Path without the query, decoded.
@@ -24,8 +24,8 @@
   std::int64_t waitedMs_ = 0;
 };
 
-/// The answer to an HttpCall.
-struct HttpAnswer
+/// The answer to an ServerCall.
+struct ServerAnswer
 {
   int status_ = 200;
   std::string contentType_ = "application/json";
@@ -34,15 +34,15 @@
 };
 
 /// An answer for an error, in the form of docs/admin-api.md.
-HttpAnswer
-ErrorAnswerOf(const Error& aError);
+ServerAnswer
+ServerErrorOf(const Error& aError);
 
 /// A small HTTP server for announcements and operators: whole bodies with a
 /// Content-Length only, one request for each connection.
 class HttpServer
 {
 public:
-  using Handler = std::function<HttpAnswer(const HttpCall&)>;
+  using Handler = std::function<ServerAnswer(const ServerCall&)>;
 
   HttpServer(Handler aHandler, int aMaxThreads, std::int64_t aMaxBodyBytes);
   HttpServer(const HttpServer&) = delete;
