--- a/packages/consensus/raft_base.h
+++ b/packages/consensus/raft_base.h
@@ -25,6 +25,8 @@
   /// Handles one input and returns what the shell must do, in order.
   std::vector<RaftAction> Step(const RaftInput& aInput, MonotonicTime aNow);
 
+  /// The own node id.
+  const std::string& Node() const { return self_.node_; }
   RaftRole Role() const { return role_; }
   std::uint64_t Term() const { return hardState_.term_; }
   /// Node id of the known leader; empty when unknown.
@@ -60,6 +62,9 @@
     bool waiting_ = false;
     std::uint64_t waitingRound_ = 0;
     std::uint64_t sentCommit_ = 0;
+    /// When the last snapshot was sent. It is not sent again within an election
+    /// timeout, as a large one may still be on its way.
+    MonotonicTime snapshotAt_{ Millis::min() / 2 };
     /// The node has accepted something under this disk id.
     bool confirmed_ = false;
     /// Index of the entry that removed the node and the time of its proposal;
--- a/packages/consensus/raft_leader.cpp
+++ b/packages/consensus/raft_leader.cpp
@@ -111,7 +111,10 @@
   }
   const auto next = std::max(aProgress.match_ + 1,
                              std::min(aReply.conflictIndex_, aProgress.next_));
-  if (next == aProgress.next_) {
+  const bool needsSnapshot =
+    next <= log_.BaseIndex() &&
+    now_ - aProgress.snapshotAt_ >= timing_.electionMin_;
+  if (next == aProgress.next_ && !needsSnapshot) {
     // The same request again would fail again; the next heartbeat probes.
     aProgress.waiting_ = true;
     aProgress.waitingRound_ = RoundAt(now_);
@@ -165,6 +168,7 @@
   if ((isBehind || isGenesis) && aWithEntries) {
     aProgress.waiting_ = true;
     aProgress.waitingRound_ = round;
+    aProgress.snapshotAt_ = now_;
     Send(aNode, Term(), SnapshotRequest{ snapshot, round });
     return;
   }
