--- a/packages/planner/move_planner.cpp
+++ b/packages/planner/move_planner.cpp
@@ -204,6 +204,9 @@
 std::string
 MovePlanner::AbortReason(const Round& aRound, const VmRecord& aVm) const
 {
+  if (aVm.phase_ == VmPhase::Lost) {
+    return "VM " + aVm.identity_.id_ + " is lost";
+  }
   if (!aRound.view_.zonesInContact_.contains(aVm.identity_.zone_)) {
     return "zone " + aVm.identity_.zone_ + " is out of contact";
   }
@@ -236,7 +239,7 @@
 MovePlanner::AbortMoves(Round& aRound)
 {
   for (const auto& [id, vm] : aRound.view_.fleet_->Vms()) {
-    if (!IsMoving(vm)) {
+    if (vm.moveTo_.empty()) {
       continue;
     }
     const auto intent = "end/" + id + "/" + std::to_string(vm.epoch_);
@@ -248,6 +251,9 @@
     if (IsGivenUp(aRound, vm)) {
       avoid_.Pass(id, aRound.now_);
     }
+    if (!IsMoving(vm)) {
+      continue;
+    }
     // The counts follow, so that one cause aborts one move.
     ++aRound.pools_.at(vm.pool_).vms_;
     const auto to = aRound.pools_.find(vm.moveTo_);
--- a/packages/planner/placement_choice.cpp
+++ b/packages/planner/placement_choice.cpp
@@ -117,7 +117,11 @@
   ++aRound.tries_;
   auto* vm = FindVm(aRound, aJob, task);
   if (vm == nullptr && aJob.job_->urgent_) {
-    vm = MakeRoom(aRound, aJob, task);
+    const auto room = MakeRoom(aRound, aJob, task);
+    if (room.isComing_) {
+      return true;
+    }
+    vm = room.vm_;
   }
   if (vm != nullptr && ProposePlacement(aRound, aJob, task, *vm)) {
     return true;
@@ -247,14 +251,14 @@
   return sorted;
 }
 
-PlacementPlanner::VmRound*
+PlacementPlanner::Room
 PlacementPlanner::MakeRoom(Round& aRound,
                            const JobRound& aJob,
                            const TaskRecord& aTask)
 {
   const auto pool = aRound.pools_.find(aJob.job_->pool_);
   if (pool == aRound.pools_.end()) {
-    return nullptr;
+    return {};
   }
   const auto size = SizeOf(*aJob.job_, nullptr);
   std::vector<VmRound*> candidates;
@@ -264,7 +268,7 @@
                [&](const auto* aVm) { return MayRunOn(aRound, aTask, *aVm); });
   for (auto* vm : candidates) {
     if (ThrottleFor(aRound, *vm, CappedTo(size, *vm->vm_))) {
-      return vm;
+      return { vm, false };
     }
   }
   // Checkpointing takes a while; a VM on which enough is stopping already is
@@ -273,11 +277,10 @@
     const auto capped = CappedTo(size, *vm->vm_);
     if (Fits(capped, Sum(vm->free_, vm->soonFree_))) {
       vm->soonFree_ = Less(vm->soonFree_, capped);
-      return nullptr;
+      return { nullptr, true };
     }
   }
-  StopFor(aRound, candidates, size);
-  return nullptr;
+  return { nullptr, StopFor(aRound, candidates, size) };
 }
 
 bool
@@ -318,7 +321,7 @@
   return true;
 }
 
-void
+bool
 PlacementPlanner::StopFor(Round& aRound,
                           const std::vector<VmRound*>& aVms,
                           const TaskSize& aSize)
@@ -353,6 +356,7 @@
   if (best != nullptr) {
     best->soonFree_ = Less(best->soonFree_, CappedTo(aSize, *best->vm_));
   }
+  return best != nullptr;
 }
 
 } // namespace acaciahill
--- a/packages/planner/placement_planner.cpp
+++ b/packages/planner/placement_planner.cpp
@@ -330,11 +330,11 @@
   auto& memory = MemoryOf(aTask, aRound.now_);
   memory.reportedAt_ = aHeardAt;
   if (!memory.runningSince_) {
-    memory.runningSince_ = aRound.now_;
+    memory.runningSince_ = aHeardAt;
   }
   TakeSample(aRound, aTask, aReport, aHeardAt);
   if (!memory.successCounted_ &&
-      aRound.now_ - *memory.runningSince_ >= placementLimits_.successAfter_) {
+      aHeardAt - *memory.runningSince_ >= placementLimits_.successAfter_) {
     memory.successCounted_ = true;
     health_.AddSuccess(aTask.vm_);
   }
--- a/packages/planner/placement_planner_base.h
+++ b/packages/planner/placement_planner_base.h
@@ -217,13 +217,20 @@
 
   bool KeepsUrgentShare(const PoolRound& aPool, const TaskSize& aSize) const;
 
-  /// Makes room for an urgent task; returns the VM when the task can be placed
-  /// there at once.
-  VmRound* MakeRoom(Round& aRound,
-                    const JobRound& aJob,
-                    const TaskRecord& aTask);
+  /// What MakeRoom() did.
+  struct Room
+  {
+    /// The VM on which the task can be placed at once, or none.
+    VmRound* vm_ = nullptr;
+    /// Room is coming, as tasks are stopping for it.
+    bool isComing_ = false;
+  };
+
+  /// Makes room for an urgent task: throttles where that is enough, else has
+  /// tasks checkpointed and stopped.
+  Room MakeRoom(Round& aRound, const JobRound& aJob, const TaskRecord& aTask);
   bool ThrottleFor(Round& aRound, VmRound& aVm, const TaskSize& aSize);
-  void StopFor(Round& aRound,
+  bool StopFor(Round& aRound,
                const std::vector<VmRound*>& aVms,
                const TaskSize& aSize);
   /// Tasks on a VM that are not urgent, the largest first.
--- /dev/null
+++ b/packages/planner/test/placement_test.cpp
@@ -0,0 +1,275 @@
+#include "planner_world.h"
+
+#include <catch2/catch.hpp>
+
+using namespace acaciahill;
+using namespace acaciahill::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+World
+MakeWorld(std::uint64_t aSeed = 9)
+{
+  World world(aSeed);
+  world.AddPool(MakeRow("a", 12, 3, 3));
+  world.Run(3s);
+  return world;
+}
+
+JobRecord
+MakeJob(const std::string& aId,
+        std::int64_t aTasks,
+        std::int64_t aMilliCores = 1000,
+        const std::string& aTeam = "t")
+{
+  JobRecord job;
+  job.id_ = aId;
+  job.pool_ = "a";
+  job.team_ = aTeam;
+  job.tasks_ = aTasks;
+  job.milliCores_ = aMilliCores;
+  job.memoryMb_ = 512;
+  return job;
+}
+
+std::int64_t
+CountTasks(const World& aWorld, const std::string& aJob, TaskPhase aPhase)
+{
+  return std::count_if(aWorld.fleet_.Tasks().begin(),
+                       aWorld.fleet_.Tasks().end(),
+                       [&](const auto& aItem) {
+                         return aItem.second.job_ == aJob &&
+                                aItem.second.phase_ == aPhase;
+                       });
+}
+
+std::map<std::string, std::int64_t>
+RunningByVm(const World& aWorld)
+{
+  std::map<std::string, std::int64_t> counts;
+  for (const auto& [id, task] : aWorld.fleet_.Tasks()) {
+    if (task.phase_ == TaskPhase::Running || task.phase_ == TaskPhase::Placed) {
+      ++counts[task.vm_];
+    }
+  }
+  return counts;
+}
+
+} // namespace
+
+// Guards against tasks heaped on one zone, rack or VM.
+TEST_CASE("tasks of a job are spread over zones, racks and VMs")
+{
+  auto world = MakeWorld();
+  world.Apply(PutJob{ MakeJob("j", 24) });
+  world.Run(5s);
+  CHECK(CountTasks(world, "j", TaskPhase::Running) == 24);
+  for (const auto& [vm, count] : RunningByVm(world)) {
+    CHECK(count == 2);
+  }
+  CHECK(world.refused_ == 0);
+}
+
+// Guards against urgent work that waits behind other work: the pool is full of
+// it, by cores or by slots, and the urgent task must start.
+TEST_CASE("urgent work starts on a full pool")
+{
+  const std::int64_t milliCores = GENERATE(1000, 3500);
+  auto world = MakeWorld();
+  world.usage_["fill"] = { milliCores, 512 };
+  world.Apply(PutJob{ MakeJob("fill", 200, milliCores) });
+  world.Run(30s);
+  auto urgent = MakeJob("urgent", 8, 8000);
+  urgent.urgent_ = true;
+  world.Apply(PutJob{ urgent });
+  CHECK(world.RunUntil(
+    [&] { return CountTasks(world, "urgent", TaskPhase::Running) == 8; }, 5s));
+  CHECK(CountTasks(world, "fill", TaskPhase::Failed) == 0);
+}
+
+// Guards against a broken VM that eats the queue, and against blaming the tasks
+// for it.
+TEST_CASE("a VM that fails everything is excluded and probed")
+{
+  auto world = MakeWorld();
+  world.taskSteps_ = 6;
+  world.vms_.at("vm103").failsTasks_ = true;
+  for (int i = 0; i < 10; ++i) {
+    world.Apply(PutJob{ MakeJob("j" + std::to_string(i), 40) });
+  }
+  int failures = 0;
+  std::map<std::string, std::uint64_t> seen;
+  const auto allDone = [&] {
+    std::int64_t done = 0;
+    for (const auto& [id, task] : world.fleet_.Tasks()) {
+      done += task.phase_ == TaskPhase::Completed ? 1 : 0;
+      if (task.vm_ == "vm103" && seen[id] != task.lease_) {
+        seen[id] = task.lease_;
+        ++failures;
+      }
+    }
+    return done == 400;
+  };
+  CHECK(world.RunUntil(allDone, 300s));
+  CHECK(failures <= 12);
+  for (int i = 0; i < 10; ++i) {
+    CHECK(CountTasks(world, "j" + std::to_string(i), TaskPhase::Failed) == 0);
+  }
+  // A repaired VM is found by its probe.
+  world.vms_.at("vm103").failsTasks_ = false;
+  world.taskSteps_ = 0;
+  world.Run(300s);
+  world.Apply(PutJob{ MakeJob("late", 80) });
+  world.Run(60s);
+  CHECK(RunningByVm(world)["vm103"] == 1);
+  // The probe did well by now.
+  world.Apply(PutJob{ MakeJob("later", 8) });
+  world.Run(10s);
+  CHECK(RunningByVm(world)["vm103"] > 1);
+}
+
+// Guards against a task that can never run being tried for ever, and against
+// excluding the VMs that it failed on.
+TEST_CASE("a task that fails on three healthy VMs is failed")
+{
+  auto world = MakeWorld();
+  world.Apply(PutJob{ MakeJob("good", 24) });
+  world.Run(40s);
+  world.badTasks_.insert("bad");
+  world.Apply(PutJob{ MakeJob("bad", 2) });
+  CHECK(world.RunUntil(
+    [&] { return CountTasks(world, "bad", TaskPhase::Failed) == 2; }, 120s));
+  CHECK(CountTasks(world, "good", TaskPhase::Running) == 24);
+  world.Apply(PutJob{ MakeJob("more", 40) });
+  world.Run(10s);
+  CHECK(CountTasks(world, "more", TaskPhase::Running) == 40);
+}
+
+// Guards against packing by a declared size that is off by ten times either
+// way.
+TEST_CASE("real sizes are learned from usage")
+{
+  struct Row
+  {
+    std::int64_t declared_;
+    std::int64_t real_;
+    std::int64_t fewest_;
+    std::int64_t most_;
+  };
+  // A VM has 16 cores and 8 slots.
+  const auto row = GENERATE(Row{ 800, 8000, 1, 2 }, Row{ 8000, 800, 7, 8 });
+  auto world = MakeWorld();
+  world.usage_["j"] = { row.real_, 512 };
+  world.taskSteps_ = 60;
+  world.Apply(PutJob{ MakeJob("j", 400, row.declared_) });
+  world.Run(75s);
+  std::int64_t most = 0;
+  std::int64_t total = 0;
+  for (const auto& [vm, count] : RunningByVm(world)) {
+    most = std::max(most, count);
+    total += count;
+  }
+  CHECK(most <= row.most_);
+  CHECK(total >= 12 * row.fewest_);
+}
+
+// Guards against a wave of cancellations that holds up new work.
+TEST_CASE("cancellations do not starve placement")
+{
+  auto world = MakeWorld();
+  for (int i = 0; i < 80; ++i) {
+    world.Apply(PutJob{ MakeJob("old" + std::to_string(i), 20) });
+  }
+  world.Run(20s);
+  for (int i = 0; i < 80; ++i) {
+    world.Apply(CancelJob{ "old" + std::to_string(i) });
+  }
+  auto urgent = MakeJob("urgent", 4);
+  urgent.urgent_ = true;
+  world.Apply(PutJob{ urgent });
+  world.Apply(PutJob{ MakeJob("new", 60) });
+  CHECK(world.RunUntil(
+    [&] { return CountTasks(world, "urgent", TaskPhase::Running) == 4; }, 3s));
+  CHECK(world.RunUntil(
+    [&] { return CountTasks(world, "new", TaskPhase::Running) == 60; }, 30s));
+  CHECK(world.mostPerStep_ <= 192);
+}
+
+// Guards against tasks lost with their VM, and against two leases at once.
+TEST_CASE("a task is placed again after its lease has ended, not before")
+{
+  auto world = MakeWorld();
+  world.Apply(PutJob{ MakeJob("j", 12) });
+  world.Run(30s);
+  const auto vm = RunningByVm(world).begin()->first;
+  world.Kill(vm);
+  const auto isMoved = [&] {
+    return RunningByVm(world).count(vm) == 0 &&
+           CountTasks(world, "j", TaskPhase::Running) == 12;
+  };
+  world.Run(25s);
+  CHECK_FALSE(isMoved());
+  CHECK(world.RunUntil(isMoved, 120s));
+}
+
+// Guards against a team that takes everything, and against one over its quota.
+TEST_CASE("teams share by their quotas")
+{
+  auto world = MakeWorld();
+  world.Apply(SetQuota{ { "big", 120000, 0 } });
+  world.Apply(SetQuota{ { "small", 40000, 0 } });
+  world.Apply(PutJob{ MakeJob("jb", 100, 1000, "big") });
+  world.Apply(PutJob{ MakeJob("js", 100, 1000, "small") });
+  world.Run(10s);
+  const auto big = CountTasks(world, "jb", TaskPhase::Running);
+  const auto small = CountTasks(world, "js", TaskPhase::Running);
+  INFO("big " << big << ", small " << small);
+  CHECK(small <= 40);
+  CHECK(big >= 2 * small);
+  CHECK(small >= 15);
+}
+
+// Guards against lost tasks and double placement after any failure or with a
+// new leader at any step, and against a wave that waits for tasks for ever.
+TEST_CASE("placement survives failures, waves and new leaders")
+{
+  const auto seed = GENERATE(range(1, 201));
+  INFO("seed " << seed);
+  auto world = MakeWorld(static_cast<std::uint64_t>(seed));
+  world.taskSteps_ = 60;
+  for (int i = 0; i < 6; ++i) {
+    world.Apply(PutJob{ MakeJob("j" + std::to_string(i), 10) });
+  }
+  world.Run(12s);
+  world.Apply(StartWave{ "w", {}, 0 });
+  for (int i = 0; i < 150; ++i) {
+    auto vm = world.vms_.begin();
+    std::advance(vm, static_cast<long>(world.random_() % world.vms_.size()));
+    const auto dice = world.random_() % 100;
+    if (dice < 2) {
+      world.Kill(vm->first);
+    } else if (dice < 4) {
+      world.RestartPlanners();
+    } else if (dice == 4) {
+      world.Apply(CancelJob{ "j" + std::to_string(world.random_() % 6) });
+    }
+    world.Step();
+  }
+  for (auto& [id, vm] : world.vms_) {
+    if (!vm.alive_ && vm.bootsAt_ == MonotonicTime{}) {
+      world.Revive(id);
+    }
+  }
+  const auto isOver = [&] {
+    return std::all_of(world.fleet_.Tasks().begin(),
+                       world.fleet_.Tasks().end(),
+                       [](const auto& aItem) {
+                         return aItem.second.phase_ == TaskPhase::Completed ||
+                                aItem.second.phase_ == TaskPhase::Failed;
+                       }) &&
+           world.WaveOf("w").phase_ == WavePhase::Completed;
+  };
+  CHECK(world.RunUntil(isOver, 1800s));
+  CHECK(world.faults_ == std::vector<std::string>{});
+}
--- /dev/null
+++ b/packages/planner/test/planner_world.h
@@ -0,0 +1,156 @@
+#pragma once
+
+#include "planner/move_planner_base.h"
+#include "planner/placement_planner_base.h"
+#include "planner/vm_watch_base.h"
+#include "planner/wave_planner_base.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace acaciahill::test {
+
+/// Time between two steps of the world.
+inline constexpr Millis kStep{ 500 };
+
+/// A VM as it really is.
+struct FakeVm
+{
+  VmIdentity identity_;
+  bool alive_ = true;
+  std::uint64_t epoch_ = 0;
+  bool draining_ = false;
+  /// Requests that run; they end while the VM drains.
+  std::uint32_t running_ = 0;
+  /// Never finishes its requests.
+  bool stuck_ = false;
+  /// Fails every task that it is given.
+  bool failsTasks_ = false;
+  MonotonicTime heardAt_{};
+  MonotonicTime diedAt_{};
+  MonotonicTime bootsAt_{};
+  std::set<std::string> operations_;
+};
+
+/// A fleet with fake VMs, in steps of half a second. Commands that the planners
+/// propose are applied one step later, in order.
+class World
+{
+public:
+  explicit World(std::uint64_t aSeed = 1);
+
+  /// Adds a pool and as many VMs as its size, in racks of four that take turns
+  /// over three zones.
+  void AddPool(PoolRow aRow);
+  void SetCell(const std::string& aPool,
+               const std::string& aColumn,
+               const std::string& aValue);
+  CommandResult Apply(const Command& aCommand);
+
+  void Step();
+  /// Steps for a time.
+  void Run(Millis aTime);
+  /// Steps until the condition holds; false when it does not within the limit.
+  template<typename Condition>
+  bool RunUntil(Condition aCondition, Millis aLimit)
+  {
+    const auto end = now_ + aLimit;
+    while (!aCondition()) {
+      if (now_ >= end) {
+        return false;
+      }
+      Step();
+    }
+    return true;
+  }
+  /// Time passes without a step of the planners, as with a frozen leader. What
+  /// it had proposed is lost with its term.
+  void Freeze(Millis aTime)
+  {
+    now_ += aTime;
+    pending_.clear();
+  }
+  void Cut(const std::string& aZone) { cutZones_.try_emplace(aZone, now_); }
+  /// A new leader: all planners start with empty memory.
+  void RestartPlanners();
+
+  void Kill(const std::string& aVm);
+  void Revive(const std::string& aVm);
+  void KillRack(const RackKey& aRack);
+
+  std::int64_t MembersOf(const std::string& aPool) const;
+  std::vector<std::string> VmsOf(const std::string& aPool) const;
+  const Wave& WaveOf(const std::string& aWave) const;
+  PlannerView View() const;
+
+  Fleet fleet_;
+  MonotonicTime now_{ std::chrono::seconds(1000) };
+  std::map<std::string, FakeVm> vms_;
+  /// Zones out of contact, and since when.
+  std::map<std::string, MonotonicTime> cutZones_;
+  std::map<std::string, PoolLoad> loads_;
+  PlannerLimits limits_;
+  std::mt19937_64 random_;
+  bool nodeUnreachable_ = false;
+  /// Milliseconds that a reboot takes.
+  Millis rebootTime_{ 20000 };
+  /// What broke a rule, one sentence each.
+  std::vector<std::string> faults_;
+  /// Commands applied, by name, and those refused.
+  std::map<std::string, int> applied_;
+  int refused_ = 0;
+  std::size_t mostPerStep_ = 0;
+  int reboots_ = 0;
+  /// The usage that tasks of a job really have, in milli-cores and MB.
+  std::map<std::string, std::pair<std::int64_t, std::int64_t>> usage_;
+  std::set<std::string> badTasks_;
+  /// Steps for which a task runs before it completes; 0 is for ever.
+  int taskSteps_ = 0;
+
+private:
+  struct FakeTask
+  {
+    std::uint64_t lease_ = 0;
+    std::string state_;
+    MonotonicTime startedAt_{};
+    int steps_ = 0;
+  };
+
+  void StepVms();
+  void StepTasks(FakeVm& aVm);
+  void Announce(FakeVm& aVm);
+  void ApplyPending();
+  void CheckChange(const Command& aCommand);
+  void Reboot(const AskReboot& aAsk);
+  void CheckBudget(const std::string& aPool, const std::string& aWhat);
+
+  std::unique_ptr<VmWatch> vmWatch_;
+  std::unique_ptr<WavePlanner> wavePlanner_;
+  std::unique_ptr<MovePlanner> movePlanner_;
+  std::unique_ptr<PlacementPlanner> placementPlanner_;
+  std::vector<Command> pending_;
+  std::map<std::string, TargetEvidence> evidence_;
+  std::map<std::string, std::vector<TaskReport>> reports_;
+  std::map<std::string, std::map<std::string, FakeTask>> tasks_;
+  std::uint64_t nextRequest_ = 1;
+  std::uint64_t index_ = 0;
+  MonotonicTime lastCommandAt_ = now_;
+  int nextVm_ = 0;
+  int nextRack_ = 0;
+};
+
+/// A row with a budget, for tests.
+PoolRow
+MakeRow(const std::string& aPool,
+        std::int64_t aSize,
+        std::int64_t aMinAvailable,
+        std::int64_t aMaxUnavailable,
+        bool aSpare = false);
+
+} // namespace acaciahill::test
--- a/packages/planner/vm_watch.cpp
+++ b/packages/planner/vm_watch.cpp
@@ -72,18 +72,17 @@
     heard != aView.targets_.end() &&
     heard->second.incarnation_ == aVm.identity_.incarnation_ &&
     aNow - heard->second.madeAt_ <= limits_.availableFor_;
-  if (isHeard || !aHeardZones.contains(aVm.identity_.zone_)) {
+  if (isHeard) {
+    silentSince_.insert_or_assign(id, heard->second.madeAt_);
+  } else if (!aHeardZones.contains(aVm.identity_.zone_)) {
     silentSince_.insert_or_assign(id, aNow);
   } else {
     silentSince_.try_emplace(id, aNow);
   }
   if (aVm.phase_ == VmPhase::Lost) {
-    const auto permit = aView.fleet_->Permits().find(aVm.permit_);
-    // The platform may carry out a confirmed stop at any time, so the VM must
-    // get no work before it has rebooted.
-    const bool maybeStopped =
-      permit != aView.fleet_->Permits().end() && permit->second.confirmed_;
-    if (!isHeard || maybeStopped) {
+    // The state lets an open permit or move go on, so a VM that is about to be
+    // stopped gets no new work.
+    if (!isHeard) {
       return std::nullopt;
     }
     return RecoverVm{ id, aVm.identity_.incarnation_ };
--- a/packages/planner/wave_planner.cpp
+++ b/packages/planner/wave_planner.cpp
@@ -15,6 +15,10 @@
 
 // VMs named in a reason at most; the rest are counted.
 constexpr std::size_t kNamedVms = 5;
+// Bytes of a reason; the state takes 500.
+constexpr std::size_t kReasonBytes = 480;
+// Bytes of the wave's name in a permit id; the state takes 256 for the whole.
+constexpr std::size_t kPermitWaveBytes = 64;
 
 std::string
 NameSome(const std::vector<const VmRecord*>& aVms)
@@ -113,8 +117,14 @@
   const auto& vms = aView.fleet_->Vms();
   for (const auto& [id, permit] : aView.fleet_->Permits()) {
     const auto vm = vms.find(permit.vm_);
-    // A lost VM may stay away for days; it counts in the budget only.
-    if (vm != vms.end() && vm->second.phase_ != VmPhase::Lost) {
+    if (vm == vms.end()) {
+      continue;
+    }
+    // A lost VM may stay away for days; it takes its place in the width and in
+    // the budget, and keeps no other zone or rack waiting.
+    if (vm->second.phase_ == VmPhase::Lost) {
+      ++round.inWork_[permit.wave_];
+    } else {
       CountInWork(round, vm->second, permit.wave_);
     }
   }
@@ -247,10 +257,9 @@
     return;
   }
   const auto& row = capacity->second.Row();
-  const bool isLate = drains_.DrainAge(aVm.identity_.id_, aRound.now_) >=
-                      Millis{ row.drainLimitMs_ };
   if (!drains_.IsComplete(aVm.identity_.id_) &&
-      !(isLate && row.drainAction_ == DrainAction::Stop)) {
+      !(IsLate(row, aVm, aRound.now_) &&
+        row.drainAction_ == DrainAction::Stop)) {
     return;
   }
   Propose(
@@ -319,9 +328,11 @@
       continue;
     }
     const auto& id = vm->identity_.id_;
-    // The epoch makes the permit, and with it the platform's operation, unique
-    // for each stop of the VM.
-    const auto permit = aWave.id_ + "/" + id + "/" + std::to_string(vm->epoch_);
+    // Incarnation and epoch make the permit, and with it the platform's
+    // operation, unique for each stop of the VM.
+    const auto permit = aWave.id_.substr(0, kPermitWaveBytes) + "/" + id + "/" +
+                        std::to_string(vm->identity_.incarnation_) + "/" +
+                        std::to_string(vm->epoch_);
     if (Propose(aRound,
                 "grant/" + permit,
                 GrantPermit{
@@ -379,39 +390,72 @@
   return reason;
 }
 
+bool
+WavePlanner::IsLate(const PoolRow& aRow,
+                    const VmRecord& aVm,
+                    MonotonicTime aNow) const
+{
+  return !drains_.IsComplete(aVm.identity_.id_) &&
+         drains_.DrainAge(aVm.identity_.id_, aNow) >=
+           Millis{ aRow.drainLimitMs_ };
+}
+
 std::string
-WavePlanner::LateDrainReason(const Round& aRound, const Wave& aWave) const
+WavePlanner::StuckReason(const Round& aRound, const Wave& aWave) const
 {
+  const auto& rows = aRound.view_.fleet_->Table().rows_;
   for (const auto& [id, permit] : aRound.view_.fleet_->Permits()) {
-    const auto vm = aRound.view_.fleet_->Vms().find(permit.vm_);
-    if (permit.wave_ != aWave.id_ || permit.confirmed_ ||
-        vm == aRound.view_.fleet_->Vms().end()) {
+    const auto found = aRound.view_.fleet_->Vms().find(permit.vm_);
+    if (permit.wave_ != aWave.id_ ||
+        found == aRound.view_.fleet_->Vms().end() ||
+        !rows.contains(found->second.pool_)) {
       continue;
     }
-    const auto row = aRound.view_.fleet_->Table().rows_.find(vm->second.pool_);
-    if (row == aRound.view_.fleet_->Table().rows_.end() ||
-        row->second.drainAction_ != DrainAction::Wait ||
-        drains_.DrainAge(permit.vm_, aRound.now_) <
-          Millis{ row->second.drainLimitMs_ }) {
-      continue;
+    const auto& vm = found->second;
+    const auto& row = rows.at(vm.pool_);
+    const auto name = "pool " + vm.pool_ + ": VM " + permit.vm_;
+    if (vm.phase_ == VmPhase::Lost) {
+      return name + " was lost during its work; restart or remove it";
+    }
+    if (!permit.confirmed_ && row.drainAction_ == DrainAction::Wait &&
+        IsLate(row, vm, aRound.now_)) {
+      const auto heard = aRound.view_.targets_.find(permit.vm_);
+      const auto running =
+        heard == aRound.view_.targets_.end() ? 0 : heard->second.running_;
+      return name + " still drains after its drain_limit_ms of " +
+             std::to_string(row.drainLimitMs_) + " with " +
+             std::to_string(running) +
+             " requests running, and drain_action is wait";
     }
-    const auto heard = aRound.view_.targets_.find(permit.vm_);
-    const auto running =
-      heard == aRound.view_.targets_.end() ? 0 : heard->second.running_;
-    return "pool " + vm->second.pool_ + ": VM " + permit.vm_ +
-           " still drains after its drain_limit_ms of " +
-           std::to_string(row->second.drainLimitMs_) + " with " +
-           std::to_string(running) +
-           " requests running, and drain_action is wait";
   }
   return {};
 }
 
+bool
+WavePlanner::HasDrainsToConfirm(const Round& aRound, const Wave& aWave) const
+{
+  const auto& permits = aRound.view_.fleet_->Permits();
+  return std::any_of(permits.begin(), permits.end(), [&](const auto& aItem) {
+    const auto& permit = aItem.second;
+    const auto vm = aRound.view_.fleet_->Vms().find(permit.vm_);
+    if (permit.wave_ != aWave.id_ || permit.confirmed_ ||
+        vm == aRound.view_.fleet_->Vms().end() ||
+        vm->second.phase_ != VmPhase::Draining) {
+      return false;
+    }
+    const auto capacity = aRound.capacities_.find(vm->second.pool_);
+    return capacity != aRound.capacities_.end() && capacity->second.Holds() &&
+           (capacity->second.Row().drainAction_ == DrainAction::Stop ||
+            !IsLate(capacity->second.Row(), vm->second, aRound.now_));
+  });
+}
+
 std::string
 WavePlanner::HoldReason(const Round& aRound, const Wave& aWave) const
 {
   const auto waiting = WaitingVms(aRound, aWave);
   const bool goesOn =
+    HasDrainsToConfirm(aRound, aWave) ||
     std::any_of(waiting.begin(), waiting.end(), [&](const auto* aVm) {
       return MayGrant(aRound, aWave, *aVm);
     });
@@ -419,7 +463,7 @@
     return {};
   }
   auto reason = HeadroomReason(aRound, waiting);
-  return reason.empty() ? LateDrainReason(aRound, aWave) : reason;
+  return reason.empty() ? StuckReason(aRound, aWave) : reason;
 }
 
 void
@@ -435,11 +479,6 @@
 void
 WavePlanner::AdjustPhase(Round& aRound, const Wave& aWave)
 {
-  const auto inWork = aRound.inWork_.find(aWave.id_);
-  if (aWave.pendingVms_.empty() && inWork == aRound.inWork_.end()) {
-    ProposePhase(aRound, aWave, WavePhase::Completed, "");
-    return;
-  }
   if (aRound.now_ < settledAt_) {
     return;
   }
@@ -461,14 +500,9 @@
   if (!hold.blockedSince_) {
     hold.blockedSince_ = aRound.now_;
   }
-  const bool reasonDue =
-    !hold.reasonSentAt_ ||
-    aRound.now_ - *hold.reasonSentAt_ >= waveLimits_.reasonInterval_;
-  const bool isHeld = aWave.phase_ == WavePhase::Held;
-  if (isHeld ? reason != aWave.reason_ && reasonDue
-             : aRound.now_ - *hold.blockedSince_ >= waveLimits_.holdAfter_) {
+  if (aWave.phase_ == WavePhase::Running &&
+      aRound.now_ - *hold.blockedSince_ >= waveLimits_.holdAfter_) {
     ProposePhase(aRound, aWave, WavePhase::Held, reason);
-    hold.reasonSentAt_ = aRound.now_;
   }
 }
 
--- a/packages/planner/wave_planner_base.h
+++ b/packages/planner/wave_planner_base.h
@@ -24,8 +24,6 @@
   Millis holdAfter_{ 5000 };
   /// Time for which the headroom must be back before a held wave resumes.
   Millis resumeAfter_{ 10000 };
-  /// Shortest time between two changes of a held wave's reason.
-  Millis reasonInterval_{ 30000 };
   /// Time after the first step, or after a gap between steps, in which missing
   /// evidence revokes and holds nothing, as it may not have been collected yet.
   Millis settleTime_{ 10000 };
@@ -58,7 +56,6 @@
   {
     std::optional<MonotonicTime> blockedSince_;
     std::optional<MonotonicTime> freeSince_;
-    std::optional<MonotonicTime> reasonSentAt_;
   };
 
   /// What one step works with.
@@ -112,7 +109,15 @@
   std::string HeadroomReason(
     const Round& aRound,
     const std::vector<const VmRecord*>& aWaiting) const;
-  std::string LateDrainReason(const Round& aRound, const Wave& aWave) const;
+  /// Why a VM in work does not get on, when the operator has to act; empty
+  /// otherwise.
+  std::string StuckReason(const Round& aRound, const Wave& aWave) const;
+  bool IsLate(const PoolRow& aRow,
+              const VmRecord& aVm,
+              MonotonicTime aNow) const;
+  /// True while the wave has drains that will end in a stop; stops are
+  /// confirmed only in a running wave.
+  bool HasDrainsToConfirm(const Round& aRound, const Wave& aWave) const;
 
   bool Propose(Round& aRound, const std::string& aIntent, Command aCommand);
   const std::vector<std::string>& UnavailableOf(Round& aRound,
