--- a/tests/support/fake_platform.cpp
+++ b/tests/support/fake_platform.cpp
@@ -163,8 +163,9 @@
 
   const std::lock_guard lock(mutex_);
   auto& operation = operations_[aOperation];
-  operation["at_ns"] = MonotonicNs();
   operation["stopped"] = outcome.Answered() && answer.is_object();
+  operation["at_ns"] =
+    answer.is_object() ? answer.value("at_ns", MonotonicNs()) : MonotonicNs();
   operation["in_flight"] =
     answer.is_object() ? answer.value("in_flight", 0) : 0;
   journal_.Write(operation);
--- a/tests/support/fake_target.cpp
+++ b/tests/support/fake_target.cpp
@@ -130,6 +130,7 @@
     if (aSwitches.contains("reboot_ms")) {
       reboot = Millis(aSwitches["reboot_ms"].get<std::int64_t>());
       answer["in_flight"] = running_;
+      answer["at_ns"] = MonotonicNs();
     }
     if (aSwitches.contains("exit")) {
       std::_Exit(aSwitches["exit"].get<int>());
@@ -450,15 +451,18 @@
   json reports = json::array();
   const bool wrongSize = switches_.taskMode_ == "wrong_size";
   for (const auto& [id, task] : tasks_) {
+    // A task of the wrong size uses three times what was declared; a
+    // throttled one half of its processors.
     const std::int64_t factor = wrongSize ? 3 : 1;
-    reports.push_back(
-      { { "id", id },
-        { "lease", task.lease_ },
-        { "state", task.state_ },
-        { "usage",
-          { { "cores", static_cast<double>(task.milliCores_ * factor) / 1000 },
-            { "memory_mb", task.memoryMb_ * factor },
-            { "age_ms", switches_.taskLag_.count() } } } });
+    const auto milliCores =
+      task.milliCores_ * factor / (task.throttled_ ? 2 : 1);
+    reports.push_back({ { "id", id },
+                        { "lease", task.lease_ },
+                        { "state", task.state_ },
+                        { "usage",
+                          { { "cores", static_cast<double>(milliCores) / 1000 },
+                            { "memory_mb", task.memoryMb_ * factor },
+                            { "age_ms", switches_.taskLag_.count() } } } });
   }
   return reports;
 }
@@ -482,7 +486,7 @@
   for (const auto& order : aOrders) {
     const auto id = order.value("id", std::string());
     const auto lease = order.value("lease", std::uint64_t{ 0 });
-    const auto action = order.value("action", std::string("run"));
+    const auto action = order.value("order", std::string("run"));
     auto& task = tasks_[id];
     if (lease < task.lease_) {
       continue;
@@ -490,16 +494,17 @@
     const bool isNew = task.startedNs_ == 0 || lease > task.lease_;
     if (action == "run" && isNew) {
       task = Task{ lease,
-                   order.value("milli_cores", std::int64_t{ 1000 }),
+                   static_cast<std::int64_t>(order.value("cores", 1.0) * 1000),
                    order.value("memory_mb", std::int64_t{ 1024 }),
                    "running",
                    MonotonicNs(),
                    0 };
-    } else if (action == "stop" && task.state_ == "running") {
+    } else if (action == "checkpoint" && task.state_ == "running") {
       task.lease_ = lease;
       task.state_ = "checkpointed";
       task.endedNs_ = MonotonicNs();
     }
+    task.throttled_ = action == "throttle";
   }
 }
 
--- a/tests/support/fake_target.h
+++ b/tests/support/fake_target.h
@@ -107,6 +107,7 @@
     std::string state_ = "running";
     std::uint64_t startedNs_ = 0;
     std::uint64_t endedNs_ = 0;
+    bool throttled_ = false;
   };
 
   nlohmann::json ApplySwitches(const nlohmann::json& aSwitches);
--- a/tests/support/test/fake_target_test.cpp
+++ b/tests/support/test/fake_target_test.cpp
@@ -242,8 +242,8 @@
                     3,
                     json::array({ { { "id", "j1-0" },
                                     { "lease", 1 },
-                                    { "action", "run" },
-                                    { "milli_cores", 2000 } } }));
+                                    { "order", "run" },
+                                    { "cores", 2.0 } } }));
   REQUIRE(WaitUntil(kTimeout, [&] {
     const auto last = rig.entry_.Last();
     return !last["tasks"].empty() && last["tasks"][0]["state"] == "running";
