--- a/packages/daemon/admin_service.cpp
+++ b/packages/daemon/admin_service.cpp
@@ -21,7 +21,7 @@
 using Json = nlohmann::json;
 
 constexpr int kMaxThreads = 16;
-constexpr std::int64_t kMaxBodyBytes = 4 * 1024 * 1024;
+constexpr std::int64_t kMaxBodyBytes = 4LL * 1024 * 1024;
 constexpr Millis kCommandTimeout{ 10000 };
 
 // Commands that operators may send; the others are the system's own.
--- a/packages/daemon/announce_service.cpp
+++ b/packages/daemon/announce_service.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr int kMaxThreads = 32;
-constexpr std::int64_t kMaxBodyBytes = 256 * 1024;
+constexpr std::int64_t kMaxBodyBytes = 256LL * 1024;
 constexpr Millis kRegisterTimeout{ 3000 };
 // While an assignment changes, the target announces this often.
 constexpr Millis kFastInterval{ 500 };
--- a/packages/daemon/planner_service.cpp
+++ b/packages/daemon/planner_service.cpp
@@ -22,7 +22,7 @@
 
 constexpr Millis kStepInterval{ 250 };
 constexpr Millis kProposeTimeout{ 3000 };
-constexpr int kPlatformTimeoutMs = 3000;
+constexpr Poco::Timespan::TimeDiff kPlatformTimeoutUs = 3'000'000;
 constexpr Millis kPlatformPause{ 200 };
 // Age of the last word from a zone up to which it counts as in contact.
 constexpr int kContactLeases = 2;
@@ -239,7 +239,7 @@
     std::string vm;
     Poco::URI::encode(aAsk.vm_, "/?#", vm);
     Poco::Net::HTTPClientSession session(uri.getHost(), uri.getPort());
-    session.setTimeout(Poco::Timespan(kPlatformTimeoutMs * 1000));
+    session.setTimeout(Poco::Timespan(kPlatformTimeoutUs));
     Poco::Net::HTTPRequest request(
       "POST", "/v1/vms/" + vm + "/reboot", "HTTP/1.1");
     const auto body = nlohmann::json{ { "operation", aAsk.operation_ } }.dump();
--- a/packages/daemon/replica_service.cpp
+++ b/packages/daemon/replica_service.cpp
@@ -13,7 +13,7 @@
 
 // Committed entries kept for nodes that follow by pulls.
 constexpr std::size_t kTailEntries = 10000;
-constexpr std::size_t kTailBytes = 8U * 1024 * 1024;
+constexpr std::size_t kTailBytes = 8UL * 1024 * 1024;
 // Entries in one answer to a pull.
 constexpr std::size_t kPullEntries = 1000;
 // Longest wait of one pull; it sets how often an idle node exchanges digests.
@@ -510,7 +510,8 @@
     }
     strangers = strangers_;
   }
-  for (const auto& [node, stranger] : strangers) {
+  for (const auto& [name, stranger] : strangers) {
+    const auto& node = name;
     const bool isSetUp = settings_.voters_.contains(node);
     if (!isSetUp || now - stranger.heardAt_ > kStrangerMaxAge) {
       continue;
