--- a/packages/state/fleet_codec.cpp
+++ b/packages/state/fleet_codec.cpp
@@ -254,16 +254,29 @@
 
   static bool AreEndsConsistent(const Fleet& aFleet)
   {
-    const auto isWave = [&](const auto& aId) {
-      return aFleet.waves_.count(aId) != 0;
-    };
-    const auto isJob = [&](const auto& aId) {
-      return aFleet.jobs_.count(aId) != 0;
-    };
-    return std::all_of(
-             aFleet.endedWaves_.begin(), aFleet.endedWaves_.end(), isWave) &&
-           std::all_of(
-             aFleet.endedJobs_.begin(), aFleet.endedJobs_.end(), isJob);
+    return AreDistinctKeys(aFleet.endedWaves_, aFleet.waves_) &&
+           AreDistinctKeys(aFleet.endedJobs_, aFleet.jobs_) &&
+           std::none_of(aFleet.tasks_.begin(),
+                        aFleet.tasks_.end(),
+                        [&aFleet](const auto& aEntry) {
+                          const auto& [id, task] = aEntry;
+                          const auto& ended = aFleet.endedJobs_;
+                          return detail::IsUnfinished(task) &&
+                                 std::find(ended.begin(),
+                                           ended.end(),
+                                           task.job_) != ended.end();
+                        });
+  }
+
+  template<typename T>
+  static bool AreDistinctKeys(const std::deque<std::string>& aKeys,
+                              const std::map<std::string, T>& aMap)
+  {
+    const std::set<std::string_view> distinct(aKeys.begin(), aKeys.end());
+    return distinct.size() == aKeys.size() &&
+           std::all_of(aKeys.begin(), aKeys.end(), [&aMap](const auto& aKey) {
+             return aMap.count(aKey) != 0;
+           });
   }
 };
 
--- a/packages/state/fleet_editor_base.h
+++ b/packages/state/fleet_editor_base.h
@@ -88,7 +88,7 @@
   // VMs (vm_cmd.cpp).
   VmRecord& Vm(const std::string& aId) { return fleet_.vms_.at(aId); }
   void SetPhase(VmRecord& aVm, VmPhase aPhase);
-  void AddVm(const VmIdentity& aIdentity);
+  std::string AddVm(const VmIdentity& aIdentity);
   std::string Reboot(VmRecord& aVm, const VmIdentity& aIdentity);
 
   // Permits and waves (wave_cmd.cpp).
--- a/packages/state/vm_cmd.cpp
+++ b/packages/state/vm_cmd.cpp
@@ -205,8 +205,7 @@
   const auto& identity = aCommand.identity_;
   const auto known = fleet_.vms_.find(identity.id_);
   if (known == fleet_.vms_.end()) {
-    AddVm(identity);
-    return fleet_.decisions_.at(Concat("vm:", identity.id_)).back().text_;
+    return AddVm(identity);
   }
   auto& vm = known->second;
   if (identity.incarnation_ == vm.identity_.incarnation_) {
@@ -218,7 +217,7 @@
   return text;
 }
 
-void
+std::string
 FleetEditor::AddVm(const VmIdentity& aIdentity)
 {
   VmRecord vm;
@@ -232,17 +231,18 @@
       return aOther.second.pool_ == vm.pool_;
     });
   fleet_.vms_.emplace(aIdentity.id_, vm);
-  DecideAll({ Concat("vm:", aIdentity.id_), Concat("pool:", vm.pool_) },
-            Concat("new VM ",
-                   aIdentity.id_,
-                   " joined pool ",
-                   vm.pool_,
-                   row.spare_ ? ", the spare pool, which has "
-                              : ", which lacked most and has ",
-                   present + 1,
-                   " of ",
-                   row.size_,
-                   " VMs now"));
+  auto text = Concat("new VM ",
+                     aIdentity.id_,
+                     " joined pool ",
+                     vm.pool_,
+                     row.spare_ ? ", the spare pool, which has "
+                                : ", which lacked most and has ",
+                     present + 1,
+                     " of ",
+                     row.size_,
+                     " VMs now");
+  DecideAll({ Concat("vm:", aIdentity.id_), Concat("pool:", vm.pool_) }, text);
+  return text;
 }
 
 std::string
