--- /dev/null
+++ b/packages/state/test/claim_test.cpp
@@ -0,0 +1,211 @@
+#include "state/test/fleet_driver.h"
+
+#include <catch2/catch.hpp>
+
+using namespace acaciahill;
+using test::FleetDriver;
+
+namespace {
+
+constexpr auto kNone = std::optional<ErrorKind>();
+constexpr std::uint64_t kPrint = 77;
+
+const BeginClaim kBegin{ "rota/c/k", kPrint, "n1", "a1" };
+
+EndClaim
+MakeEnd(ClaimEnd aEnd, const std::string& aBody = "paid")
+{
+  return { "rota/c/k", "a1", aEnd, 201, "text/plain", aBody, true };
+}
+
+const Claim&
+ClaimOf(const FleetDriver& aDriver)
+{
+  return aDriver.fleet_.Claims().at("rota/c/k");
+}
+
+} // namespace
+
+// Guards against a second run of a charge, and against a caller that is shut
+// out although its request never ran.
+TEST_CASE("a second request with a key finds the claim")
+{
+  struct Row
+  {
+    const char* name_;
+    std::optional<ClaimEnd> end_;
+    std::uint64_t fingerprint_;
+    std::optional<ErrorKind> kind_;
+  };
+  const auto row = GENERATE(
+    Row{ "running", {}, kPrint, ErrorKind::ClaimRunning },
+    Row{ "running, other", {}, 1, ErrorKind::ClaimMismatch },
+    Row{ "completed", ClaimEnd::Completed, kPrint, ErrorKind::InvalidState },
+    Row{ "completed, other", ClaimEnd::Completed, 1, ErrorKind::ClaimMismatch },
+    Row{ "unknown", ClaimEnd::Unknown, kPrint, ErrorKind::ClaimUnknown },
+    Row{ "not run", ClaimEnd::NotRun, kPrint, {} },
+    Row{ "not run, other", ClaimEnd::NotRun, 1, {} });
+  INFO(row.name_);
+  FleetDriver driver;
+  const auto first = driver.Apply(kBegin);
+  CHECK_FALSE(first.error_);
+  CHECK_FALSE(first.claim_);
+  if (row.end_) {
+    CHECK(driver.KindOf(MakeEnd(*row.end_)) == kNone);
+  }
+  const auto claims = driver.fleet_.Claims();
+  const auto second =
+    driver.Apply(BeginClaim{ "rota/c/k", row.fingerprint_, "n2", "a2" });
+  CHECK(second.claim_.has_value() == row.kind_.has_value());
+  if (row.kind_) {
+    REQUIRE(second.error_);
+    CHECK(second.error_->kind_ == *row.kind_);
+    CHECK(second.claim_ == claims.at("rota/c/k"));
+    CHECK(driver.fleet_.Claims() == claims);
+  } else {
+    CHECK(ClaimOf(driver).owner_ == "a2");
+  }
+}
+
+TEST_CASE("only the owner ends a claim, and once")
+{
+  FleetDriver driver;
+  driver.Apply(kBegin);
+  auto foreign = MakeEnd(ClaimEnd::NotRun);
+  foreign.owner_ = "a2";
+  CHECK(driver.KindOf(foreign) == ErrorKind::InvalidState);
+  CHECK(driver.KindOf(MakeEnd(ClaimEnd::Completed)) == kNone);
+  CHECK(driver.KindOf(MakeEnd(ClaimEnd::Completed)) == kNone);
+  // A late and weaker end does not open the way for a second run.
+  CHECK(driver.KindOf(MakeEnd(ClaimEnd::NotRun)) == kNone);
+  CHECK(driver.KindOf(MakeEnd(ClaimEnd::Unknown)) == kNone);
+  CHECK(ClaimOf(driver).phase_ == ClaimPhase::Completed);
+  CHECK(ClaimOf(driver).answerBody_ == "paid");
+  CHECK(ClaimOf(driver).answerStatus_ == 201);
+}
+
+// Guards against a claim that stays running because its answer is too large.
+TEST_CASE("an answer over the limit ends the claim without being kept")
+{
+  const auto size =
+    GENERATE(as<std::size_t>{}, kClaimAnswerLimit, kClaimAnswerLimit + 1);
+  FleetDriver driver;
+  driver.Apply(kBegin);
+  const std::string body(size, '\xFF');
+  CHECK(driver.KindOf(MakeEnd(ClaimEnd::Completed, body)) == kNone);
+  CHECK(ClaimOf(driver).phase_ == ClaimPhase::Completed);
+  CHECK(ClaimOf(driver).answerKept_ == (size <= kClaimAnswerLimit));
+  CHECK(ClaimOf(driver).answerBody_ ==
+        (size <= kClaimAnswerLimit ? body : std::string()));
+  CHECK(ClaimOf(driver).answerStatus_ == 201);
+}
+
+TEST_CASE("a claim without a key is refused")
+{
+  FleetDriver driver;
+  CHECK(driver.KindOf(BeginClaim{ "", 1, "n1", "a1" }) ==
+        ErrorKind::BadRequest);
+  CHECK(driver.KindOf(BeginClaim{ std::string(2000, 'k'), 1, "n1", "a1" }) ==
+        ErrorKind::BadRequest);
+}
+
+TEST_CASE("claims expire by logical time in the order of their beginning")
+{
+  FleetDriver driver;
+  driver.Apply(kBegin, 0);
+  driver.Apply(BeginClaim{ "later", 1, "n1", "a2" }, 1000);
+  driver.Apply(RemoveVm{ "none" }, kClaimLifeMs - 1001);
+  CHECK(driver.fleet_.Claims().size() == 2);
+  driver.Apply(RemoveVm{ "none" }, 1);
+  CHECK(driver.fleet_.Claims().size() == 1);
+  CHECK(driver.fleet_.Claims().count("later") == 1);
+  CHECK(driver.KindOf(kBegin, 0) == kNone);
+  driver.Apply(RemoveVm{ "none" }, 1000);
+  CHECK(driver.fleet_.Claims().count("later") == 0);
+  CHECK(driver.fleet_.Claims().size() == 1);
+  // An end after the expiry is no error, and it brings no claim back.
+  auto late = MakeEnd(ClaimEnd::Completed);
+  late.key_ = "later";
+  late.owner_ = "a2";
+  CHECK(driver.KindOf(late) == kNone);
+  CHECK(driver.fleet_.Claims().size() == 1);
+}
+
+// Guards against a released claim whose old expiry ends its successor.
+TEST_CASE("a claim begun again lives its whole time")
+{
+  FleetDriver driver;
+  driver.Apply(kBegin, 0);
+  driver.Apply(MakeEnd(ClaimEnd::NotRun), 0);
+  driver.Apply(kBegin, 5000);
+  driver.Apply(RemoveVm{ "none" }, kClaimLifeMs - 1);
+  CHECK(driver.fleet_.Claims().size() == 1);
+  driver.Apply(RemoveVm{ "none" }, 1);
+  CHECK(driver.fleet_.Claims().empty());
+}
+
+// Guards against results that fill the memory, and against dropping recent
+// ones.
+TEST_CASE("the last results are kept for resends")
+{
+  FleetDriver driver;
+  for (std::size_t i = 0; i < kResultLimit + 1; ++i) {
+    driver.Apply(BeginClaim{ Concat("k", i), 1, "n1", "a1" });
+  }
+  const auto resend = [&driver](const std::string& aId, std::size_t aKey) {
+    return driver.fleet_.Apply(
+      { aId, 0, BeginClaim{ Concat("k", aKey), 1, "n1", "a1" } }, 99999);
+  };
+  CHECK_FALSE(resend("r2", 1).error_);
+  // The oldest result was dropped; the command itself finds its claim.
+  const auto oldest = resend("r1", 0);
+  REQUIRE(oldest.error_);
+  CHECK(oldest.error_->kind_ == ErrorKind::ClaimRunning);
+}
+
+TEST_CASE("claims over the limit are refused")
+{
+  FleetDriver driver;
+  for (std::size_t i = 0; i < kClaimLimit; ++i) {
+    driver.Apply(BeginClaim{ Concat("k", i), 1, "n1", "a1" }, 0);
+  }
+  CHECK(driver.KindOf(kBegin) == ErrorKind::ClaimLimit);
+  CHECK(driver.KindOf(kBegin, kClaimLifeMs) == kNone);
+}
+
+TEST_CASE("nodes are registered, updated and removed")
+{
+  FleetDriver driver;
+  NodeRecord node{ "n1", "z1", "127.0.0.1:1", "127.0.0.1:2", false };
+  CHECK(driver.KindOf(RegisterNode{ node }) == kNone);
+  CHECK(driver.KindOf(RegisterNode{ node }) == kNone);
+  CHECK(driver.fleet_.DecisionsOn("node:n1").size() == 1);
+  node.voter_ = true;
+  CHECK(driver.KindOf(RegisterNode{ node }) == kNone);
+  CHECK(driver.fleet_.Nodes().at("n1") == node);
+  auto nameless = node;
+  nameless.id_.clear();
+  CHECK(driver.KindOf(RegisterNode{ nameless }) == ErrorKind::BadRequest);
+  CHECK(driver.KindOf(RemoveNode{ "n9" }) == ErrorKind::UnknownNode);
+  CHECK(driver.KindOf(RemoveNode{ "n1" }) == kNone);
+  CHECK(driver.fleet_.Nodes().empty());
+}
+
+// Guards against claims that are running for 24 h, as their node is gone.
+TEST_CASE("the running claims of a removed node become unknown")
+{
+  FleetDriver driver;
+  driver.Apply(RegisterNode{ { "n1", "z1", "a", "b", false } });
+  driver.Apply(kBegin);
+  driver.Apply(BeginClaim{ "done", 1, "n1", "a2" });
+  driver.Apply(
+    EndClaim{ "done", "a2", ClaimEnd::Completed, 200, "", "", true });
+  driver.Apply(BeginClaim{ "other", 1, "n2", "a3" });
+  driver.Apply(RemoveNode{ "n1" });
+  CHECK(ClaimOf(driver).phase_ == ClaimPhase::Unknown);
+  CHECK(driver.fleet_.Claims().at("done").phase_ == ClaimPhase::Completed);
+  CHECK(driver.fleet_.Claims().at("other").phase_ == ClaimPhase::Running);
+  CHECK(driver.KindOf(kBegin) == ErrorKind::ClaimUnknown);
+  CHECK_THAT(driver.fleet_.DecisionsOn("node:n1").back().text_,
+             Catch::Contains("1 of its claims"));
+}
