--- /dev/null
+++ b/packages/client/table/client_command_table.h
@@ -0,0 +1,182 @@
+#pragma once
+
+#include "client/client_type.h"
+
+#include <array>
+#include <vector>
+
+namespace acaciahill::detail {
+
+inline constexpr OptionRow kJsonOption{ "json", "", "print JSON" };
+inline constexpr OptionRow kWaitOption{
+  "wait",
+  "",
+  "wait until the change is in force on all nodes, with progress"
+};
+inline constexpr OptionRow kIfVersionOption{
+  "if-version",
+  "N",
+  "only if the table still has this version"
+};
+
+/// Options that every command takes.
+inline constexpr std::array kGlobalOptions = {
+  OptionRow{ "admin",
+             "HOST:PORT,...",
+             "admin addresses of nodes; the next one is tried when one fails "
+             "(default: the environment variable ACACIAHILL_ADMIN)" },
+  OptionRow{ "timeout",
+             "SECONDS",
+             "how long a change is tried and --wait waits (default 30)" },
+  OptionRow{
+    "request-id",
+    "ID",
+    "id of the change; give the id of an earlier attempt whose outcome "
+    "is unknown, and it is not done twice" },
+  OptionRow{ "help", "", "print help" },
+};
+
+/// The commands in the order of the help.
+inline const std::vector<CommandRow>&
+CommandTable()
+{
+  static const std::vector<CommandRow> kTable = {
+    { "table",
+      "",
+      "print the table of pools",
+      { { "csv", "", "print CSV with the version, as apply takes it" },
+        kJsonOption },
+      { "acaciahill table", "acaciahill table --csv > pools.csv" },
+      &ShowTable },
+    { "columns",
+      "",
+      "print the columns of the table with their ranges",
+      { kJsonOption },
+      { "acaciahill columns" },
+      &ShowColumns },
+    { "set",
+      "POOL COLUMN VALUE",
+      "change one cell of the table",
+      { kIfVersionOption, kWaitOption },
+      { "acaciahill set rota weight 120 --wait",
+        "acaciahill set receipts drain_action stop --if-version 12" },
+      &SetTableCell },
+    { "apply",
+      "FILE.csv",
+      "replace the table by a file, all or nothing",
+      { { "dry-run", "", "print the cells that would change, change nothing" },
+        kIfVersionOption,
+        kWaitOption },
+      { "acaciahill table --csv > pools.csv",
+        "acaciahill apply pools.csv --dry-run",
+        "acaciahill apply pools.csv --wait" },
+      &ApplyTableFile },
+    { "pools",
+      "",
+      "print the pools with their VMs and headroom",
+      { kJsonOption },
+      { "acaciahill pools" },
+      &ShowPools },
+    { "vms",
+      "",
+      "print the VMs",
+      { { "pool", "POOL", "only VMs of this pool" }, kJsonOption },
+      { "acaciahill vms", "acaciahill vms --pool rota" },
+      &ShowVms },
+    { "vm remove",
+      "VM",
+      "forget a VM that is lost for good, and its permit",
+      { kWaitOption },
+      { "acaciahill vm remove vm-17" },
+      &RemoveOneVm },
+    { "nodes",
+      "",
+      "print the entry nodes, the leader, and who is behind",
+      { kJsonOption },
+      { "acaciahill nodes" },
+      &ShowNodes },
+    { "node remove",
+      "NODE",
+      "forget a node that will not come back",
+      { kWaitOption },
+      { "acaciahill node remove n3" },
+      &RemoveOneNode },
+    { "wave start",
+      "[WAVE]",
+      "start a maintenance wave that reboots each VM within the budgets",
+      { { "pools", "POOL,...", "only these pools (default: all)" },
+        { "width", "N", "most VMs in work at once (default: the budgets)" },
+        kWaitOption },
+      { "acaciahill wave start november --pools rota,receipts --width 2" },
+      &StartOneWave },
+    { "wave status",
+      "[WAVE]",
+      "print the waves, or one wave with its permits",
+      { kJsonOption },
+      { "acaciahill wave status", "acaciahill wave status november" },
+      &ShowWaves },
+    { "wave pause",
+      "WAVE",
+      "stop granting new permits",
+      { { "reason", "TEXT", "shown in the status" }, kWaitOption },
+      { "acaciahill wave pause november --reason 'too many late receipts'" },
+      &PauseWave },
+    { "wave resume",
+      "WAVE",
+      "go on with a paused wave",
+      { kWaitOption },
+      { "acaciahill wave resume november" },
+      &ResumeWave },
+    { "wave cancel",
+      "WAVE",
+      "end a wave; VMs that drain without a confirmed stop return",
+      { { "reason", "TEXT", "shown in the status" }, kWaitOption },
+      { "acaciahill wave cancel november" },
+      &CancelWave },
+    { "why",
+      "SUBJECT",
+      "print the last decisions on a pool, VM, wave, node or job",
+      { kJsonOption },
+      { "acaciahill why rota",
+        "acaciahill why vm-17",
+        "acaciahill why wave:november" },
+      &ShowWhy },
+    { "jobs",
+      "",
+      "print the jobs with their tasks by state",
+      { kJsonOption },
+      { "acaciahill jobs" },
+      &ShowJobs },
+    { "job put",
+      "JOB",
+      "add a job of equal tasks",
+      { { "pool", "POOL", "pool that carries it" },
+        { "team", "TEAM", "team whose quota it uses" },
+        { "tasks", "N", "number of tasks (default 1)" },
+        { "cores", "X", "processors of one task (default 1)" },
+        { "memory-mb", "N", "memory of one task in MB (default 1024)" },
+        { "slots", "N", "slots of one task (default 1)" },
+        { "urgent", "", "place it before other work" },
+        kWaitOption },
+      { "acaciahill job put nightly --pool reports --team tax --tasks 20 "
+        "--cores 0.5 --memory-mb 512" },
+      &PutOneJob },
+    { "job cancel",
+      "JOB",
+      "cancel a job: waiting tasks end, placed ones are told to stop",
+      { kWaitOption },
+      { "acaciahill job cancel nightly" },
+      &CancelOneJob },
+    { "quota set",
+      "TEAM",
+      "set the most that a team may hold at once; 0 is no limit",
+      { { "cores", "X", "processors (default 0)" },
+        { "memory-mb", "N", "memory in MB (default 0)" },
+        kWaitOption },
+      { "acaciahill quota set tax --cores 40 --memory-mb 65536" },
+      &SetTeamQuota },
+  };
+  return kTable;
+}
+
+} // namespace acaciahill::detail
