--- a/packages/consensus/file_log_store.cpp
+++ b/packages/consensus/file_log_store.cpp
@@ -17,7 +17,12 @@
 using detail::ToBytes;
 using detail::ToJson;
 
-constexpr std::string_view kLogHeader = "ACALOG1\n";
+constexpr std::string_view kLogMagic = "ACALOG1\n";
+constexpr std::size_t kSizeDigits = 20;
+
+// Entries per record in a log that is written as a whole. It bounds the memory
+// for encoding.
+constexpr std::size_t kRecordEntries = 1024;
 
 // A frame's length has 32 bits.
 constexpr std::size_t kMaxPayload = 0xffffffff;
@@ -48,14 +53,29 @@
   return XXH64(aDiskId.data(), aDiskId.size(), 0);
 }
 
+/// A log file that is written as a whole. Its header holds the size of the
+/// records that follow. These were synced together with the header, so damage
+/// in them is never a torn tail.
 std::string
 WholeLog(const std::vector<LogEntry>& aEntries, std::uint64_t aSeed)
 {
-  std::string bytes(kLogHeader);
-  if (!aEntries.empty()) {
-    bytes += MakeFrame(ToBytes(ToJson(aEntries)), aSeed + bytes.size());
-  }
-  return bytes;
+  const auto makeHeader = [aSeed](std::uint64_t aSize) {
+    // A string of fixed length keeps the header's size independent of aSize.
+    auto digits = std::to_string(aSize);
+    digits.insert(0, kSizeDigits - digits.size(), '0');
+    return std::string(kLogMagic) + MakeFrame(digits, aSeed + kLogMagic.size());
+  };
+  const auto headerSize = makeHeader(0).size();
+  std::string records;
+  for (std::size_t at = 0; at < aEntries.size(); at += kRecordEntries) {
+    const auto begin = aEntries.begin() + static_cast<std::ptrdiff_t>(at);
+    const auto end = std::min(at + kRecordEntries, aEntries.size()) - at;
+    const std::vector<LogEntry> part(begin,
+                                     begin + static_cast<std::ptrdiff_t>(end));
+    records +=
+      MakeFrame(ToBytes(ToJson(part)), aSeed + headerSize + records.size());
+  }
+  return makeHeader(records.size()) + records;
 }
 
 /// Adds the entries of one record; those at or after its first index are
@@ -92,22 +112,28 @@
              aWhat };
 }
 
-/// The entries of a log file. A bad record at its end is left out; it was being
-/// written when the process or the machine stopped, so nobody relies on it.
+/// The entries of a log file. A bad appended record at its end is left out; it
+/// was being written when the process or the machine stopped, so nobody relies
+/// on it.
 Result<std::vector<LogEntry>>
 ParseLog(const std::string& aPath, std::string_view aBytes, std::uint64_t aSeed)
 {
-  if (!aBytes.starts_with(kLogHeader)) {
-    return CorruptAt(aPath, 0, "no log header");
-  }
+  std::size_t at = kLogMagic.size();
+  const auto header = aBytes.starts_with(kLogMagic)
+                        ? ReadFrame(aBytes.substr(at), aSeed + at)
+                        : std::nullopt;
+  if (!header || header->payload_.size() != kSizeDigits) {
+    return CorruptAt(aPath, 0, "no valid header");
+  }
+  at += header->size_;
+  const auto wholeEnd = at + std::stoull(std::string(header->payload_));
   std::vector<LogEntry> entries;
-  std::size_t at = kLogHeader.size();
   while (at < aBytes.size()) {
     const auto rest = aBytes.substr(at);
     const auto frame = ReadFrame(rest, aSeed + at);
     if (!frame) {
-      if (detail::HasFrame(rest.substr(1), aSeed + at + 1)) {
-        return CorruptAt(aPath, at, "a bad record with valid ones after it");
+      if (at < wholeEnd || detail::HasFrame(rest.substr(1), aSeed + at + 1)) {
+        return CorruptAt(aPath, at, "a bad record that is not the last one");
       }
       break;
     }
@@ -117,6 +143,9 @@
     }
     at += frame->size_;
   }
+  if (at < wholeEnd) {
+    return CorruptAt(aPath, at, "records at the end are missing");
+  }
   return entries;
 }
 
@@ -134,7 +163,7 @@
   }
   if (aEntries[0].index_ > aSnapshot.lastIndex_) {
     return CorruptAt(
-      aPath, kLogHeader.size(), "entries after the snapshot are missing");
+      aPath, kLogMagic.size(), "entries after the snapshot are missing");
   }
   const auto covered = aSnapshot.lastIndex_ - aEntries[0].index_ + 1;
   if (covered > aEntries.size() ||
@@ -149,14 +178,17 @@
 class FileLogStore : public LogStore
 {
 public:
-  FileLogStore(FileSystem& aFiles, Paths aPaths, const StoredLog& aStored)
+  FileLogStore(FileSystem& aFiles,
+               Paths aPaths,
+               const StoredLog& aStored,
+               std::uint64_t aLogSize)
     : files_(aFiles)
     , paths_(std::move(aPaths))
     , seed_(SeedOf(aStored.diskId_))
     , snapshotIndex_(aStored.snapshot_.lastIndex_)
     , lastIndex_(aStored.entries_.empty() ? snapshotIndex_
                                           : aStored.entries_.back().index_)
-    , logSize_(WholeLog(aStored.entries_, seed_).size())
+    , logSize_(aLogSize)
   {
   }
 
@@ -410,8 +442,8 @@
   // a failed sync. Written again, it is durable before anyone relies on it.
   // This also cuts off a torn tail and drops replaced entries.
   const auto seed = SeedOf(ValueOf(stored).diskId_);
-  auto result =
-    aFiles.ReplaceSynced(paths.log_, WholeLog(ValueOf(stored).entries_, seed));
+  const auto log = WholeLog(ValueOf(stored).entries_, seed);
+  auto result = aFiles.ReplaceSynced(paths.log_, log);
   if (IsOk(result)) {
     result = aFiles.ReplaceSynced(
       paths.hardState_,
@@ -420,7 +452,8 @@
   if (!IsOk(result)) {
     return ErrorOf(result);
   }
-  auto store = std::make_unique<FileLogStore>(aFiles, paths, ValueOf(stored));
+  auto store =
+    std::make_unique<FileLogStore>(aFiles, paths, ValueOf(stored), log.size());
   return OpenedLog{ ValueOf(std::move(stored)), std::move(store) };
 }
 
