--- a/packages/planner/test/planner_world.cpp
+++ b/packages/planner/test/planner_world.cpp
@@ -228,8 +228,10 @@
       }
       const auto [other, isFirst] = runsOn.emplace(id, vm);
       if (!isFirst) {
-        faults_.push_back("task " + id + " runs on " + other->second + " and " +
-                          vm);
+        auto fault = "task " + id;
+        fault += " runs on " + other->second;
+        fault += " and " + vm;
+        faults_.push_back(fault);
       }
     }
   }
