--- a/packages/planner/availability_func.cpp
+++ b/packages/planner/availability_func.cpp
@@ -4,19 +4,24 @@
 
 namespace acaciahill {
 
-namespace {
-
-// True while a VM is out of service because a wave works on it as planned.
-bool
-IsUnderPermit(const VmRecord& aVm)
+VmAvailability
+AvailabilityOf(const VmRecord& aVm,
+               const PlannerView& aView,
+               MonotonicTime aNow,
+               const PlannerLimits& aLimits)
 {
-  return !aVm.permit_.empty() && aVm.phase_ != VmPhase::Lost;
+  const auto heard = aView.targets_.find(aVm.identity_.id_);
+  return AvailabilityOf(aVm,
+                        heard == aView.targets_.end() ? nullptr
+                                                      : &heard->second,
+                        aView,
+                        aNow,
+                        aLimits);
 }
 
-} // namespace
-
 VmAvailability
 AvailabilityOf(const VmRecord& aVm,
+               const TargetEvidence* aEvidence,
                const PlannerView& aView,
                MonotonicTime aNow,
                const PlannerLimits& aLimits)
@@ -24,17 +29,13 @@
   if (aVm.phase_ != VmPhase::Active || !aVm.permit_.empty()) {
     return VmAvailability::Unavailable;
   }
-  if (!aView.zonesInContact_.contains(aVm.identity_.zone_)) {
-    return VmAvailability::Unknown;
-  }
-  const auto heard = aView.targets_.find(aVm.identity_.id_);
-  if (heard == aView.targets_.end() ||
-      aNow - heard->second.madeAt_ > aLimits.availableFor_) {
+  if (aEvidence == nullptr ||
+      aNow - aEvidence->madeAt_ > aLimits.availableFor_ ||
+      !aView.zonesInContact_.contains(aVm.identity_.zone_)) {
     return VmAvailability::Unknown;
   }
-  const auto& evidence = heard->second;
-  return evidence.incarnation_ == aVm.identity_.incarnation_ &&
-             evidence.epoch_ == aVm.epoch_ && !evidence.draining_
+  return aEvidence->incarnation_ == aVm.identity_.incarnation_ &&
+             aEvidence->epoch_ == aVm.epoch_ && !aEvidence->draining_
            ? VmAvailability::Available
            : VmAvailability::Unavailable;
 }
@@ -122,24 +123,30 @@
 }
 
 std::map<std::string, PoolCapacity>
-PoolCapacities(const PlannerView& aView,
-               MonotonicTime aNow,
-               const PlannerLimits& aLimits,
-               CountedOut aCounted)
+EmptyCapacities(const PlannerView& aView)
 {
   std::map<std::string, PoolCapacity> capacities;
   for (const auto& [pool, row] : aView.fleet_->Table().rows_) {
     capacities.emplace(pool, PoolCapacity(row));
   }
+  return capacities;
+}
+
+std::map<std::string, PoolCapacity>
+PoolCapacities(const PlannerView& aView,
+               MonotonicTime aNow,
+               const PlannerLimits& aLimits)
+{
+  auto capacities = EmptyCapacities(aView);
+  EvidenceCursor evidence(aView);
   for (const auto& [id, vm] : aView.fleet_->Vms()) {
     const auto capacity = capacities.find(vm.pool_);
-    if (capacity == capacities.end()) {
-      continue;
+    if (capacity != capacities.end()) {
+      capacity->second.Add(
+        vm,
+        AvailabilityOf(vm, evidence.Find(id), aView, aNow, aLimits) ==
+          VmAvailability::Available);
     }
-    const bool available =
-      (aCounted == CountedOut::NotUnderPermit && IsUnderPermit(vm)) ||
-      AvailabilityOf(vm, aView, aNow, aLimits) == VmAvailability::Available;
-    capacity->second.Add(vm, available);
   }
   return capacities;
 }
@@ -151,9 +158,11 @@
                const PlannerLimits& aLimits)
 {
   std::vector<std::string> vms;
+  EvidenceCursor evidence(aView);
   for (const auto& [id, vm] : aView.fleet_->Vms()) {
     if (vm.pool_ == aPool && vm.permit_.empty() && vm.moveTo_.empty() &&
-        AvailabilityOf(vm, aView, aNow, aLimits) != VmAvailability::Available) {
+        AvailabilityOf(vm, evidence.Find(id), aView, aNow, aLimits) !=
+          VmAvailability::Available) {
       vms.push_back(id);
     }
   }
--- a/packages/planner/availability_func.h
+++ b/packages/planner/availability_func.h
@@ -19,6 +19,30 @@
   Unknown,     ///< It was not heard lately, or its zone is out of contact.
 };
 
+/// Looks up evidence by VM id, for ids that are asked for in ascending order.
+class EvidenceCursor
+{
+public:
+  explicit EvidenceCursor(const PlannerView& aView)
+    : next_(aView.targets_.begin())
+    , end_(aView.targets_.end())
+  {
+  }
+
+  /// The last statement of a VM, or none.
+  const TargetEvidence* Find(const std::string& aVm)
+  {
+    while (next_ != end_ && next_->first < aVm) {
+      ++next_;
+    }
+    return next_ != end_ && next_->first == aVm ? &next_->second : nullptr;
+  }
+
+private:
+  std::map<std::string, TargetEvidence>::const_iterator next_;
+  std::map<std::string, TargetEvidence>::const_iterator end_;
+};
+
 /// Judges a VM by the state and by what was last heard of it. An active VM is
 /// available only when its evidence is young enough and shows the recorded
 /// incarnation and epoch, as entry VMs send to no other.
@@ -28,6 +52,14 @@
                MonotonicTime aNow,
                const PlannerLimits& aLimits);
 
+/// The same, with the VM's evidence at hand; aEvidence may be null.
+VmAvailability
+AvailabilityOf(const VmRecord& aVm,
+               const TargetEvidence* aEvidence,
+               const PlannerView& aView,
+               MonotonicTime aNow,
+               const PlannerLimits& aLimits);
+
 /// Availability zone and rack; rack names repeat between zones.
 using RackKey = std::pair<std::string, std::string>;
 
@@ -73,20 +105,15 @@
   std::map<RackKey, std::int64_t> availableByRack_;
 };
 
-/// Which VMs PoolCapacities() counts as out.
-enum class CountedOut : std::uint8_t
-{
-  All,
-  /// All but VMs that are heard, or being rebooted, under an open permit.
-  NotUnderPermit,
-};
+/// Pools without members, by pool name.
+std::map<std::string, PoolCapacity>
+EmptyCapacities(const PlannerView& aView);
 
-/// Pool capacities by pool name.
+/// Pool capacities by pool name, with all VMs that are out.
 std::map<std::string, PoolCapacity>
 PoolCapacities(const PlannerView& aView,
                MonotonicTime aNow,
-               const PlannerLimits& aLimits,
-               CountedOut aCounted = CountedOut::All);
+               const PlannerLimits& aLimits);
 
 /// The VMs of a pool that are unavailable or unknown, as BeginMove, GrantPermit
 /// and ConfirmStop carry them, ordered by id. VMs with a permit or a move are
--- a/packages/planner/move_planner.cpp
+++ b/packages/planner/move_planner.cpp
@@ -76,28 +76,33 @@
 MovePlanner::Round
 MovePlanner::BeginRound(const PlannerView& aView, MonotonicTime aNow)
 {
-  Round round{ aView, aNow, PoolCapacities(aView, aNow, limits_), {}, {}, {} };
+  Round round{ aView, aNow };
+  round.capacities_ = EmptyCapacities(aView);
+  EvidenceCursor evidence(aView);
   for (const auto& [pool, row] : aView.fleet_->Table().rows_) {
     round.pools_[pool].row_ = &row;
   }
   for (const auto& [id, vm] : aView.fleet_->Vms()) {
     const auto pool = round.pools_.find(vm.pool_);
-    if (pool == round.pools_.end() || vm.phase_ == VmPhase::Lost) {
+    if (pool == round.pools_.end()) {
+      continue;
+    }
+    const bool isAvailable =
+      AvailabilityOf(vm, evidence.Find(id), aView, aNow, limits_) ==
+      VmAvailability::Available;
+    round.capacities_.at(vm.pool_).Add(vm, isAvailable);
+    if (vm.phase_ == VmPhase::Lost) {
       continue;
     }
     ++pool->second.vms_;
     pool->second.slotSum_ += vm.identity_.slots_;
-    ++pool->second.byZone_[vm.identity_.zone_];
-    ++pool->second.byRack_[RackOf(vm)];
     const auto sent = sentMoves_.find(id);
     if (sent != sentMoves_.end()) {
       CountMove(round, vm, sent->second.to_);
     } else if (IsMoving(vm)) {
       CountMove(round, vm, vm.moveTo_);
-    } else if (AvailabilityOf(vm, aView, aNow, limits_) ==
-                 VmAvailability::Available &&
-               !avoid_.IsPending(id)) {
-      round.movable_[vm.pool_].push_back(&vm);
+    } else if (isAvailable && !avoid_.IsPending(id)) {
+      pool->second.movable_.push_back(&vm);
     }
   }
   return round;
@@ -111,15 +116,11 @@
   auto& from = aRound.pools_.at(aVm.pool_);
   --from.vms_;
   ++from.movesOut_;
-  --from.byZone_[aVm.identity_.zone_];
-  --from.byRack_[RackOf(aVm)];
   aRound.capacities_.at(aVm.pool_).TakeOut(aVm);
   const auto to = aRound.pools_.find(aTo);
   if (to != aRound.pools_.end()) {
     ++to->second.vms_;
     ++to->second.movesIn_;
-    ++to->second.byZone_[aVm.identity_.zone_];
-    ++to->second.byRack_[RackOf(aVm)];
   }
 }
 
@@ -288,21 +289,37 @@
   return pools;
 }
 
+MovePlanner::Places
+MovePlanner::PlacesOf(const Round& aRound, const std::string& aPool) const
+{
+  Places places;
+  for (const auto& [id, vm] : aRound.view_.fleet_->Vms()) {
+    const auto sent = sentMoves_.find(id);
+    const auto& to = sent != sentMoves_.end() ? sent->second.to_
+                     : IsMoving(vm)           ? vm.moveTo_
+                                              : vm.pool_;
+    if (to == aPool && vm.phase_ != VmPhase::Lost) {
+      ++places.byZone_[vm.identity_.zone_];
+      ++places.byRack_[RackOf(vm)];
+    }
+  }
+  return places;
+}
+
 const VmRecord*
 MovePlanner::BestVm(const Round& aRound,
                     const std::string& aFrom,
                     const std::string& aTo) const
 {
-  const auto movable = aRound.movable_.find(aFrom);
-  const auto& donor = aRound.pools_.at(aFrom);
-  const auto& taker = aRound.pools_.at(aTo);
-  if (movable == aRound.movable_.end() ||
-      donor.movesOut_ >= moveLimits_.movesPerPool_) {
+  const auto& from = aRound.pools_.at(aFrom);
+  if (from.movesOut_ >= moveLimits_.movesPerPool_) {
     return nullptr;
   }
+  const auto donor = PlacesOf(aRound, aFrom);
+  const auto taker = PlacesOf(aRound, aTo);
   const VmRecord* best = nullptr;
   std::tuple<std::int64_t, std::int64_t, std::uint32_t> bestScore;
-  for (const auto* vm : movable->second) {
+  for (const auto* vm : from.movable_) {
     if (sentMoves_.contains(vm->identity_.id_) ||
         !aRound.capacities_.at(aFrom).AllowsOut(*vm)) {
       continue;
--- a/packages/planner/move_planner_base.h
+++ b/packages/planner/move_planner_base.h
@@ -70,6 +70,13 @@
     std::int64_t movesIn_ = 0;
     std::int64_t movesOut_ = 0;
     std::int64_t slotSum_ = 0;
+    /// Members that may move.
+    std::vector<const VmRecord*> movable_{};
+  };
+
+  /// How many VMs a pool has, or will have, in each zone and rack.
+  struct Places
+  {
     std::map<std::string, std::int64_t> byZone_;
     std::map<RackKey, std::int64_t> byRack_;
   };
@@ -78,11 +85,9 @@
   {
     const PlannerView& view_;
     MonotonicTime now_;
-    std::map<std::string, PoolCapacity> capacities_;
-    std::map<std::string, PoolRound> pools_;
-    /// VMs that may move, by pool.
-    std::map<std::string, std::vector<const VmRecord*>> movable_;
-    std::vector<PlannerAction> actions_;
+    std::map<std::string, PoolCapacity> capacities_{};
+    std::map<std::string, PoolRound> pools_{};
+    std::vector<PlannerAction> actions_{};
   };
 
   Round BeginRound(const PlannerView& aView, MonotonicTime aNow);
@@ -104,6 +109,7 @@
                const std::vector<std::string>& aDonors,
                const std::string& aTo,
                const std::string& aReason);
+  Places PlacesOf(const Round& aRound, const std::string& aPool) const;
   const VmRecord* BestVm(const Round& aRound,
                          const std::string& aFrom,
                          const std::string& aTo) const;
--- a/packages/planner/vm_watch.cpp
+++ b/packages/planner/vm_watch.cpp
@@ -1,5 +1,7 @@
 #include "planner/vm_watch_base.h"
 
+#include "planner/availability_func.h"
+
 namespace acaciahill {
 
 namespace {
@@ -24,10 +26,11 @@
 VmWatch::HeardZones(const PlannerView& aView, MonotonicTime aNow) const
 {
   std::set<std::string> zones;
+  EvidenceCursor evidence(aView);
   for (const auto& [id, vm] : aView.fleet_->Vms()) {
-    const auto heard = aView.targets_.find(id);
-    if (heard != aView.targets_.end() &&
-        aNow - heard->second.madeAt_ <= limits_.availableFor_ &&
+    const auto* heard = evidence.Find(id);
+    if (heard != nullptr && aNow - heard->madeAt_ <= limits_.availableFor_ &&
+        !zones.contains(vm.identity_.zone_) &&
         aView.zonesInContact_.contains(vm.identity_.zone_)) {
       zones.insert(vm.identity_.zone_);
     }
@@ -44,14 +47,16 @@
   if (hasGap) {
     // Nothing could be heard while this process was frozen.
     silentSince_.clear();
+    start_ = aNow;
   }
   const auto& vms = aView.fleet_->Vms();
   std::erase_if(silentSince_,
                 [&](const auto& aItem) { return !vms.contains(aItem.first); });
   const auto heardZones = HeardZones(aView, aNow);
   std::vector<PlannerAction> actions;
+  EvidenceCursor evidence(aView);
   for (const auto& [id, vm] : vms) {
-    const auto command = Decide(vm, aView, heardZones, aNow);
+    const auto command = Decide(vm, evidence.Find(id), heardZones, aNow);
     if (command && actions.size() < kCommandsPerStep &&
         gate_.Pass(id + "/" + std::to_string(vm.epoch_), aNow)) {
       actions.emplace_back(ProposeCommand{ *command });
@@ -62,22 +67,21 @@
 
 std::optional<Command>
 VmWatch::Decide(const VmRecord& aVm,
-                const PlannerView& aView,
+                const TargetEvidence* aEvidence,
                 const std::set<std::string>& aHeardZones,
                 MonotonicTime aNow)
 {
   const auto& id = aVm.identity_.id_;
-  const auto heard = aView.targets_.find(id);
-  const bool isHeard =
-    heard != aView.targets_.end() &&
-    heard->second.incarnation_ == aVm.identity_.incarnation_ &&
-    aNow - heard->second.madeAt_ <= limits_.availableFor_;
+  const bool isHeard = aEvidence != nullptr &&
+                       aEvidence->incarnation_ == aVm.identity_.incarnation_ &&
+                       aNow - aEvidence->madeAt_ <= limits_.availableFor_;
   if (isHeard) {
-    silentSince_.insert_or_assign(id, heard->second.madeAt_);
+    silentSince_.erase(id);
   } else if (!aHeardZones.contains(aVm.identity_.zone_)) {
     silentSince_.insert_or_assign(id, aNow);
   } else {
-    silentSince_.try_emplace(id, aNow);
+    const bool isKnown = aEvidence != nullptr && aEvidence->madeAt_ >= start_;
+    silentSince_.try_emplace(id, isKnown ? aEvidence->madeAt_ : aNow);
   }
   if (aVm.phase_ == VmPhase::Lost) {
     // The state lets an open permit or move go on, so a VM that is about to be
@@ -90,7 +94,7 @@
   const auto limit = aVm.phase_ == VmPhase::Stopping
                        ? kRebootFactor * limits_.lostAfter_
                        : limits_.lostAfter_;
-  if (aNow - silentSince_.at(id) < limit) {
+  if (isHeard || aNow - silentSince_.at(id) < limit) {
     return std::nullopt;
   }
   return MarkVmLost{ id, aVm.identity_.incarnation_ };
--- a/packages/planner/vm_watch_base.h
+++ b/packages/planner/vm_watch_base.h
@@ -27,14 +27,16 @@
   std::set<std::string> HeardZones(const PlannerView& aView,
                                    MonotonicTime aNow) const;
   std::optional<Command> Decide(const VmRecord& aVm,
-                                const PlannerView& aView,
+                                const TargetEvidence* aEvidence,
                                 const std::set<std::string>& aHeardZones,
                                 MonotonicTime aNow);
 
   PlannerLimits limits_;
   ProposalGate gate_;
   std::optional<MonotonicTime> lastStep_;
-  /// Since when each VM is silent under this watch.
+  /// Since when this object has watched without a gap.
+  MonotonicTime start_{};
+  /// Since when each silent VM is silent under this watch.
   std::map<std::string, MonotonicTime> silentSince_;
 };
 
--- a/packages/planner/wave_planner.cpp
+++ b/packages/planner/wave_planner.cpp
@@ -78,12 +78,14 @@
     }
   }
   for (const auto& [id, wave] : waves) {
-    if (wave.phase_ == WavePhase::Running) {
-      GrantNext(round, wave);
+    if (!IsOpen(wave)) {
+      continue;
     }
-    if (IsOpen(wave)) {
-      AdjustPhase(round, wave);
+    const auto waiting = WaitingVms(round, wave);
+    if (wave.phase_ == WavePhase::Running) {
+      GrantNext(round, wave, waiting);
     }
+    AdjustPhase(round, wave, waiting);
   }
   return std::move(round.actions_);
 }
@@ -102,19 +104,9 @@
 WavePlanner::Round
 WavePlanner::BeginRound(const PlannerView& aView, MonotonicTime aNow)
 {
-  Round round{
-    aView,
-    aNow,
-    PoolCapacities(aView, aNow, limits_),
-    PoolCapacities(aView, aNow, limits_, CountedOut::NotUnderPermit),
-    {},
-    {},
-    {},
-    {},
-    {},
-    0,
-  };
+  Round round{ aView, aNow };
   const auto& vms = aView.fleet_->Vms();
+  CountVms(round);
   for (const auto& [id, permit] : aView.fleet_->Permits()) {
     const auto vm = vms.find(permit.vm_);
     if (vm == vms.end()) {
@@ -139,6 +131,27 @@
   return round;
 }
 
+void
+WavePlanner::CountVms(Round& aRound) const
+{
+  aRound.capacities_ = EmptyCapacities(aRound.view_);
+  aRound.unplanned_ = aRound.capacities_;
+  EvidenceCursor evidence(aRound.view_);
+  for (const auto& [id, vm] : aRound.view_.fleet_->Vms()) {
+    const auto all = aRound.capacities_.find(vm.pool_);
+    if (all == aRound.capacities_.end()) {
+      continue;
+    }
+    const bool isAvailable =
+      AvailabilityOf(
+        vm, evidence.Find(id), aRound.view_, aRound.now_, limits_) ==
+      VmAvailability::Available;
+    const bool isPlanned = !vm.permit_.empty() && vm.phase_ != VmPhase::Lost;
+    all->second.Add(vm, isAvailable);
+    aRound.unplanned_.at(vm.pool_).Add(vm, isAvailable || isPlanned);
+  }
+}
+
 void
 WavePlanner::CountInWork(Round& aRound,
                          const VmRecord& aVm,
@@ -318,9 +331,11 @@
 }
 
 void
-WavePlanner::GrantNext(Round& aRound, const Wave& aWave)
+WavePlanner::GrantNext(Round& aRound,
+                       const Wave& aWave,
+                       const std::vector<const VmRecord*>& aWaiting)
 {
-  for (const auto* vm : WaitingVms(aRound, aWave)) {
+  for (const auto* vm : aWaiting) {
     if (aRound.grants_ >= waveLimits_.grantsPerStep_) {
       return;
     }
@@ -451,9 +466,17 @@
 }
 
 std::string
-WavePlanner::HoldReason(const Round& aRound, const Wave& aWave) const
+WavePlanner::HoldReason(const Round& aRound,
+                        const Wave& aWave,
+                        const std::vector<const VmRecord*>& aWaiting) const
 {
-  const auto waiting = WaitingVms(aRound, aWave);
+  std::vector<const VmRecord*> waiting;
+  std::copy_if(aWaiting.begin(),
+               aWaiting.end(),
+               std::back_inserter(waiting),
+               [this](const auto* aVm) {
+                 return !sentGrants_.contains(aVm->identity_.id_);
+               });
   const bool goesOn =
     HasDrainsToConfirm(aRound, aWave) ||
     std::any_of(waiting.begin(), waiting.end(), [&](const auto* aVm) {
@@ -477,13 +500,15 @@
 }
 
 void
-WavePlanner::AdjustPhase(Round& aRound, const Wave& aWave)
+WavePlanner::AdjustPhase(Round& aRound,
+                         const Wave& aWave,
+                         const std::vector<const VmRecord*>& aWaiting)
 {
   if (aRound.now_ < settledAt_) {
     return;
   }
   auto& hold = holds_[aWave.id_];
-  const auto reason = HoldReason(aRound, aWave);
+  const auto reason = HoldReason(aRound, aWave, aWaiting);
   if (reason.empty()) {
     hold.blockedSince_.reset();
     if (!hold.freeSince_) {
--- a/packages/planner/wave_planner_base.h
+++ b/packages/planner/wave_planner_base.h
@@ -64,20 +64,21 @@
     const PlannerView& view_;
     MonotonicTime now_;
     /// With everything that is out.
-    std::map<std::string, PoolCapacity> capacities_;
+    std::map<std::string, PoolCapacity> capacities_{};
     /// Without what waves have taken out themselves.
-    std::map<std::string, PoolCapacity> unplanned_;
+    std::map<std::string, PoolCapacity> unplanned_{};
     /// VMs under work of a wave, and where: one zone for each pool and one rack
     /// for each zone at a time.
-    std::map<std::string, std::string> zoneOfPool_;
-    std::map<std::string, std::string> rackOfZone_;
-    std::map<std::string, std::int64_t> inWork_;
-    std::map<std::string, std::vector<std::string>> unavailable_;
-    std::vector<PlannerAction> actions_;
+    std::map<std::string, std::string> zoneOfPool_{};
+    std::map<std::string, std::string> rackOfZone_{};
+    std::map<std::string, std::int64_t> inWork_{};
+    std::map<std::string, std::vector<std::string>> unavailable_{};
+    std::vector<PlannerAction> actions_{};
     std::size_t grants_ = 0;
   };
 
   Round BeginRound(const PlannerView& aView, MonotonicTime aNow);
+  void CountVms(Round& aRound) const;
   void CountInWork(Round& aRound,
                    const VmRecord& aVm,
                    const std::string& aWave);
@@ -90,7 +91,9 @@
   void RevokeOverBudget(Round& aRound);
   void Revoke(Round& aRound, const Permit& aPermit, const std::string& aReason);
 
-  void GrantNext(Round& aRound, const Wave& aWave);
+  void GrantNext(Round& aRound,
+                 const Wave& aWave,
+                 const std::vector<const VmRecord*>& aWaiting);
   bool MayGrant(const Round& aRound,
                 const Wave& aWave,
                 const VmRecord& aVm) const;
@@ -99,13 +102,17 @@
                                           const Wave& aWave) const;
   bool IsReady(const Round& aRound, const VmRecord& aVm) const;
 
-  void AdjustPhase(Round& aRound, const Wave& aWave);
+  void AdjustPhase(Round& aRound,
+                   const Wave& aWave,
+                   const std::vector<const VmRecord*>& aWaiting);
   void ProposePhase(Round& aRound,
                     const Wave& aWave,
                     WavePhase aPhase,
                     const std::string& aReason);
   /// Why the wave cannot go on; empty when it can.
-  std::string HoldReason(const Round& aRound, const Wave& aWave) const;
+  std::string HoldReason(const Round& aRound,
+                         const Wave& aWave,
+                         const std::vector<const VmRecord*>& aWaiting) const;
   std::string HeadroomReason(
     const Round& aRound,
     const std::vector<const VmRecord*>& aWaiting) const;
