--- a/packages/planner/placement_choice.cpp
+++ b/packages/planner/placement_choice.cpp
@@ -52,11 +52,10 @@
 std::map<std::string, std::deque<PlacementPlanner::JobRound*>>
 PlacementPlanner::WaitingJobs(Round& aRound, bool aUrgent) const
 {
-  const auto& gate = aUrgent ? urgentBlocked_ : blocked_;
   std::map<std::string, std::deque<JobRound*>> teams;
   for (auto& [id, job] : aRound.jobs_) {
     if (!job.waiting_.empty() && job.job_->urgent_ == aUrgent &&
-        !gate.IsPending(id)) {
+        !IsBlocked(*job.job_)) {
       teams[job.job_->team_].push_back(&job);
     }
   }
@@ -88,27 +87,21 @@
                         aRound.total_.memoryMb_));
 }
 
-bool
-PlacementPlanner::MayWork(const Round& aRound, const TaskRecord& aTask) const
-{
-  const auto memory = memory_.find(aTask.id_);
-  return memory == memory_.end() || !memory->second.waitUntil_ ||
-         aRound.now_ >= *memory->second.waitUntil_;
-}
-
 void
 PlacementPlanner::Block(const Round& aRound, const JobRecord& aJob)
 {
   (aJob.urgent_ ? urgentBlocked_ : blocked_).Pass(aJob.id_, aRound.now_);
 }
 
+bool
+PlacementPlanner::IsBlocked(const JobRecord& aJob) const
+{
+  return (aJob.urgent_ ? urgentBlocked_ : blocked_).IsPending(aJob.id_);
+}
+
 bool
 PlacementPlanner::PlaceNext(Round& aRound, JobRound& aJob)
 {
-  while (aJob.next_ < aJob.waiting_.size() &&
-         !MayWork(aRound, *aJob.waiting_[aJob.next_])) {
-    ++aJob.next_;
-  }
   if (aJob.next_ >= aJob.waiting_.size()) {
     return false;
   }
@@ -127,10 +120,8 @@
     return true;
   }
   // A task that failed somewhere has fewer VMs to choose from than the others.
-  const auto memory = memory_.find(task.id_);
   const bool hasFailed =
-    !task.failedOn_.empty() ||
-    (memory != memory_.end() && !memory->second.lastFailedOn_.empty());
+    !task.failedOn_.empty() || failures_.contains(task.id_);
   if (!hasFailed) {
     Block(aRound, *aJob.job_);
   }
@@ -154,7 +145,7 @@
   }
   sent_.insert_or_assign(aTask.id_,
                          SentPlacement{ vm, aTask.lease_, aRound.now_ });
-  Occupy(aRound, aTask, *aJob.job_, vm, TaskPhase::Placed);
+  Occupy(aRound, aJob, aTask, vm, TaskPhase::Placed);
   ++aRound.placements_;
   return true;
 }
@@ -165,9 +156,9 @@
                            const VmRound& aVm) const
 {
   const auto& id = aVm.vm_->identity_.id_;
-  const auto memory = memory_.find(aTask.id_);
+  const auto failure = failures_.find(aTask.id_);
   const bool failedLast =
-    memory != memory_.end() && memory->second.lastFailedOn_ == id;
+    failure != failures_.end() && failure->second.lastVm_ == id;
   return !failedLast && aVm.tasks_ < health_.TaskLimit(id, aRound.now_) &&
          std::find(aTask.failedOn_.begin(), aTask.failedOn_.end(), id) ==
            aTask.failedOn_.end();
@@ -194,7 +185,7 @@
   if (pool == aRound.pools_.end()) {
     return nullptr;
   }
-  const auto size = SizeOf(*aJob.job_, nullptr);
+  const auto& size = aJob.size_;
   VmRound* best = nullptr;
   std::tuple<std::int64_t, std::int64_t, std::int64_t, double> bestScore;
   for (auto* vm : pool->second.vms_) {
@@ -209,9 +200,9 @@
     const auto left = Less(vm->free_, capped);
     const auto& identity = vm->vm_->identity_;
     const std::tuple score{
-      CountOf(aJob.byZone_, identity.zone_),
-      CountOf(aJob.byRack_, RackOf(*vm->vm_)),
-      CountOf(vm->tasksOfJob_, aJob.job_->id_),
+      CountOf(aJob.byZone_, vm->zone_),
+      CountOf(aJob.byRack_, vm->rack_),
+      CountOf(vm->tasksOfJob_, aJob.job_),
       std::max(
         static_cast<double>(left.milliCores_) /
           static_cast<double>(
@@ -227,16 +218,22 @@
   return best;
 }
 
+const PlacementPlanner::JobRound&
+PlacementPlanner::JobOfTask(const Round& aRound, const TaskRecord& aTask) const
+{
+  return aRound.jobs_.at(aTask.job_);
+}
+
 std::vector<const TaskRecord*>
 PlacementPlanner::NotUrgent(const Round& aRound, const VmRound& aVm) const
 {
   std::vector<std::pair<std::int64_t, const TaskRecord*>> tasks;
   for (const auto* task : aVm.running_) {
-    const auto& job = aRound.view_.fleet_->Jobs().at(task->job_);
+    const auto& job = JobOfTask(aRound, *task);
     const bool canGiveWay = task->phase_ == TaskPhase::Running ||
                             task->phase_ == TaskPhase::Throttled;
-    if (!job.urgent_ && canGiveWay) {
-      tasks.emplace_back(-SizeOf(job, task).milliCores_, task);
+    if (!job.job_->urgent_ && canGiveWay) {
+      tasks.emplace_back(-SizeOf(job, *task).milliCores_, task);
     }
   }
   std::sort(tasks.begin(), tasks.end(), [](auto& aLeft, auto& aRight) {
@@ -260,7 +257,7 @@
   if (pool == aRound.pools_.end()) {
     return {};
   }
-  const auto size = SizeOf(*aJob.job_, nullptr);
+  const auto& size = aJob.size_;
   std::vector<VmRound*> candidates;
   std::copy_if(pool->second.vms_.begin(),
                pool->second.vms_.end(),
@@ -300,8 +297,8 @@
       break;
     }
     if (task->phase_ == TaskPhase::Running) {
-      const auto& job = aRound.view_.fleet_->Jobs().at(task->job_);
-      const auto full = SizeOf(job, task);
+      const auto& job = JobOfTask(aRound, *task);
+      const auto full = SizeOf(job, *task);
       const auto gain =
         full.milliCores_ - SizeIn(full, TaskPhase::Throttled).milliCores_;
       plan.emplace_back(task, gain);
@@ -336,8 +333,8 @@
       if (Fits(capped, free) || plan.size() >= kMostDisplaced) {
         break;
       }
-      const auto& job = aRound.view_.fleet_->Jobs().at(task->job_);
-      free = Sum(free, SizeIn(SizeOf(job, task), task->phase_));
+      const auto& job = JobOfTask(aRound, *task);
+      free = Sum(free, SizeIn(SizeOf(job, *task), task->phase_));
       plan.push_back(task);
     }
     if (Fits(capped, free) &&
@@ -347,10 +344,10 @@
     }
   }
   for (const auto* task : bestPlan) {
-    const auto& job = aRound.view_.fleet_->Jobs().at(task->job_);
+    const auto& job = JobOfTask(aRound, *task);
     if (Stop(aRound, *task, "room for urgent work")) {
       best->soonFree_ =
-        Sum(best->soonFree_, SizeIn(SizeOf(job, task), task->phase_));
+        Sum(best->soonFree_, SizeIn(SizeOf(job, *task), task->phase_));
     }
   }
   if (best != nullptr) {
--- a/packages/planner/placement_planner.cpp
+++ b/packages/planner/placement_planner.cpp
@@ -13,31 +13,8 @@
          aPhase == TaskPhase::Throttled || aPhase == TaskPhase::Stopping;
 }
 
-// Calls aTake with each report of a task under its present lease, and the time
-// at which it was made.
-template<typename Take>
-void
-ForEachReport(const PlannerView& aView, Take aTake)
-{
-  const auto& fleet = *aView.fleet_;
-  for (const auto& [vmId, reports] : aView.reports_) {
-    const auto vm = fleet.Vms().find(vmId);
-    const auto heard = aView.targets_.find(vmId);
-    if (vm == fleet.Vms().end() || heard == aView.targets_.end() ||
-        heard->second.incarnation_ != vm->second.identity_.incarnation_) {
-      continue;
-    }
-    for (const auto& report : reports) {
-      const auto task = fleet.Tasks().find(report.task_);
-      // A report of an older lease belongs to a placement that is over.
-      if (task != fleet.Tasks().end() && task->second.vm_ == vmId &&
-          task->second.lease_ == report.lease_ &&
-          IsLeased(task->second.phase_)) {
-        aTake(task->second, report, heard->second.madeAt_);
-      }
-    }
-  }
-}
+constexpr std::size_t kServedShare = 16;
+constexpr Millis kForgetInterval{ 10000 };
 
 } // namespace
 
@@ -61,13 +38,18 @@
   if (aView.fleet_->Tasks().empty()) {
     return {};
   }
-  auto round = BeginRound(aView, aNow);
+  Round round{ aView, aNow, LogicalNow(aView, aNow) };
+  AddWaiting(round);
   TakeReports(round);
-  Place(round, true);
-  round.tries_ = 0;
-  Place(round, false);
+  if (HasWork(round)) {
+    AddVms(round);
+    AddHeld(round);
+    Place(round, true);
+    round.tries_ = 0;
+    Place(round, false);
+    ResumeThrottled(round);
+  }
   ServeTasks(round);
-  ResumeThrottled(round);
   return std::move(round.actions_);
 }
 
@@ -81,10 +63,25 @@
            task->second.phase_ != TaskPhase::Waiting ||
            aNow - aItem.second.sentAt_ >= placementLimits_.retryAfter_;
   });
-  std::erase_if(memory_, [&tasks](const auto& aItem) {
+  if (!forgotAt_ || aNow - *forgotAt_ >= kForgetInterval) {
+    forgotAt_ = aNow;
+    ForgetEnded(aView);
+  }
+}
+
+void
+PlacementPlanner::ForgetEnded(const PlannerView& aView)
+{
+  const auto& tasks = aView.fleet_->Tasks();
+  const auto isOver = [&tasks](const auto& aItem) {
     const auto task = tasks.find(aItem.first);
     return task == tasks.end() || task->second.phase_ == TaskPhase::Completed ||
            task->second.phase_ == TaskPhase::Failed;
+  };
+  std::erase_if(memory_, isOver);
+  std::erase_if(failures_, isOver);
+  std::erase_if(takenAt_, [&aView](const auto& aItem) {
+    return !aView.fleet_->Vms().contains(aItem.first);
   });
   sizes_.Retain(aView.fleet_->Jobs());
   health_.Retain(aView.fleet_->Vms());
@@ -102,27 +99,63 @@
   return seenLogicalMs_ + static_cast<std::uint64_t>((aNow - *seenAt_).count());
 }
 
-PlacementPlanner::Round
-PlacementPlanner::BeginRound(const PlannerView& aView, MonotonicTime aNow)
+bool
+PlacementPlanner::MayTry(const Round& aRound, const TaskRecord& aTask) const
 {
-  Round round{
-    aView, aNow, LogicalNow(aView, aNow), {}, {}, {}, {}, {}, 0, {}, 0, 0, 0,
-    0,     {}
-  };
-  AddVms(round);
-  AddEnded(round);
-  AddTasks(round);
-  return round;
+  const auto failure = failures_.find(aTask.id_);
+  return !sent_.contains(aTask.id_) &&
+         (failure == failures_.end() ||
+          aRound.now_ >= failure->second.waitUntil_);
+}
+
+void
+PlacementPlanner::AddWaiting(Round& aRound) const
+{
+  const auto& jobs = aRound.view_.fleet_->Jobs();
+  for (const auto& [id, task] : aRound.view_.fleet_->Tasks()) {
+    if (IsLeased(task.phase_)) {
+      ++aRound.leased_;
+      aRound.throttled_ += task.phase_ == TaskPhase::Throttled ? 1 : 0;
+    } else if (task.phase_ == TaskPhase::Waiting && MayTry(aRound, task)) {
+      const auto job = jobs.find(task.job_);
+      if (job != jobs.end() && !job->second.cancelled_) {
+        JobOf(aRound, job->second).waiting_.push_back(&task);
+      }
+    }
+  }
+}
+
+bool
+PlacementPlanner::HasWork(const Round& aRound) const
+{
+  return aRound.throttled_ > 0 ||
+         std::any_of(
+           aRound.jobs_.begin(), aRound.jobs_.end(), [this](const auto& aItem) {
+             return !IsBlocked(*aItem.second.job_);
+           });
 }
 
 void
 PlacementPlanner::AddVms(Round& aRound) const
 {
+  std::map<std::string, int> zones;
+  std::map<RackKey, int> racks;
+  EvidenceCursor evidence(aRound.view_);
   for (const auto& [id, vm] : aRound.view_.fleet_->Vms()) {
-    auto& vmRound = aRound.vms_[id];
+    auto& vmRound =
+      aRound.vms_.emplace_hint(aRound.vms_.end(), id, VmRound{})->second;
+    aRound.vmById_.emplace(id, &vmRound);
     vmRound.vm_ = &vm;
-    vmRound.usable_ = AvailabilityOf(vm, aRound.view_, aRound.now_, limits_) ==
-                      VmAvailability::Available;
+    vmRound.usable_ =
+      AvailabilityOf(
+        vm, evidence.Find(id), aRound.view_, aRound.now_, limits_) ==
+      VmAvailability::Available;
+    vmRound.zone_ =
+      zones.try_emplace(vm.identity_.zone_, static_cast<int>(zones.size()))
+        .first->second;
+    vmRound.rack_ =
+      racks.try_emplace(RackOf(vm), static_cast<int>(racks.size()))
+        .first->second;
     vmRound.free_ = { vm.identity_.cores_ * 1000,
                       vm.identity_.memoryMb_,
                       vm.identity_.slots_ };
@@ -138,69 +171,88 @@
   }
 }
 
+PlacementPlanner::JobRound&
+PlacementPlanner::JobOf(Round& aRound, const JobRecord& aJob) const
+{
+  const auto [job, isNew] = aRound.jobs_.try_emplace(aJob.id_);
+  if (isNew) {
+    job->second.job_ = &aJob;
+    job->second.size_ = sizes_.Estimate(aJob);
+  }
+  return job->second;
+}
+
 void
-PlacementPlanner::AddTasks(Round& aRound) const
+PlacementPlanner::AddHeld(Round& aRound) const
 {
   const auto& jobs = aRound.view_.fleet_->Jobs();
+  // Tasks of one job follow each other in the map.
+  JobRound* job = nullptr;
   for (const auto& [id, task] : aRound.view_.fleet_->Tasks()) {
-    const auto job = jobs.find(task.job_);
-    if (job == jobs.end()) {
+    const bool isHeld = IsLeased(task.phase_);
+    if (!isHeld && task.phase_ != TaskPhase::Waiting) {
       continue;
     }
-    const auto sent = sent_.find(id);
-    if (sent != sent_.end()) {
-      Occupy(aRound, task, job->second, sent->second.vm_, TaskPhase::Placed);
-    } else if (IsLeased(task.phase_) && !aRound.ended_.contains(id)) {
-      Occupy(aRound, task, job->second, task.vm_, task.phase_);
-    } else if (task.phase_ == TaskPhase::Waiting && !job->second.cancelled_) {
-      auto& jobRound = aRound.jobs_[task.job_];
-      jobRound.job_ = &job->second;
-      jobRound.waiting_.push_back(&task);
+    const auto sent = isHeld ? sent_.end() : sent_.find(id);
+    const auto memory = memory_.find(id);
+    const bool hasEnded = memory != memory_.end() &&
+                          memory->second.lease_ == task.lease_ &&
+                          memory->second.hasEnded_;
+    if ((!isHeld && sent == sent_.end()) || (isHeld && hasEnded)) {
+      continue;
     }
+    if (job == nullptr || job->job_->id_ != task.job_) {
+      const auto record = jobs.find(task.job_);
+      if (record == jobs.end()) {
+        continue;
+      }
+      job = &JobOf(aRound, record->second);
+    }
+    Occupy(aRound,
+           *job,
+           task,
+           isHeld ? task.vm_ : sent->second.vm_,
+           isHeld ? task.phase_ : TaskPhase::Placed);
   }
 }
 
 void
 PlacementPlanner::Occupy(Round& aRound,
+                         JobRound& aJob,
                          const TaskRecord& aTask,
-                         const JobRecord& aJob,
                          const std::string& aVm,
                          TaskPhase aPhase) const
 {
-  const auto found = aRound.vms_.find(aVm);
-  if (found == aRound.vms_.end()) {
+  const auto found = aRound.vmById_.find(aVm);
+  if (found == aRound.vmById_.end()) {
     return;
   }
-  auto& vm = found->second;
-  const auto size = SizeIn(SizeOf(aJob, &aTask), aPhase);
+  auto& vm = *found->second;
+  const auto size = SizeIn(SizeOf(aJob, aTask), aPhase);
   vm.free_ = Less(vm.free_, size);
   if (aPhase == TaskPhase::Stopping) {
     vm.soonFree_ = Sum(vm.soonFree_, size);
   }
   ++vm.tasks_;
-  ++vm.tasksOfJob_[aJob.id_];
+  ++vm.tasksOfJob_[aJob.job_];
   vm.throttled_ += aPhase == TaskPhase::Throttled ? 1 : 0;
   vm.running_.push_back(&aTask);
   if (vm.usable_) {
     auto& pool = aRound.pools_.at(vm.vm_->pool_);
     pool.free_ = Less(pool.free_, size);
   }
-  auto& job = aRound.jobs_[aJob.id_];
-  job.job_ = &aJob;
-  ++job.byZone_[vm.vm_->identity_.zone_];
-  ++job.byRack_[RackOf(*vm.vm_)];
-  auto& team = aRound.teams_[aJob.team_];
+  ++aJob.byZone_[vm.zone_];
+  ++aJob.byRack_[vm.rack_];
+  auto& team = aRound.teams_[aJob.job_->team_];
   team = Sum(team, size);
-  ++aRound.leased_;
 }
 
 TaskSize
-PlacementPlanner::SizeOf(const JobRecord& aJob, const TaskRecord* aTask) const
+PlacementPlanner::SizeOf(const JobRound& aJob, const TaskRecord& aTask) const
 {
-  auto size = sizes_.Estimate(aJob);
-  const auto memory =
-    aTask == nullptr ? memory_.end() : memory_.find(aTask->id_);
-  if (memory != memory_.end() && memory->second.lease_ == aTask->lease_) {
+  auto size = aJob.size_;
+  const auto memory = memory_.find(aTask.id_);
+  if (memory != memory_.end() && memory->second.lease_ == aTask.lease_) {
     size.milliCores_ = std::max(size.milliCores_, memory->second.milliCores_);
     size.memoryMb_ = std::max(size.memoryMb_, memory->second.memoryMb_);
   }
@@ -232,12 +284,8 @@
 {
   auto& memory = memory_[aTask.id_];
   if (memory.lease_ != aTask.lease_) {
-    TaskMemory fresh;
-    fresh.lease_ = aTask.lease_;
-    fresh.failures_ = memory.failures_;
-    fresh.waitUntil_ = memory.waitUntil_;
-    fresh.lastFailedOn_ = memory.lastFailedOn_;
-    memory = fresh;
+    memory = TaskMemory{};
+    memory.lease_ = aTask.lease_;
   }
   if (!memory.phaseSince_ || memory.phase_ != aTask.phase_) {
     memory.phase_ = aTask.phase_;
@@ -302,37 +350,49 @@
   return true;
 }
 
-void
-PlacementPlanner::AddEnded(Round& aRound) const
-{
-  ForEachReport(aRound.view_,
-                [&](const auto& aTask, const auto& aReport, auto) {
-                  if (aReport.state_ != "running") {
-                    aRound.ended_.insert(aTask.id_);
-                  }
-                });
-}
-
 void
 PlacementPlanner::TakeReports(Round& aRound)
 {
-  ForEachReport(
-    aRound.view_,
-    [&](const auto& aTask, const auto& aReport, MonotonicTime aHeardAt) {
-      TakeReport(aRound, aTask, aReport, aHeardAt);
-    });
+  const auto& tasks = aRound.view_.fleet_->Tasks();
+  for (const auto& [vm, reports] : aRound.view_.reports_) {
+    const auto madeAt = aRound.view_.reportsMadeAt_.find(vm);
+    if (madeAt == aRound.view_.reportsMadeAt_.end()) {
+      continue;
+    }
+    const auto taken = takenAt_.find(vm);
+    if (taken != takenAt_.end() && taken->second == madeAt->second) {
+      continue;
+    }
+    // What does not fit into this step is taken in the next one.
+    if (aRound.updates_ >= placementLimits_.updatesPerStep_) {
+      return;
+    }
+    takenAt_.insert_or_assign(vm, madeAt->second);
+    for (const auto& report : reports) {
+      const auto task = tasks.find(report.task_);
+      // A report of an older lease belongs to a placement that is over.
+      if (task != tasks.end() && task->second.vm_ == vm &&
+          task->second.lease_ == report.lease_ &&
+          IsLeased(task->second.phase_)) {
+        TakeReport(aRound, task->second, report, madeAt->second);
+      }
+    }
+  }
 }
 
 void
 PlacementPlanner::TakeReport(Round& aRound,
                              const TaskRecord& aTask,
                              const TaskReport& aReport,
-                             MonotonicTime aHeardAt)
+                             MonotonicTime aMadeAt)
 {
   if (aReport.state_ == "running") {
-    TakeRunning(aRound, aTask, aReport, aHeardAt);
-  } else if (aReport.state_ == "completed") {
-    auto& memory = MemoryOf(aTask, aRound.now_);
+    TakeRunning(aRound, aTask, aReport, aMadeAt);
+    return;
+  }
+  auto& memory = MemoryOf(aTask, aRound.now_);
+  memory.hasEnded_ = true;
+  if (aReport.state_ == "completed") {
     if (!memory.successCounted_) {
       memory.successCounted_ = true;
       health_.AddSuccess(aTask.vm_);
@@ -340,8 +400,8 @@
     Update(aRound, aTask, TaskPhase::Completed, "");
   } else if (aReport.state_ == "failed") {
     TakeFailure(aRound, aTask);
-  } else if (aReport.state_ == "checkpointed") {
-    Update(aRound, aTask, TaskPhase::Waiting, "checkpointed");
+  } else {
+    Update(aRound, aTask, TaskPhase::Waiting, aReport.state_);
   }
 }
 
@@ -349,16 +409,16 @@
 PlacementPlanner::TakeRunning(Round& aRound,
                               const TaskRecord& aTask,
                               const TaskReport& aReport,
-                              MonotonicTime aHeardAt)
+                              MonotonicTime aMadeAt)
 {
   auto& memory = MemoryOf(aTask, aRound.now_);
-  memory.reportedAt_ = aHeardAt;
+  memory.reportedAt_ = aMadeAt;
   if (!memory.runningSince_) {
-    memory.runningSince_ = aHeardAt;
+    memory.runningSince_ = aMadeAt;
   }
-  TakeSample(aRound, aTask, aReport, aHeardAt);
+  TakeSample(aRound, aTask, aReport, aMadeAt);
   if (!memory.successCounted_ &&
-      aHeardAt - *memory.runningSince_ >= placementLimits_.successAfter_) {
+      aMadeAt - *memory.runningSince_ >= placementLimits_.successAfter_) {
     memory.successCounted_ = true;
     health_.AddSuccess(aTask.vm_);
   }
@@ -370,7 +430,7 @@
   const bool isDue =
     aTask.leaseUntilMs_ < aRound.logicalMs_ + LeaseMs(aRound) / 2;
   if (aTask.phase_ != TaskPhase::Stopping && isDue &&
-      aRound.now_ - aHeardAt <= limits_.availableFor_) {
+      aRound.now_ - aMadeAt <= limits_.availableFor_) {
     Update(aRound, aTask, aTask.phase_, "");
   }
 }
@@ -379,10 +439,10 @@
 PlacementPlanner::TakeSample(const Round& aRound,
                              const TaskRecord& aTask,
                              const TaskReport& aReport,
-                             MonotonicTime aHeardAt)
+                             MonotonicTime aMadeAt)
 {
   auto& memory = MemoryOf(aTask, aRound.now_);
-  const auto measuredAt = aHeardAt - aReport.usageAge_;
+  const auto measuredAt = aMadeAt - aReport.usageAge_;
   // Usage lags: a sample from before the task had begun its work says nothing,
   // and a throttled task shows less than it needs.
   if (aTask.phase_ == TaskPhase::Throttled ||
@@ -405,16 +465,17 @@
     memory.failureCounted_ = true;
     memory.isAtFault_ = health_.IsProven(aTask.vm_);
     health_.AddFailure(aTask.vm_, aTask.job_, aRound.now_);
+    auto& failure = failures_[aTask.id_];
     auto backOff = placementLimits_.firstBackOff_;
     for (std::int64_t i = 0;
-         i < memory.failures_ && backOff < placementLimits_.longestBackOff_;
+         i < failure.count_ && backOff < placementLimits_.longestBackOff_;
          ++i) {
       backOff *= 2;
     }
-    ++memory.failures_;
-    memory.waitUntil_ =
+    ++failure.count_;
+    failure.waitUntil_ =
       aRound.now_ + std::min(backOff, placementLimits_.longestBackOff_);
-    memory.lastFailedOn_ = aTask.vm_;
+    failure.lastVm_ = aTask.vm_;
   }
   Update(aRound,
          aTask,
@@ -443,22 +504,27 @@
                             const TaskRecord& aTask,
                             const TaskMemory& aMemory) const
 {
-  const auto heard = aRound.view_.targets_.find(aTask.vm_);
-  const bool isHeard =
-    heard != aRound.view_.targets_.end() &&
-    aRound.now_ - heard->second.madeAt_ <= limits_.availableFor_;
-  const bool isReported = isHeard && aMemory.reportedAt_ &&
-                          *aMemory.reportedAt_ == heard->second.madeAt_;
+  const auto madeAt = aRound.view_.reportsMadeAt_.find(aTask.vm_);
+  const bool isHeard = madeAt != aRound.view_.reportsMadeAt_.end() &&
+                       aRound.now_ - madeAt->second <= limits_.availableFor_;
+  if (isHeard) {
+    const auto taken = takenAt_.find(aTask.vm_);
+    const bool isTaken =
+      taken != takenAt_.end() && taken->second == madeAt->second;
+    if (!isTaken || aMemory.hasEnded_ ||
+        (aMemory.reportedAt_ && *aMemory.reportedAt_ == madeAt->second)) {
+      return {};
+    }
+  }
   const auto margin =
     static_cast<std::uint64_t>(placementLimits_.leaseMargin_.count());
-  if (!isReported && aRound.logicalMs_ > aTask.leaseUntilMs_ + margin) {
+  if (aRound.logicalMs_ > aTask.leaseUntilMs_ + margin) {
     return "the lease on " + aTask.vm_ + " ended";
   }
-  // Orders travel with the answers to announcements, so a VM that names the
-  // task in none of its statements of this time neither runs nor starts it.
-  if (aTask.phase_ == TaskPhase::Stopping && isHeard && !isReported &&
-      heard->second.madeAt_ >=
-        *aMemory.phaseSince_ + placementLimits_.goneAfter_) {
+  // Orders travel with the answers to announcements, so a VM that does not name
+  // the task some time later neither runs nor starts it.
+  if (aTask.phase_ == TaskPhase::Stopping && isHeard &&
+      madeAt->second >= *aMemory.phaseSince_ + placementLimits_.goneAfter_) {
     return "stopped on " + aTask.vm_;
   }
   return {};
@@ -467,11 +533,20 @@
 void
 PlacementPlanner::ServeTasks(Round& aRound)
 {
-  for (const auto& [id, task] : aRound.view_.fleet_->Tasks()) {
-    if (IsLeased(task.phase_)) {
-      ServeTask(aRound, task);
+  const auto& tasks = aRound.view_.fleet_->Tasks();
+  const auto count = std::min(
+    tasks.size(),
+    std::max(placementLimits_.servedPerStep_, tasks.size() / kServedShare));
+  auto task = tasks.lower_bound(serveNext_);
+  for (std::size_t i = 0; i < count; ++i, ++task) {
+    if (task == tasks.end()) {
+      task = tasks.begin();
+    }
+    if (IsLeased(task->second.phase_)) {
+      ServeTask(aRound, task->second);
     }
   }
+  serveNext_ = task == tasks.end() ? std::string() : task->first;
 }
 
 void
@@ -502,12 +577,12 @@
     for (const auto* task : vm.running_) {
       const auto memory = memory_.find(task->id_);
       if (task->phase_ != TaskPhase::Throttled || memory == memory_.end() ||
+          memory->second.phase_ != TaskPhase::Throttled ||
           aRound.now_ - *memory->second.phaseSince_ <
             placementLimits_.throttledFor_) {
         continue;
       }
-      const auto& job = aRound.view_.fleet_->Jobs().at(task->job_);
-      const auto size = SizeOf(job, task);
+      const auto size = SizeOf(JobOfTask(aRound, *task), *task);
       const auto more =
         size.milliCores_ - SizeIn(size, TaskPhase::Throttled).milliCores_;
       if (more <= vm.free_.milliCores_ &&
--- a/packages/planner/placement_planner_base.h
+++ b/packages/planner/placement_planner_base.h
@@ -10,8 +10,9 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
+#include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace acaciahill {
@@ -57,6 +58,8 @@
   std::size_t triesPerStep_ = 256;
   std::size_t updatesPerStep_ = 64;
   std::size_t stopsPerStep_ = 32;
+  /// Tasks served in one step: at least this many, and at least a 16th of all.
+  std::size_t servedPerStep_ = 512;
 
   bool operator==(const PlacementLimits&) const = default;
 };
@@ -98,10 +101,16 @@
     bool failureCounted_ = false;
     /// The failure is the task's, not the VM's.
     bool isAtFault_ = false;
-    /// Kept over leases.
-    std::int64_t failures_ = 0;
-    std::optional<MonotonicTime> waitUntil_;
-    std::string lastFailedOn_;
+    /// A report said that it ended; it takes no room any more.
+    bool hasEnded_ = false;
+  };
+
+  /// What is remembered of a task that failed, over its leases.
+  struct Failure
+  {
+    std::int64_t count_ = 0;
+    MonotonicTime waitUntil_{};
+    std::string lastVm_;
   };
 
   /// A VM in one step, with what is left on it.
@@ -109,12 +118,14 @@
   {
     const VmRecord* vm_ = nullptr;
     bool usable_ = false;
+    int zone_ = 0;
+    int rack_ = 0;
     TaskSize free_;
     /// What tasks that are stopping will give back.
     TaskSize soonFree_;
     std::int64_t tasks_ = 0;
     std::int64_t throttled_ = 0;
-    std::map<std::string, std::int64_t> tasksOfJob_;
+    std::map<const JobRecord*, std::int64_t> tasksOfJob_;
     std::vector<const TaskRecord*> running_;
   };
 
@@ -128,10 +139,11 @@
   struct JobRound
   {
     const JobRecord* job_ = nullptr;
+    TaskSize size_;
     std::vector<const TaskRecord*> waiting_;
     std::size_t next_ = 0;
-    std::map<std::string, std::int64_t> byZone_;
-    std::map<RackKey, std::int64_t> byRack_;
+    std::map<int, std::int64_t> byZone_;
+    std::map<int, std::int64_t> byRack_;
   };
 
   struct Round
@@ -140,14 +152,14 @@
     MonotonicTime now_;
     std::uint64_t logicalMs_ = 0;
     std::map<std::string, VmRound> vms_{};
+    std::unordered_map<std::string_view, VmRound*> vmById_{};
     std::map<std::string, PoolRound> pools_{};
     std::map<std::string, JobRound> jobs_{};
     std::map<std::string, TaskSize> teams_{};
-    /// Tasks that their VMs report as ended; they take no room any more.
-    std::set<std::string> ended_{};
+    TaskSize total_{};
     /// Tasks under a lease.
     std::int64_t leased_ = 0;
-    TaskSize total_{};
+    std::int64_t throttled_ = 0;
     std::size_t updates_ = 0;
     std::size_t stops_ = 0;
     std::size_t placements_ = 0;
@@ -155,37 +167,45 @@
     std::vector<PlannerAction> actions_{};
   };
 
-  TaskMemory& MemoryOf(const TaskRecord& aTask, MonotonicTime aNow);
   void Forget(const PlannerView& aView, MonotonicTime aNow);
+  void ForgetEnded(const PlannerView& aView);
   std::uint64_t LogicalNow(const PlannerView& aView, MonotonicTime aNow);
+  TaskMemory& MemoryOf(const TaskRecord& aTask, MonotonicTime aNow);
+  std::uint64_t LeaseMs(const Round& aRound) const;
 
-  Round BeginRound(const PlannerView& aView, MonotonicTime aNow);
+  /// Counts the tasks and lists those that wait and may be tried now.
+  void AddWaiting(Round& aRound) const;
+  bool MayTry(const Round& aRound, const TaskRecord& aTask) const;
+  /// True when something can be placed or resumed; the rest of the round is
+  /// filled in only then.
+  bool HasWork(const Round& aRound) const;
   void AddVms(Round& aRound) const;
-  void AddEnded(Round& aRound) const;
-  void AddTasks(Round& aRound) const;
+  void AddHeld(Round& aRound) const;
+  JobRound& JobOf(Round& aRound, const JobRecord& aJob) const;
   void Occupy(Round& aRound,
+              JobRound& aJob,
               const TaskRecord& aTask,
-              const JobRecord& aJob,
               const std::string& aVm,
               TaskPhase aPhase) const;
-  TaskSize SizeOf(const JobRecord& aJob, const TaskRecord* aTask) const;
+  TaskSize SizeOf(const JobRound& aJob, const TaskRecord& aTask) const;
   TaskSize SizeIn(TaskSize aSize, TaskPhase aPhase) const;
 
   void TakeReports(Round& aRound);
   void TakeReport(Round& aRound,
                   const TaskRecord& aTask,
                   const TaskReport& aReport,
-                  MonotonicTime aHeardAt);
+                  MonotonicTime aMadeAt);
   void TakeRunning(Round& aRound,
                    const TaskRecord& aTask,
                    const TaskReport& aReport,
-                   MonotonicTime aHeardAt);
+                   MonotonicTime aMadeAt);
   void TakeFailure(Round& aRound, const TaskRecord& aTask);
   void TakeSample(const Round& aRound,
                   const TaskRecord& aTask,
                   const TaskReport& aReport,
-                  MonotonicTime aHeardAt);
+                  MonotonicTime aMadeAt);
 
+  /// Serves a part of the tasks in each step, in turn.
   void ServeTasks(Round& aRound);
   void ServeTask(Round& aRound, const TaskRecord& aTask);
   /// Why a placed task must leave its VM; empty when it may stay.
@@ -195,17 +215,16 @@
                         const TaskRecord& aTask,
                         const TaskMemory& aMemory) const;
   void ResumeThrottled(Round& aRound);
-  std::uint64_t LeaseMs(const Round& aRound) const;
 
   void Place(Round& aRound, bool aUrgent);
   /// The jobs with waiting tasks by team.
   std::map<std::string, std::deque<JobRound*>> WaitingJobs(Round& aRound,
                                                            bool aUrgent) const;
   double ShareOf(const Round& aRound, const std::string& aTeam) const;
-  bool MayWork(const Round& aRound, const TaskRecord& aTask) const;
   /// Tries to place the job's next waiting task; false when the job is blocked.
   bool PlaceNext(Round& aRound, JobRound& aJob);
   void Block(const Round& aRound, const JobRecord& aJob);
+  bool IsBlocked(const JobRecord& aJob) const;
   bool ProposePlacement(Round& aRound,
                         JobRound& aJob,
                         const TaskRecord& aTask,
@@ -216,7 +235,6 @@
   bool MayRunOn(const Round& aRound,
                 const TaskRecord& aTask,
                 const VmRound& aVm) const;
-
   bool KeepsUrgentShare(const PoolRound& aPool, const TaskSize& aSize) const;
 
   /// What MakeRoom() did.
@@ -238,6 +256,7 @@
   /// Tasks on a VM that are not urgent, the largest first.
   std::vector<const TaskRecord*> NotUrgent(const Round& aRound,
                                            const VmRound& aVm) const;
+  const JobRound& JobOfTask(const Round& aRound, const TaskRecord& aTask) const;
 
   bool Update(Round& aRound,
               const TaskRecord& aTask,
@@ -255,7 +274,13 @@
   JobSizes sizes_;
   VmHealth health_;
   std::map<std::string, SentPlacement> sent_;
-  std::map<std::string, TaskMemory> memory_;
+  std::unordered_map<std::string, TaskMemory> memory_;
+  std::map<std::string, Failure> failures_;
+  /// When the reports taken last from each VM were made.
+  std::unordered_map<std::string, MonotonicTime> takenAt_;
+  /// Task at which the next step goes on serving.
+  std::string serveNext_;
+  std::optional<MonotonicTime> forgotAt_;
   /// When the fleet's logical clock was last seen to advance.
   std::uint64_t seenLogicalMs_ = 0;
   std::optional<MonotonicTime> seenAt_;
--- a/packages/planner/planner_type.h
+++ b/packages/planner/planner_type.h
@@ -52,8 +52,12 @@
   /// contact limit.
   std::set<std::string> zonesInContact_;
   std::map<std::string, PoolLoad> loads_;
-  /// Task reports by VM id.
+  /// Task reports by VM id: all tasks that the VM named in one announcement.
   std::map<std::string, std::vector<TaskReport>> reports_;
+  /// When each VM made its reports, by VM id. Reports without a time here are
+  /// ignored: the VM's evidence may be newer than they are, as digests carry no
+  /// reports.
+  std::map<std::string, MonotonicTime> reportsMadeAt_;
 };
 
 /// Propose a command. It may be refused; the planner sees the outcome in the
--- a/packages/planner/test/planner_world.cpp
+++ b/packages/planner/test/planner_world.cpp
@@ -285,6 +285,9 @@
   view.fleet_ = &fleet_;
   view.targets_ = evidence_;
   view.reports_ = reports_;
+  for (const auto& [id, reports] : reports_) {
+    view.reportsMadeAt_[id] = evidence_.at(id).madeAt_;
+  }
   view.loads_ = loads_;
   for (const auto* zone : { "z0", "z1", "z2" }) {
     if (!cutZones_.contains(zone)) {
