--- a/packages/relay/caller_server.cpp
+++ b/packages/relay/caller_server.cpp
@@ -47,9 +47,9 @@
 class CallerServer::Connection : public Poco::Runnable
 {
 public:
-  Connection(CallerServer& aServer, StreamSocket aSocket)
+  Connection(CallerServer& aServer, const StreamSocket& aSocket)
     : server_(aServer)
-    , socket_(std::move(aSocket))
+    , socket_(aSocket)
   {
   }
 
@@ -101,6 +101,10 @@
     return false;
   }
   if (const auto* error = std::get_if<Error>(&read)) {
+    // What was read is dropped; its bytes must not be held while the answer is
+    // waited for to be read.
+    buffer_.clear();
+    lease.Clear();
     Refuse(*error, false);
     return false;
   }
@@ -108,6 +112,7 @@
   const bool toHead = request.method_ == "HEAD";
   const bool keepAlive = request.keepAlive_;
   const auto reply = server_.handler_.Handle(std::move(request), link_);
+  lease.Clear();
   const bool closes = !keepAlive || IsStopping();
   const auto head = AnswerHead(reply.answer_, toHead, closes);
   if (!Write(head, toHead ? std::string_view() : reply.answer_.body_)) {
@@ -154,8 +159,7 @@
 {
   const auto readUntil = MonotonicNow() + server_.settings_.readTimeout_;
   for (;;) {
-    auto status = Result<FramingStatus>(FramingStatus::NeedMore);
-    status = aParser.Put(buffer_);
+    const auto status = aParser.Put(buffer_);
     if (!IsOk(status)) {
       server_.handler_.OnRefused(ErrorOf(status).kind_);
       return ErrorOf(status);
@@ -385,7 +389,7 @@
     if (static_cast<std::int64_t>(connections_.size()) >=
         settings_.maxConnections_) {
       lock.unlock();
-      Reject(std::move(socket));
+      Reject(socket);
       return;
     }
     auto connection = std::make_unique<Connection>(*this, socket);
@@ -396,7 +400,7 @@
     } catch (const Poco::Exception&) {
       connections_.erase(started);
       lock.unlock();
-      Reject(std::move(socket));
+      Reject(socket);
     }
   } catch (const Poco::Exception&) {
     // The caller has gone already, or descriptors have run out; the pause keeps
@@ -407,7 +411,7 @@
 }
 
 void
-CallerServer::Reject(StreamSocket aSocket)
+CallerServer::Reject(StreamSocket& aSocket)
 {
   handler_.OnRefused(ErrorKind::NodeOverloaded);
   const auto answer =
@@ -422,7 +426,7 @@
   if (rejected_.size() >= kMaxRejected) {
     rejected_.erase(rejected_.begin());
   }
-  rejected_.push_back({ std::move(aSocket), MonotonicNow() + kLingerTime });
+  rejected_.push_back({ aSocket, MonotonicNow() + kLingerTime });
 }
 
 void
--- a/packages/relay/caller_server_base.h
+++ b/packages/relay/caller_server_base.h
@@ -96,7 +96,7 @@
 
   void AcceptLoop();
   void AcceptOne();
-  void Reject(Poco::Net::StreamSocket aSocket);
+  void Reject(Poco::Net::StreamSocket& aSocket);
   void DrainRejected();
   void Remove(const Connection* aConnection);
 
--- a/packages/relay/http_message_type.h
+++ b/packages/relay/http_message_type.h
@@ -47,8 +47,8 @@
 /// Limits of one message, in bytes.
 struct HttpLimits
 {
-  std::size_t maxHeaderBytes_ = 16 * 1024;
-  std::size_t maxBodyBytes_ = 1024 * 1024;
+  std::size_t maxHeaderBytes_ = std::size_t{ 16 } * 1024;
+  std::size_t maxBodyBytes_ = std::size_t{ 1024 } * 1024;
 
   bool operator==(const HttpLimits&) const = default;
 };
--- a/packages/relay/os_socket_func.cpp
+++ b/packages/relay/os_socket_func.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-constexpr std::size_t kReadSize = 16 * 1024;
+constexpr std::size_t kReadSize = std::size_t{ 16 } * 1024;
 constexpr std::size_t kMaxInterests = 4;
 
 IoResult
--- a/packages/relay/relay.cpp
+++ b/packages/relay/relay.cpp
@@ -740,8 +740,10 @@
     }
     stopping_ = true;
   }
-  Apply(RouterStop{});
+  // Raised first, so that the refusals of waiting requests already close their
+  // connections.
   stop_.Raise();
+  Apply(RouterStop{});
   {
     std::unique_lock lock(mutex_);
     servedChanged_.wait_until(lock, until, [this] { return served_ == 0; });
--- a/packages/relay/relay_type.h
+++ b/packages/relay/relay_type.h
@@ -19,11 +19,11 @@
   /// Connections of callers at once; more are answered node_overloaded and
   /// closed.
   std::int64_t maxConnections_ = 512;
-  std::int64_t maxHeaderBytes_ = 16 * 1024;
-  std::int64_t maxRequestBytes_ = 1024 * 1024;
-  std::int64_t maxAnswerBytes_ = 8 * 1024 * 1024;
+  std::int64_t maxHeaderBytes_ = std::int64_t{ 16 } * 1024;
+  std::int64_t maxRequestBytes_ = std::int64_t{ 1024 } * 1024;
+  std::int64_t maxAnswerBytes_ = std::int64_t{ 8 } * 1024 * 1024;
   /// Bytes of requests and answers held at once over all connections.
-  std::int64_t maxBufferedBytes_ = 48 * 1024 * 1024;
+  std::int64_t maxBufferedBytes_ = std::int64_t{ 48 } * 1024 * 1024;
   /// A caller that sends no byte for this long is disconnected.
   Millis idleTimeout_{ 30000 };
   /// Longest time for reading one whole request, against slow senders.
--- a/packages/relay/target_client.cpp
+++ b/packages/relay/target_client.cpp
@@ -66,9 +66,9 @@
   }
 };
 
-TargetClient::TargetClient(TargetClientSettings aSettings,
+TargetClient::TargetClient(const TargetClientSettings& aSettings,
                            const StickyEvent& aAbort)
-  : settings_(std::move(aSettings))
+  : settings_(aSettings)
   , abort_(aAbort)
 {
 }
--- a/packages/relay/target_client_base.h
+++ b/packages/relay/target_client_base.h
@@ -77,7 +77,8 @@
 {
 public:
   /// Waits of Send end when aAbort is raised.
-  TargetClient(TargetClientSettings aSettings, const StickyEvent& aAbort);
+  TargetClient(const TargetClientSettings& aSettings,
+               const StickyEvent& aAbort);
 
   /// Sends the request and reads the answer, which takes its bytes of aLease.
   TargetOutcome Send(const TargetAttempt& aAttempt, BufferLease& aLease);
--- a/packages/relay/test/relay_test_support.h
+++ b/packages/relay/test/relay_test_support.h
@@ -23,6 +23,7 @@
 
 /// No wait of a test lasts longer; it ends the test with a failure.
 inline constexpr Millis kLimit{ 20000 };
+inline constexpr std::size_t kMaxBody = std::size_t{ 16 } * 1024 * 1024;
 
 /// One end of a connection, with reads that end at kLimit.
 class RawConnection
@@ -70,7 +71,7 @@
   /// The next whole answer; nothing when the connection ends before that.
   std::optional<HttpAnswer> ReadAnswer(bool aToHead = false)
   {
-    AnswerParser parser({ 65536, 16 * 1024 * 1024 }, aToHead);
+    AnswerParser parser({ 65536, kMaxBody }, aToHead);
     for (;;) {
       const auto status = parser.Put(buffer_);
       if (!IsOk(status)) {
@@ -87,7 +88,7 @@
 
   std::optional<HttpRequest> ReadRequest()
   {
-    RequestParser parser({ 65536, 16 * 1024 * 1024 });
+    RequestParser parser({ 65536, kMaxBody });
     for (;;) {
       const auto status = parser.Put(buffer_);
       if (!IsOk(status)) {
@@ -150,7 +151,8 @@
   bool open_ = false;
 };
 
-/// Waits for a condition that another thread brings about.
+/// Polls for a state that another thread brings about and that has no event to
+/// wait for.
 inline bool
 Eventually(const std::function<bool()>& aCondition)
 {
@@ -159,7 +161,7 @@
     if (MonotonicNow() > until) {
       return false;
     }
-    std::this_thread::yield();
+    std::this_thread::sleep_for(Millis{ 1 });
   }
   return true;
 }
--- a/packages/routing/router.cpp
+++ b/packages/routing/router.cpp
@@ -188,12 +188,15 @@
   Enqueue(pool, aInput.id_, false);
   Pump(aNow, aOut);
   const auto still = requests_.find(aInput.id_);
+  const auto excess =
+    static_cast<std::int64_t>(WaitingIn(pool)) - pool.row_.queueLimit_;
   if (still == requests_.end() ||
-      still->second.phase_ != RoutedPhase::Waiting ||
-      static_cast<std::int64_t>(WaitingIn(pool)) <= pool.row_.queueLimit_) {
+      still->second.phase_ != RoutedPhase::Waiting || excess <= 0) {
     return;
   }
-  if (!aInput.urgent_ || !DisplaceNormal(pool, aOut)) {
+  // With more in excess, as after the limit was lowered, one place less would
+  // not bring the queue back within it.
+  if (!aInput.urgent_ || excess > 1 || !DisplaceNormal(pool, aOut)) {
     EndRequest(aInput.id_, ErrorKind::QueueFull, expected, aOut);
   }
 }
