--- a/packages/client/test/client_test.cpp
+++ b/packages/client/test/client_test.cpp
@@ -141,7 +141,7 @@
 };
 
 ClientRun
-RunWith(const std::string& aAdmin, std::vector<std::string> aWords)
+RunWith(const std::string& aAdmin, const std::vector<std::string>& aWords)
 {
   std::ostringstream out;
   std::ostringstream err;
@@ -159,7 +159,7 @@
 std::string
 WriteFile(const TemporaryFolder& aFolder, const std::string& aText)
 {
-  const auto path = aFolder.Path() + "/pools.csv";
+  auto path = aFolder.Path() + "/pools.csv";
   std::ofstream(path) << aText;
   return path;
 }
--- a/packages/client/text_table.cpp
+++ b/packages/client/text_table.cpp
@@ -9,9 +9,11 @@
 bool
 IsNumber(const std::string& aText)
 {
-  return !aText.empty() && std::all_of(aText.begin(), aText.end(), [](char c) {
-    return (c >= '0' && c <= '9') || c == '-' || c == '.';
-  });
+  return !aText.empty() &&
+         std::all_of(aText.begin(), aText.end(), [](char aChar) {
+           return (aChar >= '0' && aChar <= '9') || aChar == '-' ||
+                  aChar == '.';
+         });
 }
 
 std::string
--- a/tests/integration/first_cluster_test.cpp
+++ b/tests/integration/first_cluster_test.cpp
@@ -26,7 +26,7 @@
 std::string
 WriteTable(const Cluster& aCluster)
 {
-  const auto path = aCluster.Folder() + "/pools.csv";
+  auto path = aCluster.Folder() + "/pools.csv";
   std::ofstream(path) << kTable;
   return path;
 }
--- a/tests/support/history.cpp
+++ b/tests/support/history.cpp
@@ -320,6 +320,7 @@
 AssignmentsOf(const std::vector<ExecutedRun>& aRuns)
 {
   std::vector<AssignmentSeen> seen;
+  seen.reserve(aRuns.size());
   for (const auto& run : aRuns) {
     seen.push_back({ run.vm_ + "#" + std::to_string(run.incarnation_),
                      run.beginNs_,
--- a/tests/support/test/fake_target_test.cpp
+++ b/tests/support/test/fake_target_test.cpp
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <thread>
 
 using namespace acaciahill;
 using namespace acaciahill::testing;
@@ -207,7 +208,7 @@
   FakePlatform platform(settings);
   rig.target_.Control({ { "delay_ms", 2000 } });
   HttpOutcome interrupted;
-  std::thread caller([&] { interrupted = rig.Call({}); });
+  std::jthread caller([&] { interrupted = rig.Call({}); });
   REQUIRE(
     WaitUntil(kTimeout, [&] { return rig.target_.Status()["running"] == 1; }));
 
--- a/tests/support/test/fault_proxy_test.cpp
+++ b/tests/support/test/fault_proxy_test.cpp
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <thread>
 
 using namespace acaciahill;
 using namespace acaciahill::testing;
@@ -108,7 +109,7 @@
   faults.down_.freeze_ = true;
   rig.proxy_.Set(faults);
   HttpOutcome outcome;
-  std::thread caller([&] { outcome = rig.Call(); });
+  std::jthread caller([&] { outcome = rig.Call(); });
   REQUIRE(WaitUntil(kTimeout, [&] { return rig.served_ == 1; }));
   rig.proxy_.Heal();
   caller.join();
