--- a/packages/daemon/announce_service.cpp
+++ b/packages/daemon/announce_service.cpp
@@ -208,9 +208,12 @@
                      aAnnouncement.draining_,
                      aAnnouncement.running_,
                      aMadeAt });
+  directory_->HearTasks({ vm->number_,
+                          aAnnouncement.identity_.incarnation_,
+                          aAnnouncement.tasks_,
+                          aMadeAt });
   {
     const std::lock_guard lock(mutex_);
-    reports_[aAnnouncement.identity_.id_] = aAnnouncement.tasks_;
     heardHere_[aAnnouncement.identity_.id_] = MonotonicNow();
     if (aAnnouncement.epoch_ != vm->epoch_) {
       changedAt_[aAnnouncement.identity_.id_] = MonotonicNow();
@@ -304,11 +307,4 @@
                   std::max(kLongestInterval, settings_.announceInterval_));
 }
 
-std::map<std::string, std::vector<TaskReport>>
-AnnounceService::TaskReports() const
-{
-  const std::lock_guard lock(mutex_);
-  return reports_;
-}
-
 } // namespace acaciahill
--- a/packages/daemon/announce_service_base.h
+++ b/packages/daemon/announce_service_base.h
@@ -4,7 +4,6 @@
 #include "daemon/http_server_base.h"
 #include "daemon/replica_service_base.h"
 #include "kernel/service_registry_base.h"
-#include "planner/planner_type.h"
 
 #include <map>
 #include <mutex>
@@ -43,9 +42,6 @@
   Result<Done> Start() override;
   void Stop() override;
 
-  /// The last reports of tasks by VM id.
-  std::map<std::string, std::vector<TaskReport>> TaskReports() const;
-
 private:
   ServerAnswer Handle(const ServerCall& aCall);
   ServerAnswer Take(const Announcement& aAnnouncement, MonotonicTime aMadeAt);
@@ -59,8 +55,7 @@
   ReplicaService* replica_ = nullptr;
   DirectoryService* directory_ = nullptr;
   HttpServer server_;
-  mutable std::mutex mutex_;
-  std::map<std::string, std::vector<TaskReport>> reports_;
+  std::mutex mutex_;
   /// When each target was last heard here, for the next interval.
   std::map<std::string, MonotonicTime> heardHere_;
   /// When the assignment of each VM was last seen to differ from its own.
--- a/packages/daemon/directory_service.cpp
+++ b/packages/daemon/directory_service.cpp
@@ -27,6 +27,13 @@
   directory_.HearNode(aStatus);
 }
 
+void
+DirectoryService::HearTasks(const VmTaskReports& aReports)
+{
+  const std::lock_guard lock(mutex_);
+  directory_.HearTasks(aReports);
+}
+
 DigestMessage
 DirectoryService::MakeDigestFor(const std::string& aPeer)
 {
--- a/packages/daemon/directory_service_base.h
+++ b/packages/daemon/directory_service_base.h
@@ -26,6 +26,7 @@
 
   bool Hear(const TargetEvidence& aEvidence);
   void HearNode(const NodeStatus& aStatus);
+  void HearTasks(const VmTaskReports& aReports);
 
   DigestMessage MakeDigestFor(const std::string& aPeer);
   void AcceptDigest(const std::string& aPeer, const DigestMessage& aDigest);
--- a/packages/daemon/peer_codec.cpp
+++ b/packages/daemon/peer_codec.cpp
@@ -17,6 +17,40 @@
   return static_cast<std::uint32_t>(count);
 }
 
+void
+PutTasks(const VmTaskReports& aReports, Millis aAge, wire::VmTasks& aWire)
+{
+  aWire.set_target_number(aReports.number_);
+  aWire.set_incarnation(aReports.incarnation_);
+  aWire.set_age_ms(ToAge(aAge));
+  for (const auto& report : aReports.tasks_) {
+    auto& task = *aWire.add_tasks();
+    task.set_task(report.task_);
+    task.set_lease(report.lease_);
+    task.set_state(report.state_);
+    task.set_milli_cores(report.milliCores_);
+    task.set_memory_mb(report.memoryMb_);
+    task.set_usage_age_ms(ToAge(report.usageAge_));
+  }
+}
+
+VmTaskReports
+TakeTasks(const wire::VmTasks& aWire)
+{
+  VmTaskReports reports;
+  reports.number_ = aWire.target_number();
+  reports.incarnation_ = aWire.incarnation();
+  for (const auto& task : aWire.tasks()) {
+    reports.tasks_.push_back({ task.task(),
+                               task.lease(),
+                               task.state(),
+                               task.milli_cores(),
+                               task.memory_mb(),
+                               Millis(task.usage_age_ms()) });
+  }
+  return reports;
+}
+
 void
 PutDigest(const DigestMessage& aDigest, wire::Digest& aWire)
 {
@@ -45,6 +79,9 @@
       node.add_load_refused(load.refused_);
     }
   }
+  for (const auto& [reports, age] : aDigest.tasks_) {
+    PutTasks(reports, age, *aWire.add_tasks());
+  }
   aWire.set_clock_ms(aDigest.clockMs_);
   aWire.set_boot(aDigest.boot_);
   aWire.set_echo_clock_ms(aDigest.echoClockMs_);
@@ -94,6 +131,9 @@
     }
     digest.nodes_.push_back({ status, Millis(node.age_ms()) });
   }
+  for (const auto& vm : aWire.tasks()) {
+    digest.tasks_.push_back({ TakeTasks(vm), Millis(vm.age_ms()) });
+  }
   digest.clockMs_ = aWire.clock_ms();
   digest.boot_ = aWire.boot();
   digest.echoClockMs_ = aWire.echo_clock_ms();
--- a/packages/daemon/planner_service.cpp
+++ b/packages/daemon/planner_service.cpp
@@ -4,6 +4,7 @@
 #include "kernel/log_func.h"
 #include "kernel/os_clock_func.h"
 #include "planner/move_planner_base.h"
+#include "planner/placement_planner_base.h"
 #include "planner/vm_watch_base.h"
 #include "planner/wave_planner_base.h"
 
@@ -35,12 +36,14 @@
     : watch_(aLimits)
     , waves_(aLimits)
     , moves_(aLimits)
+    , placement_(aLimits)
   {
   }
 
   VmWatch watch_;
   WavePlanner waves_;
   MovePlanner moves_;
+  PlacementPlanner placement_;
 };
 
 PlannerService::PlannerService(const DaemonSettings& aSettings,
@@ -62,7 +65,6 @@
 {
   replica_ = &registry_.Find<ReplicaService>(kReplicaServiceName);
   directory_ = &registry_.Find<DirectoryService>(kDirectoryServiceName);
-  announcements_ = &registry_.Find<AnnounceService>(kAnnounceServiceName);
   if (settings_.voter_) {
     threads_.emplace_back([this] { RunPlanners(); });
     threads_.emplace_back([this] { RunPlatform(); });
@@ -113,19 +115,26 @@
   const auto now = MonotonicNow();
   PlannerView view;
   FillView(view, now);
+  const auto evidence = directory_->Read(
+    [](const Directory& aDirectory) { return aDirectory.Targets(); });
+  const auto tasks = directory_->Read(
+    [](const Directory& aDirectory) { return aDirectory.Tasks(); });
   std::vector<PlannerAction> actions;
   replica_->Read([&](const Fleet& aFleet) {
     view.fleet_ = &aFleet;
     for (const auto& [id, vm] : aFleet.Vms()) {
-      const auto evidence =
-        directory_->Read([&vm = vm](const Directory& aDirectory) {
-          return aDirectory.Find(vm.number_);
-        });
-      if (!evidence) {
+      const auto reports = tasks.find(vm.number_);
+      if (reports != tasks.end() &&
+          reports->second.incarnation_ == vm.identity_.incarnation_) {
+        view.reports_.emplace(id, reports->second.tasks_);
+      }
+      const auto found = evidence.find(vm.number_);
+      if (found == evidence.end()) {
         continue;
       }
-      view.targets_.emplace(id, *evidence);
-      if (now - evidence->madeAt_ <= kContactLeases * settings_.routingLease_) {
+      view.targets_.emplace(id, found->second);
+      if (now - found->second.madeAt_ <=
+          kContactLeases * settings_.routingLease_) {
         view.zonesInContact_.insert(vm.identity_.zone_);
       }
     }
@@ -142,6 +151,7 @@
     append(aPlanners.watch_.Step(view, now));
     append(aPlanners.waves_.Step(view, now));
     append(aPlanners.moves_.Step(view, now));
+    append(aPlanners.placement_.Step(view, now));
   });
   CarryOut(actions);
   metrics_.Observe("acaciahill_planner_step_seconds",
@@ -154,7 +164,6 @@
 {
   aView.nodes_ = directory_->Read(
     [](const Directory& aDirectory) { return aDirectory.Nodes(); });
-  aView.reports_ = announcements_->TaskReports();
   std::map<std::string, std::int64_t> refused;
   for (const auto& [node, status] : aView.nodes_) {
     if (aNow - status.madeAt_ > settings_.routingLease_) {
--- a/packages/daemon/planner_service_base.h
+++ b/packages/daemon/planner_service_base.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "daemon/announce_service_base.h"
 #include "daemon/daemon_settings_type.h"
+#include "daemon/directory_service_base.h"
 #include "daemon/replica_service_base.h"
 #include "kernel/service_registry_base.h"
 #include "planner/planner_type.h"
@@ -49,7 +49,6 @@
   Metrics& metrics_;
   ReplicaService* replica_ = nullptr;
   DirectoryService* directory_ = nullptr;
-  AnnounceService* announcements_ = nullptr;
 
   std::atomic<bool> stopping_{ false };
   std::map<std::string, std::int64_t> refusedBefore_;
--- a/packages/membership/digest_exchange.cpp
+++ b/packages/membership/digest_exchange.cpp
@@ -19,6 +19,22 @@
   return std::max(Millis(0), aNow - aMadeAt);
 }
 
+/// True when a task appeared, ended or changed its state or lease.
+bool
+HasNewState(const VmTaskReports& aOld, const VmTaskReports& aNew)
+{
+  return aOld.incarnation_ != aNew.incarnation_ ||
+         !std::equal(aOld.tasks_.begin(),
+                     aOld.tasks_.end(),
+                     aNew.tasks_.begin(),
+                     aNew.tasks_.end(),
+                     [](const TaskReport& aLeft, const TaskReport& aRight) {
+                       return aLeft.task_ == aRight.task_ &&
+                              aLeft.lease_ == aRight.lease_ &&
+                              aLeft.state_ == aRight.state_;
+                     });
+}
+
 } // namespace
 
 DigestExchange::DigestExchange(std::string aSelf, std::uint64_t aBoot)
@@ -50,6 +66,7 @@
       message.targets_.push_back({ evidence, age });
     }
   }
+  AddTasks(peer, aDirectory, aNow, aMaxAge, message);
   for (const auto& [node, status] : aDirectory.Nodes()) {
     // The peer knows itself best.
     if (node != aPeer) {
@@ -59,6 +76,29 @@
   return message;
 }
 
+void
+DigestExchange::AddTasks(PeerState& aPeer,
+                         const Directory& aDirectory,
+                         MonotonicTime aNow,
+                         Millis aMaxAge,
+                         DigestMessage& aMessage)
+{
+  for (const auto& [number, reports] : aDirectory.Tasks()) {
+    const auto sent = aPeer.sentTasks_.find(number);
+    const bool isDue =
+      sent == aPeer.sentTasks_.end()
+        ? !reports.tasks_.empty()
+        : HasNewState(sent->second, reports) ||
+            (!reports.tasks_.empty() &&
+             reports.madeAt_ - sent->second.madeAt_ >= kTaskReportInterval);
+    const auto age = AgeOf(reports.madeAt_, aNow);
+    if (isDue && age <= aMaxAge) {
+      aPeer.sentTasks_.insert_or_assign(number, reports);
+      aMessage.tasks_.push_back({ reports, age });
+    }
+  }
+}
+
 void
 DigestExchange::Accept(const std::string& aPeer,
                        const DigestMessage& aMessage,
@@ -69,6 +109,7 @@
   if (peer.boot_ != aMessage.boot_) {
     // The peer's process is new and knows nothing of what the old one was sent.
     peer.sent_.clear();
+    peer.sentTasks_.clear();
   }
   peer.clockMs_ = aMessage.clockMs_;
   peer.boot_ = aMessage.boot_;
@@ -87,6 +128,11 @@
       digest.targets_.push_back(heard);
     }
   }
+  for (const auto& [reports, age] : aMessage.tasks_) {
+    auto heard = reports;
+    heard.madeAt_ = sentAt.value_or(aNow) - age;
+    digest.tasks_.push_back(heard);
+  }
   for (const auto& [status, age] : aMessage.nodes_) {
     auto heard = status;
     heard.madeAt_ = sentAt.value_or(aNow) - age;
--- a/packages/membership/digest_exchange_base.h
+++ b/packages/membership/digest_exchange_base.h
@@ -27,6 +27,20 @@
   bool operator==(const AgedNode&) const = default;
 };
 
+/// A VM's task reports with their age when the digest was sent.
+struct AgedTasks
+{
+  VmTaskReports reports_;
+  Millis age_{ 0 };
+
+  bool operator==(const AgedTasks&) const = default;
+};
+
+/// Task reports are sent to a peer when a state in them changed, and otherwise
+/// this often: usage has a lag anyway, and the reports are the largest part of
+/// a digest.
+inline constexpr Millis kTaskReportInterval{ 10000 };
+
 /// A digest on its way. It carries the sender's clock, and the receiver's own
 /// clock as the sender last received it, so that the receiver can bound how
 /// long the digest was on its way.
@@ -34,6 +48,7 @@
 {
   std::vector<AgedTarget> targets_;
   std::vector<AgedNode> nodes_;
+  std::vector<AgedTasks> tasks_;
   std::uint64_t clockMs_ = 0;
   /// Random number of the sender's process; its clock means nothing to others.
   std::uint64_t boot_ = 0;
@@ -77,8 +92,16 @@
     MonotonicTime receivedAt_{};
     /// When the last statement sent to the peer on each target was made.
     std::map<std::uint32_t, MonotonicTime> sent_;
+    /// The last task reports sent to the peer.
+    std::map<std::uint32_t, VmTaskReports> sentTasks_;
   };
 
+  static void AddTasks(PeerState& aPeer,
+                       const Directory& aDirectory,
+                       MonotonicTime aNow,
+                       Millis aMaxAge,
+                       DigestMessage& aMessage);
+
   std::string self_;
   std::uint64_t boot_;
   std::map<std::string, PeerState> peers_;
--- a/packages/membership/directory.cpp
+++ b/packages/membership/directory.cpp
@@ -37,6 +37,16 @@
   nodes_.insert_or_assign(aStatus.node_, aStatus);
 }
 
+void
+Directory::HearTasks(const VmTaskReports& aReports)
+{
+  const auto known = tasks_.find(aReports.number_);
+  if (known != tasks_.end() && aReports.madeAt_ <= known->second.madeAt_) {
+    return;
+  }
+  tasks_.insert_or_assign(aReports.number_, aReports);
+}
+
 void
 Directory::Merge(const DirectoryDigest& aDigest)
 {
@@ -49,6 +59,9 @@
       HearNode(status);
     }
   }
+  for (const auto& reports : aDigest.tasks_) {
+    HearTasks(reports);
+  }
 }
 
 DirectoryDigest
@@ -103,9 +116,11 @@
     numbers.push_back(vm.number_);
   }
   std::sort(numbers.begin(), numbers.end());
-  std::erase_if(targets_, [&numbers](const auto& aItem) {
+  const auto isGone = [&numbers](const auto& aItem) {
     return !std::binary_search(numbers.begin(), numbers.end(), aItem.first);
-  });
+  };
+  std::erase_if(targets_, isGone);
+  std::erase_if(tasks_, isGone);
   std::erase_if(nodes_, [&aNodes, this](const auto& aItem) {
     return aItem.first != self_ && !aNodes.contains(aItem.first);
   });
--- a/packages/membership/directory_base.h
+++ b/packages/membership/directory_base.h
@@ -23,6 +23,9 @@
   /// Takes a statement of a node; an older one than is known is ignored.
   void HearNode(const NodeStatus& aStatus);
 
+  /// Takes a VM's report of its tasks; an older one than is known is ignored.
+  void HearTasks(const VmTaskReports& aReports);
+
   /// Takes everything in another node's digest.
   void Merge(const DirectoryDigest& aDigest);
 
@@ -34,6 +37,7 @@
 
   std::optional<TargetEvidence> Find(std::uint32_t aNumber) const;
   std::optional<NodeStatus> FindNode(const std::string& aNode) const;
+  const std::map<std::uint32_t, VmTaskReports>& Tasks() const { return tasks_; }
   const std::map<std::string, NodeStatus>& Nodes() const { return nodes_; }
   const std::map<std::uint32_t, TargetEvidence>& Targets() const
   {
@@ -48,6 +52,7 @@
   std::string self_;
   std::map<std::uint32_t, TargetEvidence> targets_;
   std::map<std::string, NodeStatus> nodes_;
+  std::map<std::uint32_t, VmTaskReports> tasks_;
 };
 
 /// True while a node may send requests to a VM: the VM itself said within the
--- a/packages/membership/directory_type.h
+++ b/packages/membership/directory_type.h
@@ -53,11 +53,38 @@
   bool operator==(const NodeStatus&) const = default;
 };
 
+/// What a VM last reported of one of its tasks.
+struct TaskReport
+{
+  std::string task_;
+  std::uint64_t lease_ = 0;
+  /// "running", "completed", "failed" or "checkpointed".
+  std::string state_;
+  std::int64_t milliCores_ = 0;
+  std::int64_t memoryMb_ = 0;
+  /// Age of the usage figures when they were reported.
+  Millis usageAge_{ 0 };
+
+  bool operator==(const TaskReport&) const = default;
+};
+
+/// The tasks of one VM as it last reported them.
+struct VmTaskReports
+{
+  std::uint32_t number_ = 0;
+  std::uint64_t incarnation_ = 0;
+  std::vector<TaskReport> tasks_;
+  MonotonicTime madeAt_{};
+
+  bool operator==(const VmTaskReports&) const = default;
+};
+
 /// What one node passes to another. Times are on the receiver's clock.
 struct DirectoryDigest
 {
   std::vector<TargetEvidence> targets_;
   std::vector<NodeStatus> nodes_;
+  std::vector<VmTaskReports> tasks_;
 
   bool operator==(const DirectoryDigest&) const = default;
 };
--- a/packages/membership/test/digest_exchange_test.cpp
+++ b/packages/membership/test/digest_exchange_test.cpp
@@ -98,3 +98,28 @@
   CHECK(sender.exchange_.MakeFor("b", sender.directory_, At(12s), kMaxAge)
           .targets_.size() == 1);
 }
+
+// Guards against task reports filling the digests: they are sent on a change of
+// a state, and else at the interval.
+TEST_CASE("task reports are sent on a change of state or at the interval")
+{
+  Node sender("a", 1);
+  const auto sentTasks = [&sender](Millis aAt,
+                                   const std::vector<TaskReport>& aTasks) {
+    sender.directory_.HearTasks({ 7, 1, aTasks, At(aAt) });
+    return sender.exchange_.MakeFor("b", sender.directory_, At(aAt), kMaxAge)
+      .tasks_.size();
+  };
+  const TaskReport running{ "job/0", 1, "running", 900, 100, 1s };
+  auto moreUsage = running;
+  moreUsage.milliCores_ = 1000;
+  auto failed = running;
+  failed.state_ = "failed";
+  CHECK(sentTasks(10s, {}) == 0);
+  CHECK(sentTasks(11s, { running }) == 1);
+  CHECK(sentTasks(12s, { moreUsage }) == 0);
+  CHECK(sentTasks(21s, { moreUsage }) == 1);
+  CHECK(sentTasks(22s, { failed }) == 1);
+  CHECK(sentTasks(23s, {}) == 1);
+  CHECK(sentTasks(24s, {}) == 0);
+}
--- a/packages/membership/test/directory_test.cpp
+++ b/packages/membership/test/directory_test.cpp
@@ -91,6 +91,6 @@
 {
   Directory directory("n1");
   directory.HearNode({ "n1", 10, 2, {}, {}, kNow });
-  directory.Merge({ {}, { { "n1", 99, 9, {}, {}, kNow + 1s } } });
+  directory.Merge({ {}, { { "n1", 99, 9, {}, {}, kNow + 1s } }, {} });
   CHECK(directory.FindNode("n1")->appliedIndex_ == 10);
 }
--- a/packages/planner/planner_type.h
+++ b/packages/planner/planner_type.h
@@ -24,21 +24,6 @@
   bool operator==(const PoolLoad&) const = default;
 };
 
-/// What a VM last reported of one of its tasks.
-struct TaskReport
-{
-  std::string task_;
-  std::uint64_t lease_ = 0;
-  /// "running", "completed", "failed" or "checkpointed".
-  std::string state_;
-  std::int64_t milliCores_ = 0;
-  std::int64_t memoryMb_ = 0;
-  /// Age of the usage figures when they were reported.
-  Millis usageAge_{ 0 };
-
-  bool operator==(const TaskReport&) const = default;
-};
-
 /// Everything a planner decides on: the replicated state, and what the leader
 /// hears. The fleet outlives the view.
 struct PlannerView
