--- a/packages/consensus/file_log_store.cpp
+++ b/packages/consensus/file_log_store.cpp
@@ -419,20 +419,27 @@
 
 } // namespace
 
+Result<Done>
+FileSystem::LockFolder(const std::string&)
+{
+  return Done{};
+}
+
 Result<OpenedLog>
 OpenFileLog(FileSystem& aFiles,
             const std::string& aFolder,
             const std::string& aNewDiskId)
 {
   const Paths paths(aFolder);
-  if (!aFiles.Exists(paths.diskId_)) {
-    auto result = aFiles.MakeFolder(aFolder);
-    if (IsOk(result)) {
-      result = Create(aFiles, paths, aNewDiskId);
-    }
-    if (!IsOk(result)) {
-      return ErrorOf(result);
-    }
+  auto result = aFiles.MakeFolder(aFolder);
+  if (IsOk(result)) {
+    result = aFiles.LockFolder(aFolder);
+  }
+  if (IsOk(result) && !aFiles.Exists(paths.diskId_)) {
+    result = Create(aFiles, paths, aNewDiskId);
+  }
+  if (!IsOk(result)) {
+    return ErrorOf(result);
   }
   auto stored = Load(aFiles, paths);
   if (!IsOk(stored)) {
@@ -443,7 +450,7 @@
   // This also cuts off a torn tail and drops replaced entries.
   const auto seed = SeedOf(ValueOf(stored).diskId_);
   const auto log = WholeLog(ValueOf(stored).entries_, seed);
-  auto result = aFiles.ReplaceSynced(paths.log_, log);
+  result = aFiles.ReplaceSynced(paths.log_, log);
   if (IsOk(result)) {
     result = aFiles.ReplaceSynced(
       paths.hardState_,
--- a/packages/consensus/log_store_base.h
+++ b/packages/consensus/log_store_base.h
@@ -67,6 +67,9 @@
   virtual Result<Done> TruncateSynced(const std::string& aPath,
                                       std::uint64_t aLength) = 0;
   virtual Result<Done> MakeFolder(const std::string& aPath) = 0;
+  /// Keeps other processes out of a folder until this process ends. Errors:
+  /// IoError when another one has it. The default does nothing.
+  virtual Result<Done> LockFolder(const std::string& aPath);
 };
 
 /// The file system of the operating system.
@@ -75,7 +78,9 @@
 
 /// Opens a data folder. A folder that does not exist or is empty is created
 /// with aNewDiskId. A torn tail of the log is cut off; damage before it is
-/// CorruptLog, a damaged snapshot is CorruptSnapshot.
+/// CorruptLog, as is a damaged or missing disk id or hard state; a damaged
+/// snapshot is CorruptSnapshot. The folder is locked against other processes,
+/// as two of them would vote twice. aFiles must outlive the store.
 Result<OpenedLog>
 OpenFileLog(FileSystem& aFiles,
             const std::string& aFolder,
--- a/packages/consensus/os_file_system.cpp
+++ b/packages/consensus/os_file_system.cpp
@@ -3,7 +3,9 @@
 #include <cerrno>
 #include <fcntl.h>
 #include <filesystem>
+#include <map>
 #include <mutex>
+#include <sys/file.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -198,6 +200,27 @@
     return SyncFolder(FolderOf(aPath));
   }
 
+  Result<Done> LockFolder(const std::string& aPath) override
+  {
+    const std::lock_guard lock(mutex_);
+    if (locks_.contains(aPath)) {
+      return Done{};
+    }
+    const auto path = aPath + "/lock";
+    auto file = std::make_unique<Descriptor>(path, O_WRONLY | O_CREAT);
+    if (!file->IsOpen()) {
+      return SystemError("open", path);
+    }
+    if (::flock(file->Number(), LOCK_EX | LOCK_NB) != 0) {
+      return errno == EWOULDBLOCK
+               ? Error{ ErrorKind::IoError,
+                        aPath + " is in use by another process" }
+               : SystemError("lock", path);
+    }
+    locks_.emplace(aPath, std::move(file));
+    return Done{};
+  }
+
 private:
   /// Closes the kept file if it is this one, which is about to be replaced.
   void Forget(const std::string& aPath)
@@ -213,6 +236,9 @@
   /// The last appended file is kept open, as each save appends to the log.
   std::string appendPath_;
   Descriptor appendFile_;
+  /// Lock files by folder. The system releases them when the process ends, in
+  /// whatever way.
+  std::map<std::string, std::unique_ptr<Descriptor>> locks_;
 };
 
 } // namespace
--- a/packages/consensus/raft_core.cpp
+++ b/packages/consensus/raft_core.cpp
@@ -97,7 +97,8 @@
 void
 RaftCore::Receive(const RaftMessage& aMessage, const VoteRequest& aRequest)
 {
-  if (role_ == RaftRole::Learner || HearsLeader()) {
+  if (role_ == RaftRole::Learner || HearsLeader() ||
+      aRequest.candidate_.node_ != aMessage.from_) {
     return;
   }
   if (aRequest.preVote_) {
--- a/packages/consensus/test/file_log_test.cpp
+++ b/packages/consensus/test/file_log_test.cpp
@@ -2,8 +2,11 @@
 
 #include <catch2/catch.hpp>
 
+#include <fcntl.h>
 #include <filesystem>
 #include <map>
+#include <sys/file.h>
+#include <unistd.h>
 #include <variant>
 
 using namespace acaciahill;
@@ -358,6 +361,21 @@
   CHECK_FALSE(IsOk(OpenFileLog(files, "d", "x")));
 }
 
+// Guards against two processes that vote with the same disk id.
+TEST_CASE("a data folder that another process uses is refused")
+{
+  const TemporaryFolder folder;
+  const auto path = folder.path_ + "/lock";
+  // The lock belongs to the open file, so this stands for another process.
+  const int other = ::open(path.c_str(), O_WRONLY | O_CREAT | O_CLOEXEC, 0644);
+  REQUIRE(::flock(other, LOCK_EX | LOCK_NB) == 0);
+  const auto refused = OpenFileLog(OsFileSystem(), folder.path_, "x");
+  REQUIRE_FALSE(IsOk(refused));
+  CHECK(ErrorOf(refused).kind_ == ErrorKind::IoError);
+  ::close(other);
+  CHECK(IsOk(OpenFileLog(OsFileSystem(), folder.path_, "x")));
+}
+
 // Guards against command data that looks like a record of the log.
 TEST_CASE("a log inside a command is not taken for records")
 {
