--- /dev/null
+++ b/packages/planner/placement_planner_base.h
@@ -0,0 +1,289 @@
+#pragma once
+
+#include "planner/availability_func.h"
+#include "planner/job_sizes_base.h"
+#include "planner/planner_type.h"
+#include "planner/proposal_gate_base.h"
+#include "planner/vm_health_base.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace acaciahill {
+
+/// Times and numbers of the placement planner.
+struct PlacementLimits
+{
+  /// A command is not proposed again within this time.
+  Millis retryAfter_{ 3000 };
+  /// First lease of a placed task, and the shortest one.
+  Millis shortestLease_{ 60000 };
+  /// Leases grow with the number of running tasks, so that renewals stay below
+  /// this rate.
+  std::int64_t renewalsPerSecond_ = 4;
+  /// Time after the end of a lease before the task is placed again; covers the
+  /// time by which the VM learned of the lease later than the leader.
+  Millis leaseMargin_{ 10000 };
+  /// Time for which a task must run to count as a success of its VM.
+  Millis successAfter_{ 30000 };
+  /// Time between two usage samples of one task.
+  Millis sampleInterval_{ 5000 };
+  /// Time that a task gets to begin its work before its usage is believed.
+  Millis warmUp_{ 10000 };
+  /// Wait of a task after its first failure; doubles with each further one.
+  Millis firstBackOff_{ 5000 };
+  Millis longestBackOff_{ 300000 };
+  /// Time for which a job that fitted nowhere is left out, so that the limit
+  /// of tries in one step reaches every job in turn.
+  Millis blockedFor_{ 2000 };
+  Millis urgentBlockedFor_{ 500 };
+  /// Time after which a stopping task that its VM no longer names has ended.
+  Millis goneAfter_{ 10000 };
+  /// Time for which a task stays throttled at least.
+  Millis throttledFor_{ 30000 };
+  /// Share of a pool's cores and slots that is kept for urgent work, in
+  /// percent.
+  std::int64_t urgentPercent_ = 5;
+  /// Cores that a throttled task still takes, in percent.
+  std::int64_t throttledPercent_ = 25;
+  /// Work in one step at most; each kind has its own limit, so that a wave of
+  /// one kind does not starve another.
+  std::size_t placementsPerStep_ = 64;
+  std::size_t triesPerStep_ = 256;
+  std::size_t updatesPerStep_ = 64;
+  std::size_t stopsPerStep_ = 32;
+  /// Tasks served in one step: at least this many, and at least a 16th of all.
+  std::size_t servedPerStep_ = 512;
+
+  bool operator==(const PlacementLimits&) const = default;
+};
+
+/// Places the waiting tasks of jobs on the VMs of their pools under leases, and
+/// follows them to their end. Not thread-safe.
+class PlacementPlanner
+{
+public:
+  explicit PlacementPlanner(PlannerLimits aLimits,
+                            PlacementLimits aPlacementLimits = {});
+
+  std::vector<PlannerAction> Step(const PlannerView& aView, MonotonicTime aNow);
+
+private:
+  /// A placement that was proposed and is not visible in the fleet yet.
+  struct SentPlacement
+  {
+    std::string vm_;
+    std::uint64_t lease_ = 0;
+    MonotonicTime sentAt_{};
+  };
+
+  /// What is remembered of a task under one lease.
+  struct TaskMemory
+  {
+    std::uint64_t lease_ = 0;
+    std::optional<MonotonicTime> runningSince_;
+    std::optional<MonotonicTime> sampledAt_;
+    /// When a report last said that it runs.
+    std::optional<MonotonicTime> reportedAt_;
+    /// When its present phase was first seen.
+    std::optional<MonotonicTime> phaseSince_;
+    TaskPhase phase_ = TaskPhase::Waiting;
+    /// Latest trusted usage.
+    std::int64_t milliCores_ = 0;
+    std::int64_t memoryMb_ = 0;
+    bool successCounted_ = false;
+    bool failureCounted_ = false;
+    /// The failure is the task's, not the VM's.
+    bool isAtFault_ = false;
+    /// A report said that it ended; it takes no room any more.
+    bool hasEnded_ = false;
+  };
+
+  /// What is remembered of a task that failed, over its leases.
+  struct Failure
+  {
+    std::int64_t count_ = 0;
+    MonotonicTime waitUntil_{};
+    std::string lastVm_;
+  };
+
+  /// A VM in one step, with what is left on it.
+  struct VmRound
+  {
+    const VmRecord* vm_ = nullptr;
+    bool usable_ = false;
+    int zone_ = 0;
+    int rack_ = 0;
+    TaskSize free_;
+    /// What tasks that are stopping will give back.
+    TaskSize soonFree_;
+    std::int64_t tasks_ = 0;
+    std::int64_t throttled_ = 0;
+    std::map<const JobRecord*, std::int64_t> tasksOfJob_;
+    std::vector<const TaskRecord*> running_;
+  };
+
+  struct PoolRound
+  {
+    std::vector<VmRound*> vms_;
+    TaskSize total_;
+    TaskSize free_;
+  };
+
+  struct JobRound
+  {
+    const JobRecord* job_ = nullptr;
+    TaskSize size_;
+    std::vector<const TaskRecord*> waiting_;
+    std::size_t next_ = 0;
+    std::map<int, std::int64_t> byZone_;
+    std::map<int, std::int64_t> byRack_;
+  };
+
+  struct Round
+  {
+    const PlannerView& view_;
+    MonotonicTime now_;
+    std::uint64_t logicalMs_ = 0;
+    std::map<std::string, VmRound> vms_{};
+    std::unordered_map<std::string_view, VmRound*> vmById_{};
+    std::map<std::string, PoolRound> pools_{};
+    std::map<std::string, JobRound> jobs_{};
+    std::map<std::string, TaskSize> teams_{};
+    TaskSize total_{};
+    /// Tasks under a lease.
+    std::int64_t leased_ = 0;
+    std::int64_t throttled_ = 0;
+    std::size_t updates_ = 0;
+    std::size_t stops_ = 0;
+    std::size_t placements_ = 0;
+    std::size_t tries_ = 0;
+    std::vector<PlannerAction> actions_{};
+  };
+
+  void Forget(const PlannerView& aView, MonotonicTime aNow);
+  void ForgetEnded(const PlannerView& aView);
+  std::uint64_t LogicalNow(const PlannerView& aView, MonotonicTime aNow);
+  TaskMemory& MemoryOf(const TaskRecord& aTask, MonotonicTime aNow);
+  std::uint64_t LeaseMs(const Round& aRound) const;
+
+  /// Counts the tasks and lists those that wait and may be tried now.
+  void AddWaiting(Round& aRound) const;
+  bool MayTry(const Round& aRound, const TaskRecord& aTask) const;
+  /// True when something can be placed or resumed; the rest of the round is
+  /// filled in only then.
+  bool HasWork(const Round& aRound) const;
+  void AddVms(Round& aRound) const;
+  void AddHeld(Round& aRound) const;
+  JobRound& JobOf(Round& aRound, const JobRecord& aJob) const;
+  void Occupy(Round& aRound,
+              JobRound& aJob,
+              const TaskRecord& aTask,
+              const std::string& aVm,
+              TaskPhase aPhase) const;
+  TaskSize SizeOf(const JobRound& aJob, const TaskRecord& aTask) const;
+  TaskSize SizeIn(TaskSize aSize, TaskPhase aPhase) const;
+
+  void TakeReports(Round& aRound);
+  void TakeReport(Round& aRound,
+                  const TaskRecord& aTask,
+                  const TaskReport& aReport,
+                  MonotonicTime aMadeAt);
+  void TakeRunning(Round& aRound,
+                   const TaskRecord& aTask,
+                   const TaskReport& aReport,
+                   MonotonicTime aMadeAt);
+  void TakeFailure(Round& aRound, const TaskRecord& aTask);
+  void TakeSample(const Round& aRound,
+                  const TaskRecord& aTask,
+                  const TaskReport& aReport,
+                  MonotonicTime aMadeAt);
+
+  /// Serves a part of the tasks in each step, in turn.
+  void ServeTasks(Round& aRound);
+  void ServeTask(Round& aRound, const TaskRecord& aTask);
+  /// Why a placed task must leave its VM; empty when it may stay.
+  std::string StopReason(const Round& aRound, const TaskRecord& aTask) const;
+  /// Why a task no longer runs although no report says so; empty when it may.
+  std::string EndReason(const Round& aRound,
+                        const TaskRecord& aTask,
+                        const TaskMemory& aMemory) const;
+  void ResumeThrottled(Round& aRound);
+
+  void Place(Round& aRound, bool aUrgent);
+  /// The jobs with waiting tasks by team.
+  std::map<std::string, std::deque<JobRound*>> WaitingJobs(Round& aRound,
+                                                           bool aUrgent) const;
+  double ShareOf(const Round& aRound, const std::string& aTeam) const;
+  /// Tries to place the job's next waiting task; false when the job is blocked.
+  bool PlaceNext(Round& aRound, JobRound& aJob);
+  void Block(const Round& aRound, const JobRecord& aJob);
+  bool IsBlocked(const JobRecord& aJob) const;
+  bool ProposePlacement(Round& aRound,
+                        JobRound& aJob,
+                        const TaskRecord& aTask,
+                        VmRound& aVm);
+  VmRound* FindVm(Round& aRound,
+                  const JobRound& aJob,
+                  const TaskRecord& aTask) const;
+  bool MayRunOn(const Round& aRound,
+                const TaskRecord& aTask,
+                const VmRound& aVm) const;
+  bool KeepsUrgentShare(const PoolRound& aPool, const TaskSize& aSize) const;
+
+  /// What MakeRoom() did.
+  struct Room
+  {
+    /// The VM on which the task can be placed at once, or none.
+    VmRound* vm_ = nullptr;
+    /// Room is coming, as tasks are stopping for it.
+    bool isComing_ = false;
+  };
+
+  /// Makes room for an urgent task: throttles where that is enough, else has
+  /// tasks checkpointed and stopped.
+  Room MakeRoom(Round& aRound, const JobRound& aJob, const TaskRecord& aTask);
+  bool ThrottleFor(Round& aRound, VmRound& aVm, const TaskSize& aSize);
+  bool StopFor(Round& aRound,
+               const std::vector<VmRound*>& aVms,
+               const TaskSize& aSize);
+  /// Tasks on a VM that are not urgent, the largest first.
+  std::vector<const TaskRecord*> NotUrgent(const Round& aRound,
+                                           const VmRound& aVm) const;
+  const JobRound& JobOfTask(const Round& aRound, const TaskRecord& aTask) const;
+
+  bool Update(Round& aRound,
+              const TaskRecord& aTask,
+              TaskPhase aPhase,
+              const std::string& aReason,
+              bool aFailedOnVm = false);
+  bool Stop(Round& aRound, const TaskRecord& aTask, const std::string& aReason);
+  bool Propose(Round& aRound, const std::string& aIntent, Command aCommand);
+
+  PlannerLimits limits_;
+  PlacementLimits placementLimits_;
+  ProposalGate gate_;
+  ProposalGate blocked_;
+  ProposalGate urgentBlocked_;
+  JobSizes sizes_;
+  VmHealth health_;
+  std::map<std::string, SentPlacement> sent_;
+  std::unordered_map<std::string, TaskMemory> memory_;
+  std::map<std::string, Failure> failures_;
+  /// When the reports taken last from each VM were made.
+  std::unordered_map<std::string, MonotonicTime> takenAt_;
+  /// Task at which the next step goes on serving.
+  std::string serveNext_;
+  std::optional<MonotonicTime> forgotAt_;
+  /// When the fleet's logical clock was last seen to advance.
+  std::uint64_t seenLogicalMs_ = 0;
+  std::optional<MonotonicTime> seenAt_;
+};
+
+} // namespace acaciahill
--- a/packages/routing/router_type.h
+++ b/packages/routing/router_type.h
@@ -28,6 +28,9 @@
   std::int64_t connections_ = 0;
   /// Work running there from all entry VMs, as last announced.
   std::uint32_t announcedRunning_ = 0;
+  /// Nothing may be sent to it after this time: the evidence of its assignment
+  /// is too old then.
+  MonotonicTime validUntil_{};
 
   bool operator==(const TargetView&) const = default;
 };
@@ -64,6 +67,7 @@
   TimedOut,      ///< Sent, and no whole answer came in time.
   Malformed,     ///< Sent, and the answer was not valid.
   TooLarge,      ///< Sent, and the answer was over the size limit.
+  Expired,       ///< Not sent: the target might not be used any more by then.
 };
 
 struct AttemptFinished
@@ -128,6 +132,9 @@
   int attempt_ = 1;
   /// The attempt must end by then.
   MonotonicTime timeout_{};
+  /// Nothing may be sent after this time. The shell checks it again right
+  /// before the first byte, as the process may have been frozen in between.
+  MonotonicTime validUntil_{};
 
   bool operator==(const DispatchRequest&) const = default;
 };
