--- a/packages/consensus/file_log_store.cpp
+++ b/packages/consensus/file_log_store.cpp
@@ -132,7 +132,7 @@
     const auto rest = aBytes.substr(at);
     const auto frame = ReadFrame(rest, aSeed + at);
     if (!frame) {
-      if (at < wholeEnd || detail::HasFrame(rest.substr(1), aSeed + at + 1)) {
+      if (detail::HasFrame(rest.substr(1), aSeed + at + 1)) {
         return CorruptAt(aPath, at, "a bad record that is not the last one");
       }
       break;
@@ -144,7 +144,7 @@
     at += frame->size_;
   }
   if (at < wholeEnd) {
-    return CorruptAt(aPath, at, "records at the end are missing");
+    return CorruptAt(aPath, at, "a bad record that was complete before");
   }
   return entries;
 }
--- a/packages/consensus/raft_leader.cpp
+++ b/packages/consensus/raft_leader.cpp
@@ -84,21 +84,22 @@
 void
 RaftCore::TakeReply(Progress& aProgress, const AppendReply& aReply)
 {
-  if (aProgress.disk_ != aReply.voter_.disk_) {
-    // Another disk: nothing that the node acknowledged before is still there.
+  const auto sentAt = std::min(TimeOfRound(aReply.round_), now_);
+  if (aProgress.disk_.empty()) {
+    aProgress.disk_ = aReply.voter_.disk_;
+  } else if (aProgress.disk_ != aReply.voter_.disk_) {
+    if (sentAt <= aProgress.contact_) {
+      // A late reply from before the disk was replaced.
+      return;
+    }
+    // Nothing that the node acknowledged before is still there.
     Progress fresh;
     fresh.disk_ = aReply.voter_.disk_;
     fresh.next_ = LastIndex() + 1;
     fresh.leaveIndex_ = aProgress.leaveIndex_;
     fresh.leaveSince_ = aProgress.leaveSince_;
-    if (aProgress.disk_.empty()) {
-      fresh.next_ = aProgress.next_;
-      fresh.waiting_ = aProgress.waiting_;
-      fresh.waitingRound_ = aProgress.waitingRound_;
-    }
     aProgress = std::move(fresh);
   }
-  const auto sentAt = std::min(TimeOfRound(aReply.round_), now_);
   aProgress.contact_ = std::max(aProgress.contact_, sentAt);
   if (aReply.round_ >= aProgress.waitingRound_) {
     aProgress.waiting_ = false;
