--- a/packages/state/command_type.h
+++ b/packages/state/command_type.h
@@ -85,7 +85,8 @@
   bool operator==(const MarkVmLost&) const = default;
 };
 
-/// A lost VM was heard again under the same incarnation.
+/// A lost VM was heard again under the same incarnation. It becomes active, or
+/// goes on draining or stopping when it has an open permit or move.
 struct RecoverVm
 {
   std::string vm_;
@@ -154,7 +155,8 @@
   bool operator==(const RevokePermit&) const = default;
 };
 
-/// Claims an Idempotency-Key before the request is sent.
+/// Claims an Idempotency-Key before the request is sent. It is refused when the
+/// key has a claim, also a completed one; the result then holds that claim.
 struct BeginClaim
 {
   std::string key_;
@@ -173,7 +175,8 @@
   Unknown,
 };
 
-/// Ends a claim held by the same owner. Ending it twice is no error.
+/// Ends a claim held by the same owner. Ending it twice is no error; the first
+/// end stays. An answer over kClaimAnswerLimit is not kept, but the claim ends.
 struct EndClaim
 {
   std::string key_;
@@ -211,7 +214,8 @@
   bool operator==(const PutJob&) const = default;
 };
 
-/// Cancels a job: tasks that wait end, placed ones are told to stop.
+/// Cancels a job: tasks that wait end as Completed, placed ones are told to
+/// stop.
 struct CancelJob
 {
   std::string job_;
