--- a/packages/daemon/relay_service.cpp
+++ b/packages/daemon/relay_service.cpp
@@ -256,8 +256,8 @@
                   "contact with the control group; the request did not run" };
   }
   const auto owner = ownerPrefix_ + std::to_string(nextOwner_++);
-  const auto result = replica_->Propose(
-    BeginClaim{ aKey, aFingerprint, settings_.node_, owner }, owner, timeout);
+  const BeginClaim begin{ aKey, aFingerprint, settings_.node_, owner };
+  const auto result = replica_->Propose(begin, owner, timeout);
   if (!result.error_) {
     return ClaimGranted{ owner };
   }
@@ -267,7 +267,7 @@
   if (result.error_->kind_ == ErrorKind::ProposalLost) {
     // The claim may have been committed without an answer. It was not used, so
     // it is released: the request did not run.
-    End({ aKey, owner, ClaimEnd::NotRun, 0, "", "", false });
+    AddEnd({ begin, { aKey, owner, ClaimEnd::NotRun, 0, "", "", false } });
     return Error{ ErrorKind::ControlUnreachable,
                   "the claim was not confirmed in time; the request did not "
                   "run" };
@@ -277,32 +277,50 @@
 
 void
 RelayService::End(const EndClaim& aEnd)
+{
+  AddEnd({ std::nullopt, aEnd });
+}
+
+void
+RelayService::AddEnd(PendingEnd aEnd)
 {
   const std::lock_guard lock(claimMutex_);
-  claimEnds_.push_back(aEnd);
+  claimEnds_.push_back(std::move(aEnd));
   claimReady_.notify_one();
 }
 
+bool
+RelayService::TryEnd(const PendingEnd& aEnd)
+{
+  const auto isDecided = [](const CommandResult& aResult) {
+    return !aResult.error_ ||
+           (aResult.error_->kind_ != ErrorKind::ProposalLost &&
+            aResult.error_->kind_ != ErrorKind::ControlUnreachable);
+  };
+  const auto& owner = aEnd.end_.owner_;
+  if (aEnd.begin_ &&
+      !isDecided(replica_->Propose(*aEnd.begin_, owner, kClaimEndTimeout))) {
+    return false;
+  }
+  return isDecided(
+    replica_->Propose(aEnd.end_, "end-" + owner, kClaimEndTimeout));
+}
+
 void
 RelayService::RunClaimEnds()
 {
   while (true) {
-    EndClaim end;
+    PendingEnd end;
     {
       std::unique_lock lock(claimMutex_);
-      claimReady_.wait(lock,
-                       [this] { return stopping_ || !claimEnds_.empty(); });
+      claimReady_.wait(
+        lock, [this] { return stopping_ || !claimEnds_.empty(); });
       if (claimEnds_.empty()) {
         return;
       }
       end = claimEnds_.front();
     }
-    const auto result =
-      replica_->Propose(end, "end-" + end.owner_, kClaimEndTimeout);
-    const bool isLost =
-      result.error_ && (result.error_->kind_ == ErrorKind::ProposalLost ||
-                        result.error_->kind_ == ErrorKind::ControlUnreachable);
-    if (isLost && !stopping_) {
+    if (!TryEnd(end) && !stopping_) {
       std::this_thread::sleep_for(kClaimEndPause);
       continue;
     }
--- a/packages/daemon/relay_service_base.h
+++ b/packages/daemon/relay_service_base.h
@@ -50,6 +50,18 @@
   std::map<std::string, RelayPoolLoad> Loads() const;
 
 private:
+  /// A claim to end. With begin_ set, it is not known whether the claim was
+  /// committed; it is proposed once more with the same request id first, so
+  /// that the end cannot come before a delayed begin.
+  struct PendingEnd
+  {
+    std::optional<BeginClaim> begin_;
+    EndClaim end_;
+  };
+
+  void AddEnd(PendingEnd aEnd);
+  /// True when the claim's end is decided.
+  bool TryEnd(const PendingEnd& aEnd);
   void RunRefresh();
   void RunProbes();
   void RunClaimEnds();
@@ -67,7 +79,7 @@
   bool drained_ = false;
   std::mutex claimMutex_;
   std::condition_variable claimReady_;
-  std::deque<EndClaim> claimEnds_;
+  std::deque<PendingEnd> claimEnds_;
   std::atomic<std::uint64_t> nextOwner_{ 1 };
   std::string ownerPrefix_;
   std::uint64_t refreshedTable_ = 0;
--- a/packages/state/table_func.cpp
+++ b/packages/state/table_func.cpp
@@ -519,13 +519,19 @@
   for (const auto& row : aNew) {
     kept.insert(row.pool_);
     const auto old = aOld.rows_.find(row.pool_);
+    const bool isNew = old == aOld.rows_.end();
     for (const auto& column : kColumnTable) {
-      const auto before = old == aOld.rows_.end() ? std::string("(none)")
-                                                  : CellOf(old->second, column);
+      // Of a new pool only what differs from the defaults is worth a line.
+      const auto before = CellOf(isNew ? PoolRow{} : old->second, column);
       const auto after = CellOf(row, column);
       if (before != after) {
-        changes.push_back(
-          Concat(row.pool_, ".", column.name_, ": ", before, " -> ", after));
+        changes.push_back(Concat(row.pool_,
+                                 ".",
+                                 column.name_,
+                                 ": ",
+                                 isNew ? "(none)" : before,
+                                 " -> ",
+                                 after));
       }
     }
   }
