--- a/packages/routing/router.cpp
+++ b/packages/routing/router.cpp
@@ -188,12 +188,15 @@
   Enqueue(pool, aInput.id_, false);
   Pump(aNow, aOut);
   const auto still = requests_.find(aInput.id_);
+  const auto excess =
+    static_cast<std::int64_t>(WaitingIn(pool)) - pool.row_.queueLimit_;
   if (still == requests_.end() ||
-      still->second.phase_ != RoutedPhase::Waiting ||
-      static_cast<std::int64_t>(WaitingIn(pool)) <= pool.row_.queueLimit_) {
+      still->second.phase_ != RoutedPhase::Waiting || excess <= 0) {
     return;
   }
-  if (!aInput.urgent_ || !DisplaceNormal(pool, aOut)) {
+  // With more in excess, as after the limit was lowered, one place less would
+  // not bring the queue back within it.
+  if (!aInput.urgent_ || excess > 1 || !DisplaceNormal(pool, aOut)) {
     EndRequest(aInput.id_, ErrorKind::QueueFull, expected, aOut);
   }
 }
@@ -724,9 +727,14 @@
   if (aTargets.empty()) {
     return nullptr;
   }
+  if (aTargets.size() == 1) {
+    return aTargets.front();
+  }
   std::uniform_int_distribution<std::size_t> pick(0, aTargets.size() - 1);
-  auto* first = aTargets[pick(random_)];
-  auto* second = aTargets[pick(random_)];
+  std::uniform_int_distribution<std::size_t> step(1, aTargets.size() - 1);
+  const auto index = pick(random_);
+  auto* first = aTargets[index];
+  auto* second = aTargets[(index + step(random_)) % aTargets.size()];
   const auto load = [](const RoutedTarget& aTarget) {
     return static_cast<double>(aTarget.inFlight_ + aTarget.others_) /
            static_cast<double>(std::max<std::int64_t>(aTarget.view_.slots_, 1));
