--- a/packages/relay/test/relay_answer_test.cpp
+++ b/packages/relay/test/relay_answer_test.cpp
@@ -474,6 +474,54 @@
   CHECK(Summary(fixture.Ask(Post("/pools/rota/x", "in"))) == "200 -");
 }
 
+// Guards against a process that is slow, or frozen, between the choice of a
+// target and the first byte, while the target is taken away.
+TEST_CASE("a target taken away after the choice gets nothing")
+{
+  struct Row
+  {
+    const char* name_;
+    bool listed_;
+    Millis validity_;
+    std::uint64_t epoch_;
+    int requests_;
+  };
+  const auto row =
+    GENERATE(Row{ "same", true, Millis{ 600000 }, 7, 1 },
+             Row{ "removed", false, Millis{ 0 }, 7, 0 },
+             Row{ "evidence too old", true, Millis{ 0 }, 7, 0 },
+             // The router sends the request again, with the new epoch.
+             Row{ "other epoch", true, Millis{ 600000 }, 8, 1 });
+  INFO(row.name_);
+  std::mutex mutex;
+  std::vector<std::string> epochs;
+  RawTarget target([&](RawConnection& aConnection, int) {
+    while (const auto request = aConnection.ReadRequest()) {
+      const std::lock_guard lock(mutex);
+      epochs.emplace_back(
+        FindHeader(request->headers_, "Acaciahill-Epoch").value_or(""));
+      aConnection.Send(Answer("ok"));
+    }
+  });
+  RelayFixture fixture({ target.Address() });
+  // The span of the queue is written between the choice and the sending.
+  fixture.traces_.onSpan_ = [&](const Span& aSpan) {
+    if (aSpan.name_ == "relay.queue") {
+      fixture.SetTargets(row.listed_ ? std::vector{ target.Address() }
+                                     : std::vector<std::string>{},
+                         row.validity_,
+                         row.epoch_);
+    }
+  };
+  const auto answer = fixture.Ask(Post("/pools/rota/x", "in"));
+  CHECK(Summary(answer) == (row.requests_ == 1 ? "200 -" : "503 not-run"));
+  const std::lock_guard lock(mutex);
+  REQUIRE(epochs.size() == static_cast<std::size_t>(row.requests_));
+  if (row.requests_ == 1) {
+    CHECK(epochs[0] == std::to_string(row.epoch_));
+  }
+}
+
 // Guards against a probe that takes silence or a foreign server for a target.
 TEST_CASE("a probe hands on what the target says of itself")
 {
