--- /dev/null
+++ b/tests/integration/idle_cost_test.cpp
@@ -0,0 +1,88 @@
+#include "support/cluster_fixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <sstream>
+#include <thread>
+
+using namespace acaciahill;
+using namespace acaciahill::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Millis kStartLimit{ 20000 };
+constexpr Millis kElectionLimit{ 10000 };
+constexpr Millis kSample{ 8000 };
+/// The design target: control takes at most 1.3% of a core on a node.
+constexpr double kMostOfCore = 0.013;
+
+/// Processor time that a node has used, in seconds.
+double
+ProcessorSeconds(const Cluster& aCluster, ClusterNode& aNode)
+{
+  const auto outcome =
+    HttpCall(aNode.admin_, { "GET", "/metrics", {}, "" }, Millis(5000));
+  std::istringstream in(outcome.answer_.body_);
+  for (std::string line; std::getline(in, line);) {
+    std::istringstream words(line);
+    std::string name;
+    double value = 0;
+    if (words >> name >> value && name == "acaciahill_process_cpu_seconds") {
+      return value;
+    }
+  }
+  FAIL("no processor time from " << aNode.id_ << "\n" << aCluster.LogTails());
+  return 0;
+}
+
+/// Requires that each of these nodes stays under the target while idle.
+void
+CheckIdleCost(Cluster& aCluster, const std::vector<std::string>& aNodes)
+{
+  std::vector<double> before;
+  before.reserve(aNodes.size());
+  for (const auto& node : aNodes) {
+    before.push_back(ProcessorSeconds(aCluster, aCluster.Node(node)));
+  }
+  std::this_thread::sleep_for(kSample);
+  const auto most =
+    kMostOfCore * std::chrono::duration<double>(kSample).count();
+  for (std::size_t i = 0; i < aNodes.size(); ++i) {
+    INFO(aNodes[i] << " in " << kSample.count() << " ms");
+    CHECK(ProcessorSeconds(aCluster, aCluster.Node(aNodes[i])) - before[i] <=
+          most);
+  }
+}
+
+} // namespace
+
+// Guards against loops that spin while nothing happens, before and after an
+// election; the entry that a new leader appends is no command and does not
+// change the fleet's applied index.
+TEST_CASE("an idle node stays under its processor target")
+{
+  Cluster cluster({});
+  cluster.StartAll();
+  cluster.WaitReady(kStartLimit);
+  cluster.Require(
+    "a leader", kElectionLimit, [&] { return !cluster.Leader().empty(); });
+  // Nodes register themselves within their first seconds.
+  std::this_thread::sleep_for(3s);
+  CheckIdleCost(cluster, cluster.NodeIds());
+
+  const auto old = cluster.Leader();
+  cluster.Node(old).process_->Kill();
+  std::vector<std::string> left;
+  for (const auto& node : cluster.NodeIds()) {
+    if (node != old) {
+      left.push_back(node);
+    }
+  }
+  cluster.Require("another leader", kElectionLimit, [&] {
+    const auto leader = cluster.Leader();
+    return !leader.empty() && leader != old;
+  });
+  CheckIdleCost(cluster, left);
+}
