Fix: nodes spun after an election; an isolated leader aborted; planned commands go as one batch

The refresh of the relay waited for the fleet's index plus one, but the replica's index also counts a new leader's empty entry, so the wait returned at once: 3.7 s of processor time in 8 s on each idle node (integration_idle_cost, known red until now).

The planners' commands of one step were proposed one after the other, so that the last could rest on an old view; they now enter the log together. Orders to tasks tell the time left of their lease.

--- a/packages/daemon/announce_service.cpp
+++ b/packages/daemon/announce_service.cpp
@@ -242,6 +242,7 @@
 ServerAnswer
 AnnounceService::AssignmentOf(const VmRecord& aVm)
 {
+  const auto logicalNow = replica_->LogicalNowMs();
   auto tasks = Json::array();
   replica_->Read([&](const Fleet& aFleet) {
     for (const auto& [id, task] : aFleet.Tasks()) {
@@ -249,7 +250,11 @@
         continue;
       }
       const auto job = aFleet.Jobs().find(task.job_);
-      Json order = { { "id", id }, { "lease", task.lease_ } };
+      const auto left =
+        task.leaseUntilMs_ > logicalNow ? task.leaseUntilMs_ - logicalNow : 0;
+      Json order = { { "id", id },
+                     { "lease", task.lease_ },
+                     { "lease_ms", left } };
       switch (task.phase_) {
         case TaskPhase::Placed:
         case TaskPhase::Running:
--- a/packages/daemon/peer_client.cpp
+++ b/packages/daemon/peer_client.cpp
@@ -12,6 +12,7 @@
 #include <map>
 #include <mutex>
 #include <set>
+#include <vector>
 
 namespace acaciahill {
 
@@ -79,11 +80,16 @@
   std::condition_variable idle_;
   std::map<std::string, Link> links_;
   std::set<grpc::ClientContext*> calls_;
+  /// Replaced stubs. gRPC aborts when a channel's last reference goes within
+  /// the callback of a call on it, so they are released by callers' threads.
+  std::vector<std::shared_ptr<wire::Peer::Stub>> retired_;
   bool stopped_ = false;
 
-  /// The stub to an address. The caller holds the mutex.
+  /// The stub to an address. The caller holds the mutex and is not a callback.
   std::shared_ptr<wire::Peer::Stub> StubFor(const std::string& aAddress)
   {
+    std::erase_if(retired_,
+                  [](const auto& aStub) { return aStub.use_count() == 1; });
     auto& link = links_[aAddress];
     if (!link.stub_) {
       link.stub_ = wire::Peer::NewStub(MakeChannel(aAddress));
@@ -121,8 +127,9 @@
       link.timeoutsInARow_ = 0;
       return;
     }
-    if (++link.timeoutsInARow_ >= kTimeoutsToReplace) {
+    if (++link.timeoutsInARow_ >= kTimeoutsToReplace && link.stub_) {
       link.timeoutsInARow_ = 0;
+      retired_.push_back(std::move(link.stub_));
       link.stub_.reset();
       LogInfo("replacing a silent connection", { { "peer", aAddress } });
     }
--- a/packages/daemon/planner_service.cpp
+++ b/packages/daemon/planner_service.cpp
@@ -127,6 +127,7 @@
       if (reports != tasks.end() &&
           reports->second.incarnation_ == vm.identity_.incarnation_) {
         view.reports_.emplace(id, reports->second.tasks_);
+        view.reportsMadeAt_.emplace(id, reports->second.madeAt_);
       }
       const auto found = evidence.find(vm.number_);
       if (found == evidence.end()) {
@@ -189,8 +190,11 @@
 void
 PlannerService::CarryOut(const std::vector<PlannerAction>& aActions)
 {
+  std::vector<Command> commands;
   for (const auto& action : aActions) {
-    if (const auto* ask = std::get_if<AskReboot>(&action)) {
+    if (const auto* propose = std::get_if<ProposeCommand>(&action)) {
+      commands.push_back(propose->command_);
+    } else if (const auto* ask = std::get_if<AskReboot>(&action)) {
       const std::lock_guard lock(askMutex_);
       const bool isQueued =
         std::find(asks_.begin(), asks_.end(), *ask) != asks_.end();
@@ -198,12 +202,12 @@
         asks_.push_back(*ask);
         askReady_.notify_one();
       }
-    } else if (const auto* propose = std::get_if<ProposeCommand>(&action)) {
-      const auto result = replica_->Propose(propose->command_, kProposeTimeout);
-      if (result.error_) {
-        LogInfo("a planned command was refused",
-                { { "error", Describe(*result.error_) } });
-      }
+    }
+  }
+  for (const auto& result : replica_->ProposeHere(commands, kProposeTimeout)) {
+    if (result.error_) {
+      LogInfo("a planned command was refused",
+              { { "error", Describe(*result.error_) } });
     }
   }
 }
--- a/packages/daemon/relay_service.cpp
+++ b/packages/daemon/relay_service.cpp
@@ -86,10 +86,8 @@
 void
 RelayService::RunRefresh()
 {
-  std::uint64_t applied = 0;
   while (!stopping_) {
-    applied =
-      replica_->Read([](const Fleet& aFleet) { return aFleet.AppliedIndex(); });
+    const auto applied = replica_->AppliedIndex();
     Refresh();
     replica_->WaitApplied(applied + 1, kRefreshInterval);
   }
@@ -313,8 +311,8 @@
     PendingEnd end;
     {
       std::unique_lock lock(claimMutex_);
-      claimReady_.wait(
-        lock, [this] { return stopping_ || !claimEnds_.empty(); });
+      claimReady_.wait(lock,
+                       [this] { return stopping_ || !claimEnds_.empty(); });
       if (claimEnds_.empty()) {
         return;
       }
--- a/packages/daemon/replica_service.cpp
+++ b/packages/daemon/replica_service.cpp
@@ -398,6 +398,7 @@
     tail_.clear();
     tailBytes_ = 0;
     appliedIndex_ = aSnapshot.lastIndex_;
+    commandAppliedAt_ = MonotonicNow();
   }
   LogInfo("took over a snapshot", { { "index", aSnapshot.lastIndex_ } });
   NotifyApplied();
@@ -448,6 +449,9 @@
     }
     const std::lock_guard tailLock(tailMutex_);
     appliedIndex_ = aEntry.index_;
+    if (aEntry.kind_ == EntryKind::Command) {
+      commandAppliedAt_ = MonotonicNow();
+    }
     KeepForPulls(aEntry);
   }
   return result;
@@ -654,6 +658,41 @@
   return result.get();
 }
 
+std::vector<CommandResult>
+ReplicaService::ProposeHere(const std::vector<Command>& aCommands,
+                            Millis aTimeout)
+{
+  std::vector<std::future<CommandResult>> futures;
+  for (const auto& command : aCommands) {
+    auto waiting = std::make_shared<WaitingCommand>();
+    waiting->envelope_ = { requestPrefix_ + std::to_string(nextRequest_++),
+                           0,
+                           command };
+    futures.push_back(waiting->result_.get_future());
+    Enqueue(waiting);
+  }
+  const auto deadline = std::chrono::steady_clock::now() + aTimeout;
+  std::vector<CommandResult> results;
+  for (auto& future : futures) {
+    results.push_back(
+      future.wait_until(deadline) == std::future_status::ready
+        ? future.get()
+        : Failed(ErrorKind::ProposalLost, "no quorum confirmed it in time"));
+  }
+  return results;
+}
+
+std::uint64_t
+ReplicaService::LogicalNowMs() const
+{
+  const std::shared_lock lock(fleetMutex_);
+  const std::lock_guard tailLock(tailMutex_);
+  const auto sinceCommand = commandAppliedAt_ == MonotonicTime{}
+                              ? Millis(0)
+                              : MonotonicNow() - commandAppliedAt_;
+  return fleet_.LogicalMs() + static_cast<std::uint64_t>(sinceCommand.count());
+}
+
 std::optional<std::string>
 ReplicaService::AddressOf(const std::string& aNode) const
 {
@@ -685,6 +724,13 @@
   return control;
 }
 
+std::uint64_t
+ReplicaService::AppliedIndex() const
+{
+  const std::lock_guard lock(tailMutex_);
+  return appliedIndex_;
+}
+
 bool
 ReplicaService::WaitApplied(std::uint64_t aIndex, Millis aTimeout) const
 {
--- a/packages/daemon/replica_service_base.h
+++ b/packages/daemon/replica_service_base.h
@@ -79,8 +79,22 @@
   /// The same with a request id of its own.
   CommandResult Propose(const Command& aCommand, Millis aTimeout);
 
+  /// Gives commands to this node as the leader, all at once, so that they are
+  /// decided in their order and share syncs of the disk. A command refused as
+  /// NotLeader was not accepted.
+  std::vector<CommandResult> ProposeHere(const std::vector<Command>& aCommands,
+                                         Millis aTimeout);
+
+  /// The state's logical time, continued by this node's monotonic clock since
+  /// the last command that it applied.
+  std::uint64_t LogicalNowMs() const;
+
   ControlStatus Control() const;
 
+  /// Index of the last entry applied here. It also counts entries that are no
+  /// commands, unlike Fleet::AppliedIndex().
+  std::uint64_t AppliedIndex() const;
+
   /// Waits until an index is applied or the time is over.
   bool WaitApplied(std::uint64_t aIndex, Millis aTimeout) const;
 
@@ -173,6 +187,7 @@
   std::deque<LogEntry> tail_;
   std::size_t tailBytes_ = 0;
   std::uint64_t appliedIndex_ = 0;
+  MonotonicTime commandAppliedAt_{};
 
   mutable std::mutex controlMutex_;
   ControlStatus control_;
--- a/packages/planner/planner_type.h
+++ b/packages/planner/planner_type.h
@@ -40,8 +40,8 @@
   /// Task reports by VM id: all tasks that the VM named in one announcement.
   std::map<std::string, std::vector<TaskReport>> reports_;
   /// When each VM made its reports, by VM id. Reports without a time here are
-  /// ignored: the VM's evidence may be newer than they are, as digests carry no
-  /// reports.
+  /// ignored: the VM's evidence may be newer than they are, as digests pass on
+  /// reports less often.
   std::map<std::string, MonotonicTime> reportsMadeAt_;
 };
 
