Add: proof that a voter without its folder has no vote and comes back

A follower and a leader lose their folders in turn and are admitted again, after which another voter is killed and changes go on. Two voters that lose their folders at once take no decision for 5 s.

--- /dev/null
+++ b/tests/proof/control_disk_test.cpp
@@ -0,0 +1,176 @@
+#include "control_support.h"
+
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <filesystem>
+#include <iostream>
+
+using namespace acaciahill;
+using namespace acaciahill::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Repair runs once a second, and an addition takes a few exchanges.
+constexpr Millis kAdmitLimit{ 15000 };
+/// An election of at most 800 ms with FastTiming(), and a busy machine.
+constexpr Millis kChangeLimit{ 10000 };
+/// Several elections with FastTiming().
+constexpr Millis kNoQuorumTime{ 5000 };
+constexpr Millis kAnswerTimeout{ 2000 };
+
+/// The disk that a node's voter set names for a voter; empty when it has none.
+std::string
+DiskOf(const Cluster& aCluster,
+       const std::string& aSeenBy,
+       const std::string& aVoter)
+{
+  const auto nodes = aCluster.AdminGet(aSeenBy, "/v1/nodes");
+  if (nodes.is_object()) {
+    for (const auto& voter : nodes["voters"]) {
+      if (voter["node"] == aVoter) {
+        return voter["disk"];
+      }
+    }
+  }
+  return {};
+}
+
+void
+DeleteFolder(Cluster& aCluster, const std::string& aNode)
+{
+  aCluster.Node(aNode).process_->Kill();
+  std::filesystem::remove_all(aCluster.Node(aNode).folder_ + "/data");
+}
+
+/// Makes a change through a node and gives the version that it made.
+std::uint64_t
+RequireChange(Cluster& aCluster, const std::string& aNode, int aNumber)
+{
+  CellChange change;
+  change.requestId_ = "change-" + std::to_string(aNumber);
+  change.value_ = std::to_string(100 + aNumber);
+  aCluster.Require("change " + std::to_string(aNumber), kChangeLimit, [&] {
+    change.base_ = VersionOn(aCluster, aNode);
+    SendChange(aCluster, aNode, change, kAnswerTimeout);
+    return change.outcome_ == "accepted";
+  });
+  return change.version_;
+}
+
+ClusterSettings
+FastSettings()
+{
+  ClusterSettings settings;
+  settings.nodes_ = 4;
+  settings.extraLines_ = FastTiming();
+  return settings;
+}
+
+void
+StartWithTable(Cluster& aCluster)
+{
+  aCluster.StartAll();
+  ApplyFirstTable(aCluster, "n1");
+  aCluster.WaitInForce(1, kStartLimit);
+}
+
+} // namespace
+
+// Guards against a voter that keeps its vote without its log, against one that
+// stays outside the group after it lost its disk, and against a group that
+// counts it only in name: the loss of another voter must leave a quorum.
+TEST_CASE("a voter that lost its folder is admitted again by itself")
+{
+  Cluster cluster(FastSettings());
+  StartWithTable(cluster);
+  int number = 0;
+  // Once with a follower's folder, once with the leader's.
+  for (const bool isLeader : { false, true }) {
+    const auto leader = cluster.Leader();
+    const std::string other = leader == "n1" ? "n2" : "n1";
+    const auto lost = isLeader ? leader : other;
+    const auto oldDisk = DiskOf(cluster, "n4", lost).empty()
+                           ? DiskOf(cluster, leader, lost)
+                           : DiskOf(cluster, "n4", lost);
+    REQUIRE_FALSE(oldDisk.empty());
+    const auto before = RequireChange(cluster, "n4", ++number);
+    DeleteFolder(cluster, lost);
+    cluster.StartNode(lost);
+    std::string newDisk;
+    cluster.Require(lost + " admitted again", kAdmitLimit, [&] {
+      newDisk = DiskOf(cluster, lost, lost);
+      const auto now = cluster.Leader();
+      return !newDisk.empty() && newDisk != oldDisk && !now.empty() &&
+             DiskOf(cluster, now, lost) == newDisk;
+    });
+    cluster.WaitInForce(before, kInForceLimit);
+
+    std::string third;
+    for (const std::string voter : { "n1", "n2", "n3" }) {
+      if (voter != lost) {
+        third = voter;
+      }
+    }
+    cluster.Node(third).process_->Kill();
+    const auto after = RequireChange(cluster, "n4", ++number);
+    CHECK(after == before + 1);
+    cluster.WaitInForce(after, kInForceLimit);
+    cluster.StartNode(third);
+    cluster.WaitInForce(after, kChangeLimit);
+  }
+}
+
+// Guards against accepted changes that vanish when two voters of three lose
+// their folders at once: what only the third still holds must not be voted away
+// by the two empty ones.
+TEST_CASE("two voters that lose their folders take no decision")
+{
+  Cluster cluster(FastSettings());
+  StartWithTable(cluster);
+  const auto version = RequireChange(cluster, "n4", 1);
+  cluster.WaitInForce(version, kInForceLimit);
+  TableWatch watch(cluster);
+  const std::string kept = GENERATE("n1", "n3");
+  for (const std::string voter : { "n1", "n2", "n3" }) {
+    if (voter != kept) {
+      watch.BeginFault(voter);
+      DeleteFolder(cluster, voter);
+    }
+  }
+  for (const std::string voter : { "n1", "n2", "n3" }) {
+    if (voter != kept) {
+      cluster.StartNode(voter);
+      watch.EndFault(voter, true);
+    }
+  }
+  const auto until =
+    MonotonicNs() +
+    static_cast<std::uint64_t>(kNoQuorumTime.count()) * kNsPerMs;
+  CellChange change;
+  change.requestId_ = "without-quorum";
+  change.base_ = version;
+  change.value_ = "7";
+  std::map<std::string, int> outcomes;
+  while (MonotonicNs() < until) {
+    for (const auto& node : cluster.NodeIds()) {
+      SendChange(cluster, node, change, 500ms);
+      ++outcomes[change.outcome_];
+      CHECK(change.outcome_ != "accepted");
+    }
+  }
+  watch.Stop();
+  for (const auto& [outcome, count] : outcomes) {
+    std::cout << "kept " << kept << ": " << outcome << " " << count << "\n";
+  }
+  CHECK(Describe(watch.Check({})).empty());
+  // The voter that kept its folder and the node without a vote still serve the
+  // accepted state and say that it may be outdated.
+  for (const auto& node : { kept, std::string("n4") }) {
+    const auto table = cluster.AdminGet(node, "/v1/table");
+    REQUIRE(table.is_object());
+    CHECK(table["version"] == version);
+    CHECK(table["stale"] == true);
+  }
+}
