--- /dev/null
+++ b/tests/proof/data_support.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "support/cluster_fixture.h"
+#include "support/history.h"
+#include "support/load_generator.h"
+
+#include <catch2/catch.hpp>
+
+#include <fstream>
+#include <string>
+#include <vector>
+
+namespace acaciahill::testing {
+
+/// An election takes 2 to 4 s; the rest is left to a busy machine.
+constexpr Millis kStartLimit{ 30000 };
+
+/// What Describe() gives without a violation. A comparison with it shows the
+/// violations in the test's output.
+inline const std::string kNone;
+
+inline std::string
+TargetName(int aNumber)
+{
+  return "vm-" + std::to_string(aNumber);
+}
+
+/// Starts vm-1, vm-2, ... in the zones z1 to z3 in turn, each in a rack of its
+/// own.
+inline void
+StartTargets(Cluster& aCluster, int aCount, bool aProxy, int aServiceMs)
+{
+  for (int i = 1; i <= aCount; ++i) {
+    ClusterTarget target;
+    target.id_ = TargetName(i);
+    target.zone_ = "z" + std::to_string((i - 1) % 3 + 1);
+    target.rack_ = "r" + std::to_string(i);
+    target.proxy_ = aProxy;
+    target.arguments_ = {
+      "--seed", std::to_string(i), "--service-ms", std::to_string(aServiceMs)
+    };
+    aCluster.StartTarget(target);
+  }
+}
+
+/// Starts the nodes, applies a table with these rows (pool, weight, size,
+/// min_available, max_unavailable), starts the targets and waits until every
+/// node may use all of them.
+inline void
+StartSystem(Cluster& aCluster,
+            const std::string& aRows,
+            int aTargets,
+            bool aProxy,
+            int aServiceMs)
+{
+  aCluster.StartAll();
+  aCluster.WaitReady(kStartLimit);
+  const auto path = aCluster.Folder() + "/pools.csv";
+  std::ofstream(path) << "# version: 0\n"
+                         "pool,weight,size,min_available,max_unavailable\n"
+                      << aRows;
+  const auto applied = aCluster.RunClient({ "apply", path, "--wait" });
+  INFO(applied.output_);
+  REQUIRE(applied.exitCode_ == 0);
+  StartTargets(aCluster, aTargets, aProxy, aServiceMs);
+  for (const auto& node : aCluster.NodeIds()) {
+    aCluster.WaitUsable(node, static_cast<std::size_t>(aTargets), kStartLimit);
+  }
+}
+
+inline std::vector<ExecutedRun>
+AllRuns(const Cluster& aCluster, int aTargets)
+{
+  std::vector<ExecutedRun> all;
+  for (int i = 1; i <= aTargets; ++i) {
+    const auto runs = ReadRuns(aCluster.TargetJournal(TargetName(i)));
+    all.insert(all.end(), runs.begin(), runs.end());
+  }
+  return all;
+}
+
+/// The promises to callers, which hold under every failure.
+inline void
+CheckCallers(const std::vector<Operation>& aOperations,
+             const std::vector<ExecutedRun>& aRuns)
+{
+  CHECK(Describe(CheckOwnAnswers(aOperations)) == kNone);
+  CHECK(Describe(CheckNotRun(aOperations, aRuns)) == kNone);
+  CHECK(Describe(CheckAtMostOnce(aOperations, aRuns)) == kNone);
+}
+
+} // namespace acaciahill::testing
--- a/tests/support/cluster_fixture.cpp
+++ b/tests/support/cluster_fixture.cpp
@@ -233,6 +233,13 @@
     "--rack",     aTarget.rack_,  "--listen",  state.address_,
     "--announce", Join(announce), "--journal", TargetJournal(aTarget.id_),
   };
+  if (aTarget.proxy_) {
+    auto& proxy = targetProxies_[aTarget.id_];
+    if (!proxy) {
+      proxy = std::make_unique<FaultProxy>(FreeAddress(), state.address_);
+    }
+    arguments.insert(arguments.end(), { "--advertise", proxy->Address() });
+  }
   arguments.insert(
     arguments.end(), aTarget.arguments_.begin(), aTarget.arguments_.end());
   state.process_ =
@@ -251,6 +258,12 @@
   targets_[aTarget.id_] = std::move(state);
 }
 
+FaultProxy&
+Cluster::TargetProxy(const std::string& aTarget)
+{
+  return *targetProxies_.at(aTarget);
+}
+
 ChildProcess&
 Cluster::TargetProcess(const std::string& aTarget)
 {
--- a/tests/support/cluster_fixture.h
+++ b/tests/support/cluster_fixture.h
@@ -62,6 +62,8 @@
   std::string rack_ = "r1";
   /// Nodes to which it announces; empty means all nodes of its zone.
   std::vector<std::string> announceTo_;
+  /// Entry nodes reach it through a fault proxy; see Cluster::TargetProxy().
+  bool proxy_ = false;
   /// More arguments of fake_target, such as "--service-ms", "20".
   std::vector<std::string> arguments_;
 };
@@ -89,6 +91,9 @@
   void StartTarget(const ClusterTarget& aTarget);
   ChildProcess& TargetProcess(const std::string& aTarget);
   const std::string& TargetAddress(const std::string& aTarget) const;
+  /// The proxy in front of a target that was started with one. It stays when
+  /// the target is started again.
+  FaultProxy& TargetProxy(const std::string& aTarget);
   /// The state that the target's control path gives.
   nlohmann::json TargetStatus(const std::string& aTarget) const;
   void ControlTarget(const std::string& aTarget,
@@ -165,6 +170,7 @@
   std::map<std::string, std::unique_ptr<FaultProxy>> peerProxies_;
   std::map<std::pair<std::string, std::string>, std::unique_ptr<FaultProxy>>
     pairProxies_;
+  std::map<std::string, std::unique_ptr<FaultProxy>> targetProxies_;
   std::map<std::string, TargetState> targets_;
   std::unique_ptr<ChildProcess> platform_;
   std::string platformAddress_;
--- a/tests/support/fake_target.h
+++ b/tests/support/fake_target.h
@@ -26,6 +26,9 @@
   std::string zone_ = "z1";
   std::string rack_ = "r1";
   std::string listen_ = "127.0.0.1:0";
+  /// The address that it announces, such as that of a fault proxy in front of
+  /// it; empty means the address on which it listens.
+  std::string advertise_;
   /// Announce ports of entry nodes; each announcement goes to one of them at
   /// random, as through a load balancer. Empty announces nothing.
   std::vector<std::string> announce_;
--- a/tests/support/fake_target_main.cpp
+++ b/tests/support/fake_target_main.cpp
@@ -27,6 +27,7 @@
     "zone", "availability zone", text(base.zone_))(
     "rack", "rack", text(base.rack_))(
     "listen", "address for requests", text(base.listen_))(
+    "advertise", "address that it announces; default: its own", text(""))(
     "announce", "announce ports, comma separated", text(""))(
     "journal", "file of executed requests", text(""))(
     "incarnation", "first incarnation", text("1"))(
@@ -65,6 +66,7 @@
   settings.zone_ = text("zone");
   settings.rack_ = text("rack");
   settings.listen_ = text("listen");
+  settings.advertise_ = text("advertise");
   settings.announce_ = SplitList(text("announce"));
   settings.journal_ = text("journal");
   settings.incarnation_ = std::stoull(text("incarnation"));
