--- a/bench/node_meter.cpp
+++ b/bench/node_meter.cpp
@@ -12,9 +12,9 @@
 
 #include <array>
 #include <cstring>
+#include <ctime>
 #include <filesystem>
 #include <fstream>
-#include <sstream>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -136,24 +136,16 @@
 double
 ProcessCpuSeconds(pid_t aPid)
 {
-  std::ifstream in("/proc/" + std::to_string(aPid) + "/stat");
-  std::string text;
-  std::getline(in, text);
-  // The program's name in parentheses may hold spaces.
-  const auto end = text.rfind(')');
-  if (end == std::string::npos) {
+  // /proc/PID/stat counts in steps of 10 ms, too coarse for a nearly idle
+  // process.
+  clockid_t clock{};
+  timespec time{};
+  if (clock_getcpuclockid(aPid, &clock) != 0 ||
+      clock_gettime(clock, &time) != 0) {
     return 0;
   }
-  std::istringstream fields(text.substr(end + 2));
-  std::string skipped;
-  constexpr int kFieldsBeforeUserTime = 11;
-  for (int i = 0; i < kFieldsBeforeUserTime; ++i) {
-    fields >> skipped;
-  }
-  double user = 0;
-  double system = 0;
-  fields >> user >> system;
-  return (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
+  return static_cast<double>(time.tv_sec) +
+         static_cast<double>(time.tv_nsec) / 1e9;
 }
 
 std::int64_t
