--- a/packages/routing/router.cpp
+++ b/packages/routing/router.cpp
@@ -675,6 +675,11 @@
     if (!IsUsable(target, aNow)) {
       continue;
     }
+    auto& breaker = target.breaker_;
+    if (!settings_.singleProbe_ && breaker.phase_ == BreakerPhase::Open &&
+        aNow >= breaker.openUntil_) {
+      breaker.phase_ = BreakerPhase::Closed;
+    }
     allOpen = allOpen && target.breaker_.phase_ != BreakerPhase::Closed;
     if (!aRequest.refusedBy_.contains(vm)) {
       hasUntried = hasUntried || !aRequest.tried_.contains(vm);
@@ -704,7 +709,7 @@
                         bool aAllOpen,
                         MonotonicTime aNow)
 {
-  if (aAllOpen) {
+  if (aAllOpen && settings_.keepAllWhenAllOpen_) {
     return TwoChoices(aUsable);
   }
   std::vector<RoutedTarget*> closed;
@@ -734,6 +739,9 @@
   std::uniform_int_distribution<std::size_t> step(1, aTargets.size() - 1);
   const auto index = pick(random_);
   auto* first = aTargets[index];
+  if (!settings_.twoChoices_) {
+    return first;
+  }
   auto* second = aTargets[(index + step(random_)) % aTargets.size()];
   const auto load = [](const RoutedTarget& aTarget) {
     return static_cast<double>(aTarget.inFlight_ + aTarget.others_) /
@@ -830,6 +838,9 @@
                           aNow >= target.breaker_.openUntil_ && room > 0;
     probes += mayProbe ? 1 : 0;
   }
+  if (!hasClosed && !settings_.keepAllWhenAllOpen_) {
+    return { probes, probes };
+  }
   if (!hasClosed) {
     return { openWhole, openRoom };
   }
@@ -880,9 +891,10 @@
   const bool isHard =
     aInput.end_ == AttemptEnd::NotSent || aInput.end_ == AttemptEnd::Lost ||
     aInput.end_ == AttemptEnd::TimedOut || aInput.end_ == AttemptEnd::Malformed;
+  const bool isBusy = aInput.status_ == 429 || aInput.status_ == 503;
   const bool isError =
-    isHard || (aInput.end_ == AttemptEnd::Answered && aInput.status_ >= 500 &&
-               aInput.status_ != 503);
+    isHard || (aInput.end_ == AttemptEnd::Answered &&
+               (isBusy ? settings_.busyIsError_ : aInput.status_ >= 500));
   if (isProbe) {
     if (isError) {
       OpenBreaker(breaker, aNow);
--- a/packages/routing/router_base.h
+++ b/packages/routing/router_base.h
@@ -49,6 +49,15 @@
   std::int64_t breakerPercent_ = 50;
   Millis breakerCooldown_{ 2000 };
   Millis breakerCooldownLimit_{ 30000 };
+  /// Rules that bench/ switches off to measure what each one gives. A target
+  /// is the less loaded of two drawn at random; otherwise one at random.
+  bool twoChoices_ = true;
+  /// After a cooldown one request tries the target; otherwise all may.
+  bool singleProbe_ = true;
+  /// A pool whose breakers are all open is used as if none were.
+  bool keepAllWhenAllOpen_ = true;
+  /// Counts the answers 429 and 503 as errors of the target.
+  bool busyIsError_ = false;
   /// After a cooldown, a probe by a request that may not be repeated is put off
   /// for this long in favour of one that may.
   Millis probePatience_{ 5000 };
