--- a/bench/target_crowd.cpp
+++ b/bench/target_crowd.cpp
@@ -71,6 +71,13 @@
   changed_.notify_all();
 }
 
+std::string
+TargetCrowd::Address(std::size_t aTarget) const
+{
+  const std::lock_guard lock(mutex_);
+  return targets_.at(aTarget).address_;
+}
+
 std::size_t
 TargetCrowd::Assigned() const
 {
@@ -202,6 +209,9 @@
 TargetCrowd::Answer(testing::HttpConnection& aConnection,
                     const testing::HttpMessage& aRequest) const
 {
+  if (aRequest.path_.ends_with("/slow")) {
+    std::this_thread::sleep_for(kSlowTime);
+  }
   const auto epoch = aRequest.Header("acaciahill-epoch");
   testing::HttpHeaders headers;
   if (!epoch.empty()) {
--- a/bench/target_crowd.h
+++ b/bench/target_crowd.h
@@ -16,6 +16,9 @@
 
 namespace acaciahill::bench {
 
+/// Time that a request for a path ending in "/slow" takes.
+inline constexpr Millis kSlowTime{ 1500 };
+
 struct CrowdSettings
 {
   /// Announce addresses by availability zone.
@@ -48,6 +51,8 @@
 
   /// Adds targets until there are this many.
   void GrowTo(std::size_t aCount);
+  /// Address of one target's server.
+  std::string Address(std::size_t aTarget) const;
   /// Targets that have an assignment.
   std::size_t Assigned() const;
   /// Tasks that run on all targets.
