Fix: abort of the process when its last connection to a peer was replaced

gRPC 1.51 joins its callback threads when the last channel with asynchronous calls is released. When both peers of a voter went silent, both channels were replaced within one timeout, and a callback released the last one: a thread joined itself and freed the queue that it read ("double free", or the assertion "prior > 0" in ref_counted.h). The same could happen at the end of the process. Now only threads of our own release a channel.

Seen as SIGABRT of a voter in the partition proof. Ruled out: the order of the members of a call (the backtrace is in the queue of the callback thread, not in a call).

--- a/packages/daemon/peer_client.cpp
+++ b/packages/daemon/peer_client.cpp
@@ -8,10 +8,14 @@
 
 #include <grpcpp/grpcpp.h>
 
+#include <algorithm>
 #include <condition_variable>
+#include <iterator>
 #include <map>
 #include <mutex>
 #include <set>
+#include <thread>
+#include <vector>
 
 namespace acaciahill {
 
@@ -28,6 +32,8 @@
 constexpr int kTimeoutsToReplace = 2;
 // Time for a pull's way in addition to the wait that it asks for.
 constexpr Millis kPullMargin{ 1500 };
+// Between looks whether the ending calls have released their channels.
+constexpr Millis kReleasePause{ 1 };
 
 std::shared_ptr<grpc::Channel>
 MakeChannel(const std::string& aAddress)
@@ -59,8 +65,11 @@
 
 struct PeerClient::Impl
 {
+  using Channels = std::vector<std::shared_ptr<grpc::Channel>>;
+
   struct Link
   {
+    std::shared_ptr<grpc::Channel> channel_;
     std::shared_ptr<wire::Peer::Stub> stub_;
     int raftInFlight_ = 0;
     int timeoutsInARow_ = 0;
@@ -79,14 +88,43 @@
   std::condition_variable idle_;
   std::map<std::string, Link> links_;
   std::set<grpc::ClientContext*> calls_;
+  // gRPC 1.51 joins its callback threads when the last channel with
+  // asynchronous calls is released. Done by a callback, a thread joins itself
+  // and frees the queue that it still reads. So calls never hold a channel's
+  // last reference: replaced channels wait here for a thread of our own.
+  Channels retired_;
   bool stopped_ = false;
 
+  /// Takes the retired channels that no call holds any more. The caller holds
+  /// the mutex, and releases them without it and not in a callback.
+  Channels TakeUnused()
+  {
+    const auto used = std::partition(
+      retired_.begin(), retired_.end(), [](const auto& aChannel) {
+        return aChannel.use_count() > 1;
+      });
+    Channels unused(std::make_move_iterator(used),
+                    std::make_move_iterator(retired_.end()));
+    retired_.erase(used, retired_.end());
+    return unused;
+  }
+
+  /// Ends the use of a link's channel. The caller holds the mutex.
+  void Retire(Link& aLink)
+  {
+    aLink.stub_.reset();
+    if (aLink.channel_) {
+      retired_.push_back(std::move(aLink.channel_));
+    }
+  }
+
   /// The stub to an address. The caller holds the mutex.
   std::shared_ptr<wire::Peer::Stub> StubFor(const std::string& aAddress)
   {
     auto& link = links_[aAddress];
     if (!link.stub_) {
-      link.stub_ = wire::Peer::NewStub(MakeChannel(aAddress));
+      link.channel_ = MakeChannel(aAddress);
+      link.stub_ = wire::Peer::NewStub(link.channel_);
     }
     return link.stub_;
   }
@@ -95,7 +133,9 @@
   std::shared_ptr<wire::Peer::Stub> BeginCall(const std::string& aAddress,
                                               grpc::ClientContext& aContext)
   {
+    Channels unused;
     const std::lock_guard lock(mutex_);
+    unused = TakeUnused();
     if (stopped_) {
       return nullptr;
     }
@@ -123,7 +163,7 @@
     }
     if (++link.timeoutsInARow_ >= kTimeoutsToReplace) {
       link.timeoutsInARow_ = 0;
-      link.stub_.reset();
+      Retire(link);
       LogInfo("replacing a silent connection", { { "peer", aAddress } });
     }
   }
@@ -139,6 +179,17 @@
   Stop();
   std::unique_lock lock(impl_->mutex_);
   impl_->idle_.wait(lock, [this] { return impl_->calls_.empty(); });
+  for (auto& [address, link] : impl_->links_) {
+    impl_->Retire(link);
+  }
+  // A callback that has ended its call still holds the channel for a moment.
+  while (!impl_->retired_.empty()) {
+    auto unused = impl_->TakeUnused();
+    lock.unlock();
+    unused.clear();
+    std::this_thread::sleep_for(kReleasePause);
+    lock.lock();
+  }
 }
 
 void
@@ -150,8 +201,10 @@
   auto call = std::make_shared<Impl::RaftCall>();
   call->request_ = ToWire(aRequest);
   SetTimeout(call->context_, aTimeout);
+  Impl::Channels unused;
   {
     const std::lock_guard lock(impl_->mutex_);
+    unused = impl_->TakeUnused();
     auto& link = impl_->links_[aAddress];
     if (impl_->stopped_ || link.raftInFlight_ >= kMaxRaftInFlight) {
       return;
