Fix: nodes without a vote no longer stay with a source that lost its leader

A node took the first source that answered a pull, the voter of its own zone. When only that voter lost contact with the other voters, the node stayed at its old state although it could reach the others. An answer of a source without a leader, or without contact for the shortest election time, now counts as a failed pull, and the next source is asked.

Ruled out: a slow or broken link of the node itself; its links to all nodes were whole.

--- a/packages/daemon/replica_follower.cpp
+++ b/packages/daemon/replica_follower.cpp
@@ -123,7 +123,10 @@
   if (reply.controlAge_ < Millis(INT32_MAX)) {
     contactAt_ = std::max(contactAt_, askedAt - reply.controlAge_);
   }
-  return true;
+  // A source that lost its leader answers, but with old state; another source
+  // may be in contact.
+  return !reply.leader_.empty() &&
+         reply.controlAge_ <= settings_.raft_.electionMin_;
 }
 
 void
