--- a/tests/integration/wave_test.cpp
+++ b/tests/integration/wave_test.cpp
@@ -1,6 +1,7 @@
 #include "support/cluster_fixture.h"
 #include "support/history.h"
 #include "support/load_generator.h"
+#include "support/vm_watcher.h"
 
 #include <catch2/catch.hpp>
 
@@ -11,7 +12,6 @@
 using namespace acaciahill;
 using namespace acaciahill::testing;
 using namespace std::chrono_literals;
-using nlohmann::json;
 
 namespace {
 
@@ -63,81 +63,6 @@
   return all;
 }
 
-/// Phases and assignments of the VMs as one node shows them over time.
-class VmWatcher
-{
-public:
-  VmWatcher(const Cluster& aCluster, std::string aNode)
-    : cluster_(aCluster)
-    , node_(std::move(aNode))
-    , thread_([this](const std::stop_token& aStop) {
-      while (!aStop.stop_requested()) {
-        Look();
-        std::this_thread::sleep_for(50ms);
-      }
-    })
-  {
-  }
-
-  void Stop()
-  {
-    thread_.request_stop();
-    thread_.join();
-  }
-
-  const std::vector<AssignmentSeen>& Seen() const { return seen_; }
-  const std::vector<DrainPeriod>& Drains() const { return drains_; }
-
-private:
-  void Look()
-  {
-    const auto vms = cluster_.AdminGet(node_, "/v1/vms");
-    const auto now = MonotonicNs();
-    for (const auto& vm : vms) {
-      const auto id = vm.value("id", std::string());
-      seen_.push_back({ node_,
-                        now,
-                        id,
-                        vm.value("epoch", std::uint64_t{ 0 }),
-                        vm.value("pool", std::string()) });
-      const bool leaves = vm.value("phase", std::string()) != "active";
-      const auto open = open_.find(id);
-      if (leaves && open == open_.end()) {
-        open_[id] = drains_.size();
-        drains_.push_back({ id, now, std::nullopt });
-      } else if (!leaves && open != open_.end()) {
-        // The VM may take work from the moment at which its phase changed,
-        // which was up to one look earlier.
-        drains_[open->second].endedNs_ = last_;
-        open_.erase(open);
-      }
-    }
-    last_ = now;
-  }
-
-  const Cluster& cluster_;
-  std::string node_;
-  std::vector<AssignmentSeen> seen_;
-  std::vector<DrainPeriod> drains_;
-  std::map<std::string, std::size_t> open_;
-  std::uint64_t last_ = 0;
-  std::jthread thread_;
-};
-
-/// Planned unavailability from the platform's stop until the VM is active
-/// again.
-std::vector<UnavailablePeriod>
-PeriodsOf(const std::vector<DrainPeriod>& aDrains)
-{
-  std::vector<UnavailablePeriod> periods;
-  periods.reserve(aDrains.size());
-  for (const auto& drain : aDrains) {
-    periods.push_back(
-      { drain.vm_, "rota", drain.acceptedNs_, drain.endedNs_, true });
-  }
-  return periods;
-}
-
 } // namespace
 
 // Guards a maintenance wave under load: every VM is rebooted once, within the
@@ -184,9 +109,9 @@
   CHECK(Describe(CheckGracefulStops(stops, runs)).empty());
   CHECK(
     Describe(CheckNoNewWork(runs, watcher.Drains(), kNoNewWorkLimit)).empty());
-  CHECK(Describe(CheckBudgets(PeriodsOf(watcher.Drains()),
-                              { { "rota", kTargets, 2, 1 } }))
-          .empty());
+  CHECK(
+    Describe(CheckBudgets(PeriodsOf(watcher), { { "rota", kTargets, 2, 1 } }))
+      .empty());
   CHECK(Describe(CheckOnePool(watcher.Seen(), runs)).empty());
   CHECK(Describe(CheckOwnAnswers(operations)).empty());
   CHECK(Describe(CheckNotRun(operations, runs)).empty());
--- /dev/null
+++ b/tests/support/vm_watcher.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "support/cluster_fixture.h"
+#include "support/history.h"
+
+#include <chrono>
+#include <map>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace acaciahill::testing {
+
+/// Time between two looks of a VmWatcher.
+inline constexpr Millis kWatchInterval{ 50 };
+
+/// Phases and assignments of the VMs as one node shows them over time.
+class VmWatcher
+{
+public:
+  VmWatcher(const Cluster& aCluster, std::string aNode)
+    : cluster_(aCluster)
+    , node_(std::move(aNode))
+    , thread_([this](const std::stop_token& aStop) {
+      while (!aStop.stop_requested()) {
+        Look();
+        std::this_thread::sleep_for(kWatchInterval);
+      }
+    })
+  {
+  }
+
+  void Stop()
+  {
+    thread_.request_stop();
+    thread_.join();
+  }
+
+  const std::vector<AssignmentSeen>& Seen() const { return seen_; }
+  const std::vector<DrainPeriod>& Drains() const { return drains_; }
+  /// The pool that the VM of each drain left.
+  const std::vector<std::string>& Pools() const { return pools_; }
+
+private:
+  void Look()
+  {
+    const auto vms = cluster_.AdminGet(node_, "/v1/vms");
+    const auto now = MonotonicNs();
+    for (const auto& vm : vms) {
+      const auto id = vm.value("id", std::string());
+      seen_.push_back({ node_,
+                        now,
+                        id,
+                        vm.value("epoch", std::uint64_t{ 0 }),
+                        vm.value("pool", std::string()) });
+      const bool leaves = vm.value("phase", std::string()) != "active";
+      const auto open = open_.find(id);
+      if (leaves && open == open_.end()) {
+        open_[id] = drains_.size();
+        drains_.push_back({ id, now, std::nullopt });
+        pools_.push_back(vm.value("pool", std::string()));
+      } else if (!leaves && open != open_.end()) {
+        // The VM may take work from the moment at which its phase changed,
+        // which was up to one look earlier.
+        drains_[open->second].endedNs_ = last_;
+        open_.erase(open);
+      }
+    }
+    last_ = now;
+  }
+
+  const Cluster& cluster_;
+  std::string node_;
+  std::vector<AssignmentSeen> seen_;
+  std::vector<DrainPeriod> drains_;
+  std::vector<std::string> pools_;
+  std::map<std::string, std::size_t> open_;
+  std::uint64_t last_ = 0;
+  std::jthread thread_;
+};
+
+/// Planned unavailability from the start of each drain until the VM is active
+/// again.
+inline std::vector<UnavailablePeriod>
+PeriodsOf(const VmWatcher& aWatcher)
+{
+  std::vector<UnavailablePeriod> periods;
+  for (std::size_t i = 0; i < aWatcher.Drains().size(); ++i) {
+    const auto& drain = aWatcher.Drains()[i];
+    periods.push_back({ drain.vm_,
+                        aWatcher.Pools()[i],
+                        drain.acceptedNs_,
+                        drain.endedNs_,
+                        true });
+  }
+  return periods;
+}
+
+} // namespace acaciahill::testing
