--- a/bench/cluster_bench.cpp
+++ b/bench/cluster_bench.cpp
@@ -119,7 +119,8 @@
   void Settle() { Sleep(kSettle); }
   void MeasureCost(const Load& aLoad);
   void MeasureLatency(int aChanges);
-  void PutJobs(int aTasksPerVm);
+  /// Adds five jobs with this many tasks for each VM in all.
+  void PutJobs(int aStep, int aTasksPerVm);
   Cluster& Processes() { return cluster_; }
 
   /// Sends one change through the leader; returns its table version, or
@@ -383,13 +384,12 @@
 }
 
 void
-Bench::PutJobs(int aTasksPerVm)
+Bench::PutJobs(int aStep, int aTasksPerVm)
 {
   // Five pools of about equal size; each task takes one slot.
   const auto perPool = static_cast<std::int64_t>(targets_) * aTasksPerVm / 5;
   for (int i = 1; i <= 5; ++i) {
-    const auto name =
-      "j" + std::to_string(i) + "-" + std::to_string(aTasksPerVm);
+    const auto name = "j" + std::to_string(i) + "-" + std::to_string(aStep);
     const json job{ { "id", name },      { "pool", "p" + std::to_string(i) },
                     { "team", "t1" },    { "tasks", perPool },
                     { "slots", 1 },      { "milli_cores", 1000 },
@@ -465,7 +465,7 @@
   bench.MeasureCost({});
   for (const int tasks : { 1, 2, 4 }) {
     // Each step adds to the tasks of the steps before.
-    bench.PutJobs(tasks == 1 ? 1 : tasks / 2);
+    bench.PutJobs(tasks, tasks == 1 ? 1 : tasks / 2);
     Sleep(Millis(15000));
     bench.MeasureCost({ 0, 0, tasks });
   }
