Fix: a node that is cut off refuses changes as control_unreachable

A node whose connections had gone silent sent the change to the last leader it knew and reported proposal_lost after 10 s, as it could not tell whether the leader had it. A node whose state is stale now sends nothing and waits for contact; its refusal is definite. What was sent before it became stale is still reported as proposal_lost.

--- a/packages/daemon/replica_service.cpp
+++ b/packages/daemon/replica_service.cpp
@@ -599,6 +599,12 @@
     if (left <= Millis(0)) {
       break;
     }
+    // Over a silent connection nobody could tell whether the command arrived.
+    // A node that is cut off sends nothing, so that its refusal is definite.
+    if (Control().stale_) {
+      std::this_thread::sleep_for(std::min(kProposePause, left));
+      continue;
+    }
     auto result = HandlePropose({ settings_.cluster_, envelope, left, 0 });
     if (!result.error_ ||
         (result.error_->kind_ != ErrorKind::NotLeader &&
