--- a/tests/proof/control_disk_test.cpp
+++ b/tests/proof/control_disk_test.cpp
@@ -14,11 +14,8 @@
 
 /// Repair runs once a second, and an addition takes a few exchanges.
 constexpr Millis kAdmitLimit{ 15000 };
-/// An election of at most 800 ms with FastTiming(), and a busy machine.
-constexpr Millis kChangeLimit{ 10000 };
 /// Several elections with FastTiming().
 constexpr Millis kNoQuorumTime{ 5000 };
-constexpr Millis kAnswerTimeout{ 2000 };
 
 /// The disk that a node's voter set names for a voter; empty when it has none.
 std::string
@@ -44,21 +41,6 @@
   std::filesystem::remove_all(aCluster.Node(aNode).folder_ + "/data");
 }
 
-/// Makes a change through a node and gives the version that it made.
-std::uint64_t
-RequireChange(Cluster& aCluster, const std::string& aNode, int aNumber)
-{
-  CellChange change;
-  change.requestId_ = "change-" + std::to_string(aNumber);
-  change.value_ = std::to_string(100 + aNumber);
-  aCluster.Require("change " + std::to_string(aNumber), kChangeLimit, [&] {
-    change.base_ = VersionOn(aCluster, aNode);
-    SendChange(aCluster, aNode, change, kAnswerTimeout);
-    return change.outcome_ == "accepted";
-  });
-  return change.version_;
-}
-
 ClusterSettings
 FastSettings()
 {
--- a/tests/proof/control_support.h
+++ b/tests/proof/control_support.h
@@ -19,6 +19,8 @@
 /// The design target: a change is in force everywhere within 4 s.
 inline constexpr Millis kInForceLimit{ 4000 };
 inline constexpr Millis kStartLimit{ 20000 };
+/// An election with the timings used here, and a busy machine.
+inline constexpr Millis kChangeLimit{ 10000 };
 inline constexpr std::uint64_t kNsPerMs = 1000UL * 1000;
 
 /// Timing for failures whose waits are not what is tested: elections of 400 to
@@ -364,4 +366,19 @@
   return table.is_object() ? table.value("version", std::uint64_t{ 0 }) : 0;
 }
 
+/// Makes a change through a node and gives the version that it made.
+inline std::uint64_t
+RequireChange(Cluster& aCluster, const std::string& aNode, int aNumber)
+{
+  CellChange change;
+  change.requestId_ = "change-" + std::to_string(aNumber);
+  change.value_ = std::to_string(100 + aNumber);
+  aCluster.Require("change " + std::to_string(aNumber), kChangeLimit, [&] {
+    change.base_ = VersionOn(aCluster, aNode);
+    SendChange(aCluster, aNode, change, Millis(2000));
+    return change.outcome_ == "accepted";
+  });
+  return change.version_;
+}
+
 } // namespace acaciahill::testing
