Change: the partition proof compares the returning leader's role changes

The leader's name alone did not show an election that the same node won: with pre-vote switched off in a scratch copy the test still passed. It now fails there, and passes on the product.

--- a/tests/proof/control_partition_test.cpp
+++ b/tests/proof/control_partition_test.cpp
@@ -107,6 +107,20 @@
   return nodes.is_object() ? nodes.value("leader", std::string()) : "";
 }
 
+/// How often a node's role or term has changed, as its log tells.
+std::size_t
+RoleChanges(Cluster& aCluster, const std::string& aNode)
+{
+  const auto output = aCluster.Node(aNode).process_->Output();
+  std::size_t count = 0;
+  const std::string text = "role changed";
+  for (auto at = output.find(text); at != std::string::npos;
+       at = output.find(text, at + 1)) {
+    ++count;
+  }
+  return count;
+}
+
 CellChange
 LateChange(Cluster& aCluster, const std::string& aNode, int aNumber)
 {
@@ -163,12 +177,15 @@
     std::this_thread::sleep_for(50ms);
   }
   const auto healthy = LeaderSeenBy(aCluster, asked);
-  CHECK_FALSE(healthy.empty());
+  REQUIRE_FALSE(healthy.empty());
+  const auto roleChanges = RoleChanges(aCluster, healthy);
   Heal(aCluster, cut);
   aWatch.EndFault(cut, false);
   aCluster.WaitInForce(change.version_, kInForceLimit);
   std::this_thread::sleep_for(kSettleTime);
   CHECK(LeaderSeenBy(aCluster, asked) == healthy);
+  // It was not elected again either, which the name alone would not show.
+  CHECK(RoleChanges(aCluster, healthy) == roleChanges);
   CHECK(LeaderSeenBy(aCluster, cut) == healthy);
   CHECK_FALSE(IsStale(aCluster, cut));
 }
