--- a/tests/proof/data_wave_test.cpp
+++ b/tests/proof/data_wave_test.cpp
@@ -148,6 +148,13 @@
                 const std::string& aWave)
 {
   LongRequests seen;
+  // The wave before may have completed while its last VM was not usable yet.
+  aCluster.Require("all VMs of both pools usable", kMoveLimit, [&] {
+    return HasSizes(aCluster, kRotaSize, kTargets - kRotaSize);
+  });
+  for (const auto& node : aCluster.NodeIds()) {
+    aCluster.WaitUsable(node, kTargets, kMoveLimit);
+  }
   const auto stopsBefore = ReadStops(aCluster.PlatformJournal()).size();
   SetDelay(aCluster, kLongRequest);
   HistoryRecorder mine;
@@ -161,8 +168,12 @@
       request.pool_ = "rota";
       request.method_ = "POST";
       request.body_ = aWave;
+      // Entries prefer targets of their own zone, so that each zone's entry
+      // takes its share.
+      const auto& nodes = aCluster.NodeIds();
+      const auto& node = nodes[static_cast<std::size_t>(i) % nodes.size()];
       const auto operation = SendPlanned(request,
-                                         aCluster.Node("n1").callers_,
+                                         aCluster.Node(node).callers_,
                                          aWave + "-" + std::to_string(i),
                                          kLongDeadline);
       mine.Add(operation);
@@ -170,9 +181,12 @@
       --open;
     });
   }
-  aCluster.Require("long requests on all VMs of the pool", kLongRequest, [&] {
-    return VmsWith(aCluster, aWave) == kRotaSize;
-  });
+  const bool onAll = WaitUntil(
+    kLongRequest, [&] { return VmsWith(aCluster, aWave) == kRotaSize; });
+  if (!onAll) {
+    FAIL(aWave << ": long requests on " << VmsWith(aCluster, aWave)
+               << " VMs only: " << aCluster.AdminGet("n1", "/v1/vms").dump());
+  }
   SetDelay(aCluster, Millis{ 0 });
   RequireClient(aCluster, { "wave", "start", aWave, "--pools", "rota" });
   aCluster.Require("wave " + aWave + " completed", kWaveLimit, [&] {
