--- a/packages/daemon/replica_service.cpp
+++ b/packages/daemon/replica_service.cpp
@@ -669,6 +669,7 @@
                             Millis aTimeout)
 {
   std::vector<std::future<CommandResult>> futures;
+  futures.reserve(aCommands.size());
   for (const auto& command : aCommands) {
     auto waiting = std::make_shared<WaitingCommand>();
     waiting->envelope_ = { requestPrefix_ + std::to_string(nextRequest_++),
@@ -679,6 +680,7 @@
   }
   const auto deadline = std::chrono::steady_clock::now() + aTimeout;
   std::vector<CommandResult> results;
+  results.reserve(futures.size());
   for (auto& future : futures) {
     results.push_back(
       future.wait_until(deadline) == std::future_status::ready
