--- a/bench/path_bench.cpp
+++ b/bench/path_bench.cpp
@@ -148,6 +148,7 @@
   const auto beginNs = MonotonicNs();
   std::atomic<std::int64_t> answered{ 0 };
   std::vector<std::thread> threads;
+  threads.reserve(kCallers);
   for (int i = 0; i < kCallers; ++i) {
     threads.emplace_back([&] {
       Caller caller(node.callers_);
--- a/bench/router_bench.cpp
+++ b/bench/router_bench.cpp
@@ -421,6 +421,10 @@
       [](auto& aSettings) { aSettings.keepAllWhenAllOpen_ = false; } },
     { "busy is broken",
       [](auto& aSettings) { aSettings.busyIsError_ = true; } },
+    { "attempt floor 500 ms",
+      [](auto& aSettings) { aSettings.attemptFloor_ = Millis(500); } },
+    { "attempt floor 1000 ms",
+      [](auto& aSettings) { aSettings.attemptFloor_ = Millis(1000); } },
     { "no breaker",
       [](auto& aSettings) {
         aSettings.breakerFailures_ = 1000000;
