--- a/packages/daemon/relay_service_base.h
+++ b/packages/daemon/relay_service_base.h
@@ -50,8 +50,22 @@
   std::map<std::string, RelayPoolLoad> Loads() const;
 
 private:
+  /// A claim to end. With begin_ set, it is not known whether the claim was
+  /// committed; it is proposed once more with the same request id first, so
+  /// that the end cannot come before a delayed begin.
+  struct PendingEnd
+  {
+    std::optional<BeginClaim> begin_;
+    EndClaim end_;
+  };
+
+  void AddEnd(PendingEnd aEnd);
+  /// True when the claim's end is decided.
+  bool TryEnd(const PendingEnd& aEnd);
   void RunRefresh();
   void RunProbes();
+  void ProbeSilentTargets();
+  void NotifyTargets();
   void RunClaimEnds();
   void Refresh();
 
@@ -67,9 +81,12 @@
   bool drained_ = false;
   std::mutex claimMutex_;
   std::condition_variable claimReady_;
-  std::deque<EndClaim> claimEnds_;
+  std::deque<PendingEnd> claimEnds_;
   std::atomic<std::uint64_t> nextOwner_{ 1 };
   std::string ownerPrefix_;
+  /// Epochs and leases of urgent tasks of which targets were notified, and
+  /// when; used by the probing thread only.
+  std::map<std::string, MonotonicTime> notified_;
   std::uint64_t refreshedTable_ = 0;
   bool hasRefreshedTable_ = false;
   std::int64_t refreshedNodes_ = 0;
--- a/tests/support/fake_target.h
+++ b/tests/support/fake_target.h
@@ -26,6 +26,9 @@
   std::string zone_ = "z1";
   std::string rack_ = "r1";
   std::string listen_ = "127.0.0.1:0";
+  /// The address that it announces, such as that of a fault proxy in front of
+  /// it; empty means the address on which it listens.
+  std::string advertise_;
   /// Announce ports of entry nodes; each announcement goes to one of them at
   /// random, as through a load balancer. Empty announces nothing.
   std::vector<std::string> announce_;
@@ -141,6 +144,7 @@
   std::condition_variable changed_;
   Switches switches_;
   bool stopping_ = false;
+  bool announceNow_ = false;
   std::uint64_t incarnation_ = 1;
   std::uint64_t awayUntilNs_ = 0;
   std::uint64_t epoch_ = 0;
