--- /dev/null
+++ b/packages/daemon/replica_requests.cpp
@@ -0,0 +1,209 @@
+#include "daemon/replica_service_base.h"
+
+#include "kernel/error_func.h"
+#include "kernel/os_clock_func.h"
+
+#include <algorithm>
+
+// What other threads and other nodes ask of the replica: commands, and the
+// calls of the peer service.
+
+namespace acaciahill {
+
+namespace {
+
+// Entries in one answer to a pull.
+constexpr std::size_t kPullEntries = 1000;
+// Longest wait of one pull; it sets how often an idle node exchanges digests.
+constexpr Millis kPullWait{ 1000 };
+constexpr Millis kProposePause{ 100 };
+// A proposal passes at most from a node to a follower and on to the leader.
+constexpr std::uint32_t kMaxHops = 2;
+
+CommandResult
+Failed(ErrorKind aKind, const std::string& aDetail)
+{
+  CommandResult result;
+  result.error_ = Error{ aKind, aDetail };
+  return result;
+}
+
+} // namespace
+
+CommandResult
+ReplicaService::Propose(const Command& aCommand, Millis aTimeout)
+{
+  return Propose(
+    aCommand, requestPrefix_ + std::to_string(nextRequest_++), aTimeout);
+}
+
+CommandResult
+ReplicaService::Propose(const Command& aCommand,
+                        const std::string& aRequestId,
+                        Millis aTimeout)
+{
+  const CommandEnvelope envelope{ aRequestId, 0, aCommand };
+  const auto deadline = MonotonicNow() + aTimeout;
+  // Once a try may have been accepted, the outcome is unknown until a resend
+  // with the same request id brings the first result.
+  bool mayBeAccepted = false;
+  while (!stopping_) {
+    const auto left = deadline - MonotonicNow();
+    if (left <= Millis(0)) {
+      break;
+    }
+    // Over a silent connection nobody could tell whether the command arrived.
+    // A node that is cut off sends nothing, so that its refusal is definite.
+    if (Control().stale_) {
+      std::this_thread::sleep_for(std::min(kProposePause, left));
+      continue;
+    }
+    auto result = HandlePropose({ settings_.cluster_, envelope, left, 0 });
+    if (!result.error_ ||
+        (result.error_->kind_ != ErrorKind::NotLeader &&
+         result.error_->kind_ != ErrorKind::ProposalLost &&
+         result.error_->kind_ != ErrorKind::ControlUnreachable)) {
+      return result;
+    }
+    mayBeAccepted |= result.error_->kind_ == ErrorKind::ProposalLost;
+    std::this_thread::sleep_for(std::min(kProposePause, left));
+  }
+  return mayBeAccepted ? Failed(ErrorKind::ProposalLost, "")
+                       : Failed(ErrorKind::ControlUnreachable,
+                                "no leader took the change; it was not made");
+}
+
+CommandResult
+ReplicaService::HandlePropose(const PeerPropose& aRequest)
+{
+  const auto control = Control();
+  if (control.isLeader_) {
+    return ProposeHere(aRequest.envelope_, aRequest.timeout_);
+  }
+  if (control.leader_.empty() || aRequest.hops_ >= kMaxHops ||
+      control.leader_ == settings_.node_) {
+    return Failed(ErrorKind::NotLeader, "the leader is not known");
+  }
+  const auto address = AddressOf(control.leader_);
+  if (!address) {
+    return Failed(ErrorKind::ControlUnreachable,
+                  "the leader's address is not known");
+  }
+  auto request = aRequest;
+  ++request.hops_;
+  auto reply = client_.Propose(*address, request);
+  if (!IsOk(reply)) {
+    CommandResult failed;
+    failed.error_ = ErrorOf(reply);
+    return failed;
+  }
+  return ValueOf(std::move(reply));
+}
+
+CommandResult
+ReplicaService::ProposeHere(const CommandEnvelope& aEnvelope, Millis aTimeout)
+{
+  auto waiting = std::make_shared<WaitingCommand>();
+  waiting->envelope_ = aEnvelope;
+  auto result = waiting->result_.get_future();
+  Enqueue(waiting);
+  if (result.wait_for(aTimeout) != std::future_status::ready) {
+    return Failed(ErrorKind::ProposalLost, "no quorum confirmed it in time");
+  }
+  return result.get();
+}
+
+std::vector<CommandResult>
+ReplicaService::ProposeHere(const std::vector<Command>& aCommands,
+                            Millis aTimeout)
+{
+  std::vector<std::future<CommandResult>> futures;
+  futures.reserve(aCommands.size());
+  for (const auto& command : aCommands) {
+    auto waiting = std::make_shared<WaitingCommand>();
+    waiting->envelope_ = { requestPrefix_ + std::to_string(nextRequest_++),
+                           0,
+                           command };
+    futures.push_back(waiting->result_.get_future());
+    Enqueue(waiting);
+  }
+  const auto deadline = std::chrono::steady_clock::now() + aTimeout;
+  std::vector<CommandResult> results;
+  results.reserve(futures.size());
+  for (auto& future : futures) {
+    results.push_back(
+      future.wait_until(deadline) == std::future_status::ready
+        ? future.get()
+        : Failed(ErrorKind::ProposalLost, "no quorum confirmed it in time"));
+  }
+  return results;
+}
+
+PeerRaft
+ReplicaService::HandleRaft(const PeerRaft& aRequest)
+{
+  directory_->AcceptDigest(aRequest.from_, aRequest.digest_);
+  PeerRaft reply;
+  reply.cluster_ = settings_.cluster_;
+  reply.from_ = settings_.node_;
+  if (settings_.voter_ && aRequest.message_ && !stopping_) {
+    auto waiting = std::make_shared<WaitingMessage>();
+    waiting->message_ = *aRequest.message_;
+    auto answer = waiting->reply_.get_future();
+    Enqueue(waiting);
+    // The voter thread answers everything it takes, but may be ending.
+    if (answer.wait_for(settings_.raft_.electionMin_) ==
+        std::future_status::ready) {
+      reply.message_ = answer.get();
+    }
+  }
+  reply.digest_ = directory_->MakeDigestFor(aRequest.from_);
+  return reply;
+}
+
+PeerPullReply
+ReplicaService::HandlePull(const PeerPull& aRequest)
+{
+  directory_->AcceptDigest(aRequest.node_, aRequest.digest_);
+  if (!aRequest.disk_.empty()) {
+    const std::lock_guard lock(controlMutex_);
+    strangers_[aRequest.node_] = { aRequest.disk_, MonotonicNow() };
+  }
+  {
+    std::unique_lock lock(tailMutex_);
+    applied_.wait_for(lock, std::min(aRequest.wait_, kPullWait), [&] {
+      return stopping_ || announcedIndex_ > aRequest.applied_;
+    });
+  }
+
+  PeerPullReply reply;
+  bool needsSnapshot = false;
+  {
+    const std::lock_guard lock(tailMutex_);
+    if (appliedIndex_ > aRequest.applied_) {
+      needsSnapshot =
+        tail_.empty() || tail_.front().index_ > aRequest.applied_ + 1;
+      if (!needsSnapshot) {
+        const auto first = aRequest.applied_ + 1 - tail_.front().index_;
+        for (std::size_t i = first;
+             i < tail_.size() && reply.entries_.size() < kPullEntries;
+             ++i) {
+          reply.entries_.push_back(tail_[i]);
+        }
+      }
+    }
+  }
+  if (needsSnapshot) {
+    const std::shared_lock lock(fleetMutex_);
+    const std::lock_guard tailLock(tailMutex_);
+    reply.snapshot_ = fleet_.EncodeSnapshot();
+    reply.snapshotIndex_ = appliedIndex_;
+  }
+  const auto control = Control();
+  reply.leader_ = control.leader_;
+  reply.controlAge_ = control.caughtUp_ ? control.age_ : Millis(INT32_MAX);
+  reply.digest_ = directory_->MakeDigestFor(aRequest.node_);
+  return reply;
+}
+
+} // namespace acaciahill
--- a/packages/daemon/replica_service.cpp
+++ b/packages/daemon/replica_service.cpp
@@ -14,13 +14,6 @@
 // Committed entries kept for nodes that follow by pulls.
 constexpr std::size_t kTailEntries = 10000;
 constexpr std::size_t kTailBytes = 8UL * 1024 * 1024;
-// Entries in one answer to a pull.
-constexpr std::size_t kPullEntries = 1000;
-// Longest wait of one pull; it sets how often an idle node exchanges digests.
-constexpr Millis kPullWait{ 1000 };
-constexpr Millis kProposePause{ 100 };
-// A proposal passes at most from a node to a follower and on to the leader.
-constexpr std::uint32_t kMaxHops = 2;
 // Ticks in one heartbeat interval.
 constexpr int kTicksPerHeartbeat = 5;
 constexpr Millis kRepairInterval{ 1000 };
@@ -144,6 +137,7 @@
     }
     fleet_ = ValueOf(std::move(fleet));
     appliedIndex_ = stored.snapshot_.lastIndex_;
+    announcedIndex_ = appliedIndex_;
   }
   self_ = { settings_.node_, stored.diskId_ };
   LogInfo("opened the log",
@@ -398,6 +392,7 @@
     tail_.clear();
     tailBytes_ = 0;
     appliedIndex_ = aSnapshot.lastIndex_;
+    announcedIndex_ = aSnapshot.lastIndex_;
     commandAppliedAt_ = MonotonicNow();
   }
   LogInfo("took over a snapshot", { { "index", aSnapshot.lastIndex_ } });
@@ -427,6 +422,7 @@
 ReplicaService::ApplyOne(const LogEntry& aEntry)
 {
   auto result = Failed(ErrorKind::ProposalLost, "applied before");
+  bool isClaim = false;
   {
     const std::unique_lock lock(fleetMutex_);
     {
@@ -440,6 +436,9 @@
     if (aEntry.kind_ == EntryKind::Command) {
       const auto envelope = DecodeEnvelope(aEntry.data_);
       if (IsOk(envelope)) {
+        const auto& command = ValueOf(envelope).command_;
+        isClaim = std::holds_alternative<BeginClaim>(command) ||
+                  std::holds_alternative<EndClaim>(command);
         result = fleet_.Apply(ValueOf(envelope), aEntry.index_);
       } else {
         LogError("a committed command cannot be read",
@@ -452,6 +451,9 @@
     if (aEntry.kind_ == EntryKind::Command) {
       commandAppliedAt_ = MonotonicNow();
     }
+    if (!isClaim) {
+      announcedIndex_ = aEntry.index_;
+    }
     KeepForPulls(aEntry);
   }
   return result;
@@ -581,115 +583,6 @@
   work_.clear();
 }
 
-CommandResult
-ReplicaService::Propose(const Command& aCommand, Millis aTimeout)
-{
-  return Propose(
-    aCommand, requestPrefix_ + std::to_string(nextRequest_++), aTimeout);
-}
-
-CommandResult
-ReplicaService::Propose(const Command& aCommand,
-                        const std::string& aRequestId,
-                        Millis aTimeout)
-{
-  const CommandEnvelope envelope{ aRequestId, 0, aCommand };
-  const auto deadline = MonotonicNow() + aTimeout;
-  // Once a try may have been accepted, the outcome is unknown until a resend
-  // with the same request id brings the first result.
-  bool mayBeAccepted = false;
-  while (!stopping_) {
-    const auto left = deadline - MonotonicNow();
-    if (left <= Millis(0)) {
-      break;
-    }
-    // Over a silent connection nobody could tell whether the command arrived.
-    // A node that is cut off sends nothing, so that its refusal is definite.
-    if (Control().stale_) {
-      std::this_thread::sleep_for(std::min(kProposePause, left));
-      continue;
-    }
-    auto result = HandlePropose({ settings_.cluster_, envelope, left, 0 });
-    if (!result.error_ ||
-        (result.error_->kind_ != ErrorKind::NotLeader &&
-         result.error_->kind_ != ErrorKind::ProposalLost &&
-         result.error_->kind_ != ErrorKind::ControlUnreachable)) {
-      return result;
-    }
-    mayBeAccepted |= result.error_->kind_ == ErrorKind::ProposalLost;
-    std::this_thread::sleep_for(std::min(kProposePause, left));
-  }
-  return mayBeAccepted ? Failed(ErrorKind::ProposalLost, "")
-                       : Failed(ErrorKind::ControlUnreachable,
-                                "no leader took the change; it was not made");
-}
-
-CommandResult
-ReplicaService::HandlePropose(const PeerPropose& aRequest)
-{
-  const auto control = Control();
-  if (control.isLeader_) {
-    return ProposeHere(aRequest.envelope_, aRequest.timeout_);
-  }
-  if (control.leader_.empty() || aRequest.hops_ >= kMaxHops ||
-      control.leader_ == settings_.node_) {
-    return Failed(ErrorKind::NotLeader, "the leader is not known");
-  }
-  const auto address = AddressOf(control.leader_);
-  if (!address) {
-    return Failed(ErrorKind::ControlUnreachable,
-                  "the leader's address is not known");
-  }
-  auto request = aRequest;
-  ++request.hops_;
-  auto reply = client_.Propose(*address, request);
-  if (!IsOk(reply)) {
-    CommandResult failed;
-    failed.error_ = ErrorOf(reply);
-    return failed;
-  }
-  return ValueOf(std::move(reply));
-}
-
-CommandResult
-ReplicaService::ProposeHere(const CommandEnvelope& aEnvelope, Millis aTimeout)
-{
-  auto waiting = std::make_shared<WaitingCommand>();
-  waiting->envelope_ = aEnvelope;
-  auto result = waiting->result_.get_future();
-  Enqueue(waiting);
-  if (result.wait_for(aTimeout) != std::future_status::ready) {
-    return Failed(ErrorKind::ProposalLost, "no quorum confirmed it in time");
-  }
-  return result.get();
-}
-
-std::vector<CommandResult>
-ReplicaService::ProposeHere(const std::vector<Command>& aCommands,
-                            Millis aTimeout)
-{
-  std::vector<std::future<CommandResult>> futures;
-  futures.reserve(aCommands.size());
-  for (const auto& command : aCommands) {
-    auto waiting = std::make_shared<WaitingCommand>();
-    waiting->envelope_ = { requestPrefix_ + std::to_string(nextRequest_++),
-                           0,
-                           command };
-    futures.push_back(waiting->result_.get_future());
-    Enqueue(waiting);
-  }
-  const auto deadline = std::chrono::steady_clock::now() + aTimeout;
-  std::vector<CommandResult> results;
-  results.reserve(futures.size());
-  for (auto& future : futures) {
-    results.push_back(
-      future.wait_until(deadline) == std::future_status::ready
-        ? future.get()
-        : Failed(ErrorKind::ProposalLost, "no quorum confirmed it in time"));
-  }
-  return results;
-}
-
 std::uint64_t
 ReplicaService::LogicalNowMs() const
 {
@@ -748,66 +641,4 @@
   }) && appliedIndex_ >= aIndex;
 }
 
-PeerRaft
-ReplicaService::HandleRaft(const PeerRaft& aRequest)
-{
-  directory_->AcceptDigest(aRequest.from_, aRequest.digest_);
-  PeerRaft reply;
-  reply.cluster_ = settings_.cluster_;
-  reply.from_ = settings_.node_;
-  if (settings_.voter_ && aRequest.message_ && !stopping_) {
-    auto waiting = std::make_shared<WaitingMessage>();
-    waiting->message_ = *aRequest.message_;
-    auto answer = waiting->reply_.get_future();
-    Enqueue(waiting);
-    // The voter thread answers everything it takes, but may be ending.
-    if (answer.wait_for(settings_.raft_.electionMin_) ==
-        std::future_status::ready) {
-      reply.message_ = answer.get();
-    }
-  }
-  reply.digest_ = directory_->MakeDigestFor(aRequest.from_);
-  return reply;
-}
-
-PeerPullReply
-ReplicaService::HandlePull(const PeerPull& aRequest)
-{
-  directory_->AcceptDigest(aRequest.node_, aRequest.digest_);
-  if (!aRequest.disk_.empty()) {
-    const std::lock_guard lock(controlMutex_);
-    strangers_[aRequest.node_] = { aRequest.disk_, MonotonicNow() };
-  }
-  WaitApplied(aRequest.applied_ + 1, std::min(aRequest.wait_, kPullWait));
-
-  PeerPullReply reply;
-  bool needsSnapshot = false;
-  {
-    const std::lock_guard lock(tailMutex_);
-    if (appliedIndex_ > aRequest.applied_) {
-      needsSnapshot =
-        tail_.empty() || tail_.front().index_ > aRequest.applied_ + 1;
-      if (!needsSnapshot) {
-        const auto first = aRequest.applied_ + 1 - tail_.front().index_;
-        for (std::size_t i = first;
-             i < tail_.size() && reply.entries_.size() < kPullEntries;
-             ++i) {
-          reply.entries_.push_back(tail_[i]);
-        }
-      }
-    }
-  }
-  if (needsSnapshot) {
-    const std::shared_lock lock(fleetMutex_);
-    const std::lock_guard tailLock(tailMutex_);
-    reply.snapshot_ = fleet_.EncodeSnapshot();
-    reply.snapshotIndex_ = appliedIndex_;
-  }
-  const auto control = Control();
-  reply.leader_ = control.leader_;
-  reply.controlAge_ = control.caughtUp_ ? control.age_ : Millis(INT32_MAX);
-  reply.digest_ = directory_->MakeDigestFor(aRequest.node_);
-  return reply;
-}
-
 } // namespace acaciahill
--- a/packages/daemon/replica_service_base.h
+++ b/packages/daemon/replica_service_base.h
@@ -187,6 +187,9 @@
   std::deque<LogEntry> tail_;
   std::size_t tailBytes_ = 0;
   std::uint64_t appliedIndex_ = 0;
+  /// Index of the last entry that ends long polls early. Claims do not: no
+  /// other node acts on them, and each would cost a message to every node.
+  std::uint64_t announcedIndex_ = 0;
   MonotonicTime commandAppliedAt_{};
 
   mutable std::mutex controlMutex_;
--- a/packages/planner/move_planner.cpp
+++ b/packages/planner/move_planner.cpp
@@ -77,12 +77,8 @@
 void
 MovePlanner::ForgetVisible(const PlannerView& aView, MonotonicTime aNow)
 {
-  const auto& vms = aView.fleet_->Vms();
-  std::erase_if(sentMoves_, [&](const auto& aItem) {
-    const auto vm = vms.find(aItem.first);
-    return vm == vms.end() || vm->second.epoch_ != aItem.second.epoch_ ||
-           aNow - aItem.second.sentAt_ >= moveLimits_.retryAfter_;
-  });
+  ForgetVisibleProposals(
+    sentMoves_, *aView.fleet_, aNow, moveLimits_.retryAfter_);
   const auto& rows = aView.fleet_->Table().rows_;
   std::erase_if(memory_,
                 [&](const auto& aItem) { return !rows.contains(aItem.first); });
@@ -184,12 +180,11 @@
                      const std::string& aIntent,
                      Command aCommand)
 {
-  if (gate_.IsPending(aIntent) || aRound.view_.fleet_->Check(aCommand)) {
-    return false;
-  }
-  gate_.Pass(aIntent, aRound.now_);
-  aRound.actions_.emplace_back(ProposeCommand{ std::move(aCommand) });
-  return true;
+  return gate_.Propose(aIntent,
+                       std::move(aCommand),
+                       *aRound.view_.fleet_,
+                       aRound.now_,
+                       aRound.actions_);
 }
 
 void
--- a/packages/planner/placement_planner.cpp
+++ b/packages/planner/placement_planner.cpp
@@ -299,12 +299,11 @@
                           const std::string& aIntent,
                           Command aCommand)
 {
-  if (gate_.IsPending(aIntent) || aRound.view_.fleet_->Check(aCommand)) {
-    return false;
-  }
-  gate_.Pass(aIntent, aRound.now_);
-  aRound.actions_.emplace_back(ProposeCommand{ std::move(aCommand) });
-  return true;
+  return gate_.Propose(aIntent,
+                       std::move(aCommand),
+                       *aRound.view_.fleet_,
+                       aRound.now_,
+                       aRound.actions_);
 }
 
 bool
--- a/packages/planner/proposal_gate_base.h
+++ b/packages/planner/proposal_gate_base.h
@@ -1,9 +1,12 @@
 #pragma once
 
 #include "kernel/time_type.h"
+#include "planner/planner_type.h"
 
 #include <map>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace acaciahill {
 
@@ -39,9 +42,43 @@
     return sent_.contains(aIntent);
   }
 
+  /// Adds a command to the actions of a step and remembers its intent. False
+  /// when the intent was passed lately or the state would refuse the command.
+  bool Propose(const std::string& aIntent,
+               Command aCommand,
+               const Fleet& aFleet,
+               MonotonicTime aNow,
+               std::vector<PlannerAction>& aActions)
+  {
+    if (IsPending(aIntent) || aFleet.Check(aCommand)) {
+      return false;
+    }
+    Pass(aIntent, aNow);
+    aActions.emplace_back(ProposeCommand{ std::move(aCommand) });
+    return true;
+  }
+
 private:
   Millis retryAfter_;
   std::map<std::string, MonotonicTime> sent_;
 };
 
+/// Forgets proposals by VM id that are visible in the fleet, since the VM's
+/// epoch moved on, and those older than the retry time. The items have the
+/// members epoch_ and sentAt_.
+template<typename Sent>
+void
+ForgetVisibleProposals(std::map<std::string, Sent>& aSent,
+                       const Fleet& aFleet,
+                       MonotonicTime aNow,
+                       Millis aRetryAfter)
+{
+  std::erase_if(aSent, [&](const auto& aItem) {
+    const auto vm = aFleet.Vms().find(aItem.first);
+    return vm == aFleet.Vms().end() ||
+           vm->second.epoch_ != aItem.second.epoch_ ||
+           aNow - aItem.second.sentAt_ >= aRetryAfter;
+  });
+}
+
 } // namespace acaciahill
--- a/packages/planner/wave_planner.cpp
+++ b/packages/planner/wave_planner.cpp
@@ -94,12 +94,8 @@
 void
 WavePlanner::ForgetVisibleGrants(const PlannerView& aView, MonotonicTime aNow)
 {
-  const auto& vms = aView.fleet_->Vms();
-  std::erase_if(sentGrants_, [&](const auto& aItem) {
-    const auto vm = vms.find(aItem.first);
-    return vm == vms.end() || vm->second.epoch_ != aItem.second.epoch_ ||
-           aNow - aItem.second.sentAt_ >= waveLimits_.retryAfter_;
-  });
+  ForgetVisibleProposals(
+    sentGrants_, *aView.fleet_, aNow, waveLimits_.retryAfter_);
 }
 
 WavePlanner::Round
@@ -168,12 +164,11 @@
                      const std::string& aIntent,
                      Command aCommand)
 {
-  if (gate_.IsPending(aIntent) || aRound.view_.fleet_->Check(aCommand)) {
-    return false;
-  }
-  gate_.Pass(aIntent, aRound.now_);
-  aRound.actions_.emplace_back(ProposeCommand{ std::move(aCommand) });
-  return true;
+  return gate_.Propose(aIntent,
+                       std::move(aCommand),
+                       *aRound.view_.fleet_,
+                       aRound.now_,
+                       aRound.actions_);
 }
 
 const std::vector<std::string>&
--- a/packages/routing/router_base.h
+++ b/packages/routing/router_base.h
@@ -166,6 +166,13 @@
   double serviceMs_ = 0;
 };
 
+/// Requests that wait in a pool.
+inline std::size_t
+WaitingIn(const RoutedPool& aPool)
+{
+  return aPool.urgent_.size() + aPool.normal_.size();
+}
+
 } // namespace detail
 
 /// Decides where and when requests go: choice of target, queues, limits,
--- a/tests/integration/load_history_test.cpp
+++ b/tests/integration/load_history_test.cpp
@@ -44,18 +44,6 @@
   REQUIRE(applied.exitCode_ == 0);
 }
 
-std::vector<ExecutedRun>
-AllRuns(const Cluster& aCluster)
-{
-  std::vector<ExecutedRun> all;
-  for (int i = 0; i < kTargets; ++i) {
-    const auto runs =
-      ReadRuns(aCluster.TargetJournal("vm-" + std::to_string(i + 1)));
-    all.insert(all.end(), runs.begin(), runs.end());
-  }
-  return all;
-}
-
 /// Makes targets fail in turn, and kills and restarts an entry node, while a
 /// load runs.
 void
@@ -109,7 +97,7 @@
   loader.join();
 
   const auto operations = recorder.Operations();
-  const auto runs = AllRuns(cluster);
+  const auto runs = cluster.TargetRuns();
   INFO(ToJson(report).dump() << " seed " << kSeed);
   CHECK(Describe(CheckOwnAnswers(operations)).empty());
   CHECK(Describe(CheckNotRun(operations, runs)).empty());
--- a/tests/integration/wave_test.cpp
+++ b/tests/integration/wave_test.cpp
@@ -51,18 +51,6 @@
   REQUIRE(applied.exitCode_ == 0);
 }
 
-std::vector<ExecutedRun>
-AllRuns(const Cluster& aCluster)
-{
-  std::vector<ExecutedRun> all;
-  for (int i = 0; i < kTargets; ++i) {
-    const auto runs =
-      ReadRuns(aCluster.TargetJournal("vm-" + std::to_string(i + 1)));
-    all.insert(all.end(), runs.begin(), runs.end());
-  }
-  return all;
-}
-
 } // namespace
 
 // Guards a maintenance wave under load: every VM is rebooted once, within the
@@ -102,7 +90,7 @@
   watcher.Stop();
 
   const auto operations = recorder.Operations();
-  const auto runs = AllRuns(cluster);
+  const auto runs = cluster.TargetRuns();
   const auto stops = ReadStops(cluster.PlatformJournal());
   INFO(ToJson(report).dump() << " wave ms " << tookMs << " seed " << kSeed);
   CHECK(stops.size() == kTargets);
--- a/tests/proof/data_answers_test.cpp
+++ b/tests/proof/data_answers_test.cpp
@@ -172,7 +172,7 @@
   loader.join();
 
   const auto operations = recorder.Operations();
-  const auto runs = AllRuns(cluster, kTargets);
+  const auto runs = cluster.TargetRuns();
   std::cout << "answers: seed " << kSeed << " " << ToJson(report).dump()
             << " runs " << runs.size() << '\n';
   INFO("seed " << kSeed);
--- a/tests/proof/data_claims_test.cpp
+++ b/tests/proof/data_claims_test.cpp
@@ -85,7 +85,7 @@
 std::size_t
 RunsOfKey(const Cluster& aCluster, const std::string& aKey)
 {
-  const auto runs = AllRuns(aCluster, kTargets);
+  const auto runs = aCluster.TargetRuns();
   return static_cast<std::size_t>(
     std::count_if(runs.begin(), runs.end(), [&](const ExecutedRun& aRun) {
       return aRun.key_ == aKey;
@@ -255,7 +255,7 @@
   ProveCutZone(cluster, caller);
 
   const auto operations = caller.Recorder().Operations();
-  const auto runs = AllRuns(cluster, kTargets);
+  const auto runs = cluster.TargetRuns();
   std::cout << "claims: sendings " << operations.size() << " runs "
             << runs.size() << '\n';
   CheckCallers(operations, runs);
--- a/tests/proof/data_input_test.cpp
+++ b/tests/proof/data_input_test.cpp
@@ -282,7 +282,7 @@
   for (const auto& vm : vms) {
     CHECK(vm.value("address", "") == cluster.TargetAddress(vm.value("id", "")));
   }
-  const auto runs = AllRuns(cluster, kTargets);
+  const auto runs = cluster.TargetRuns();
   for (const auto& run : runs) {
     CHECK(run.path_.find("smuggled") == std::string::npos);
   }
--- a/tests/proof/data_kill_test.cpp
+++ b/tests/proof/data_kill_test.cpp
@@ -133,7 +133,7 @@
       cluster.WaitUsable(node, kTargets, kRecoveryLimit);
     }
   }
-  const auto runs = AllRuns(cluster, kTargets);
+  const auto runs = cluster.TargetRuns();
   CheckCallers(recorder.Operations(), runs);
   CHECK(Describe(CheckOnePool(AssignmentsOf(runs), runs)) == kNone);
 }
--- a/tests/proof/data_leave_test.cpp
+++ b/tests/proof/data_leave_test.cpp
@@ -93,7 +93,7 @@
   CutNode(cluster, "n4", false);
 
   const auto operations = recorder.Operations();
-  const auto runs = AllRuns(cluster, kTargets);
+  const auto runs = cluster.TargetRuns();
   std::size_t cutServed = 0;
   for (const auto& operation : operations) {
     if (operation.entry_ == cluster.Node("n4").callers_ &&
--- a/tests/proof/data_stop_test.cpp
+++ b/tests/proof/data_stop_test.cpp
@@ -173,7 +173,7 @@
   }
   loader.join();
   const auto operations = recorder.Operations();
-  const auto runs = AllRuns(cluster, kTargets);
+  const auto runs = cluster.TargetRuns();
   std::cout << "rolling restart: seed " << kSeed << " " << ToJson(report).dump()
             << '\n';
   CheckCallers(operations, runs);
--- a/tests/proof/data_support.h
+++ b/tests/proof/data_support.h
@@ -68,17 +68,6 @@
   }
 }
 
-inline std::vector<ExecutedRun>
-AllRuns(const Cluster& aCluster, int aTargets)
-{
-  std::vector<ExecutedRun> all;
-  for (int i = 1; i <= aTargets; ++i) {
-    const auto runs = ReadRuns(aCluster.TargetJournal(TargetName(i)));
-    all.insert(all.end(), runs.begin(), runs.end());
-  }
-  return all;
-}
-
 /// The promises to callers, which hold under every failure.
 inline void
 CheckCallers(const std::vector<Operation>& aOperations,
--- a/tests/proof/data_wave_test.cpp
+++ b/tests/proof/data_wave_test.cpp
@@ -134,7 +134,7 @@
 VmsWith(const Cluster& aCluster, const std::string& aName)
 {
   std::set<std::string> vms;
-  for (const auto& run : AllRuns(aCluster, kTargets)) {
+  for (const auto& run : aCluster.TargetRuns()) {
     if (run.nonce_.rfind(aName, 0) == 0) {
       vms.insert(run.vm_);
     }
@@ -256,7 +256,7 @@
   });
   CheckServed("move", moves);
   watcher.Stop();
-  const auto plannedRuns = AllRuns(cluster, kTargets);
+  const auto plannedRuns = cluster.TargetRuns();
   const auto stops = ReadStops(cluster.PlatformJournal());
   CHECK(stops.size() == kTargets);
   CHECK(Describe(CheckGracefulStops(stops, plannedRuns)) == kNone);
@@ -268,5 +268,5 @@
   CHECK(Describe(CheckOnePool(watcher.Seen(), plannedRuns)) == kNone);
 
   ProveDrainLimit(cluster, recorder);
-  CheckCallers(recorder.Operations(), AllRuns(cluster, kTargets));
+  CheckCallers(recorder.Operations(), cluster.TargetRuns());
 }
--- a/tests/proof/data_zone_test.cpp
+++ b/tests/proof/data_zone_test.cpp
@@ -184,7 +184,7 @@
   REQUIRE_FALSE(last.empty());
   proof.Run(cluster.Node(last).zone_, Side::Inside, kSeed + 20);
 
-  const auto runs = AllRuns(cluster, kTargets);
+  const auto runs = cluster.TargetRuns();
   CheckCallers(proof.Operations(), runs);
   CHECK(Describe(CheckOnePool(AssignmentsOf(runs), runs)) == kNone);
 }
--- a/tests/support/cluster_fixture.cpp
+++ b/tests/support/cluster_fixture.cpp
@@ -304,6 +304,17 @@
   return folder_.Path() + "/" + aTarget + ".journal";
 }
 
+std::vector<ExecutedRun>
+Cluster::TargetRuns() const
+{
+  std::vector<ExecutedRun> all;
+  for (const auto& [target, state] : targets_) {
+    const auto runs = ReadRuns(TargetJournal(target));
+    all.insert(all.end(), runs.begin(), runs.end());
+  }
+  return all;
+}
+
 std::string
 Cluster::PlatformJournal() const
 {
--- a/tests/support/cluster_fixture.h
+++ b/tests/support/cluster_fixture.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "support/fault_proxy.h"
+#include "support/history.h"
 #include "support/http_func.h"
 #include "support/process_harness.h"
 
@@ -100,6 +101,8 @@
                      const nlohmann::json& aSwitches) const;
   /// Path of a target's journal; see FakeTarget.
   std::string TargetJournal(const std::string& aTarget) const;
+  /// The runs in the journals of all targets started so far.
+  std::vector<ExecutedRun> TargetRuns() const;
   std::string PlatformAddress() const { return platformAddress_; }
   std::string PlatformJournal() const;
 
