Change: an attempt of a repeatable request ends after 500 ms at the earliest

Cause: attempts that ended after 250 ms, a little over the usual service time, counted against sound targets and opened their breakers under overload.

--- a/packages/routing/router_base.h
+++ b/packages/routing/router_base.h
@@ -32,7 +32,9 @@
   int maxAttempts_ = 3;
   /// An attempt of a request that may be sent again ends at half of the time
   /// left, so that another target can still answer; but not before this time.
-  Millis attemptFloor_{ 250 };
+  /// A shorter one ends attempts at busy but sound targets and opens their
+  /// breakers; see docs/decisions/09-circuit-breaker.md.
+  Millis attemptFloor_{ 500 };
   /// The pause before the n-th retry is drawn from the upper half of
   /// backoffBase_ * 2^(n-1).
   Millis backoffBase_{ 25 };
