Change: a node's status rides on messages at most every 500 ms

Cause: each message of the log carried the statuses of all nodes, so that a claim of two entries cost the leader about 7.5 KB on 8 nodes. Ruled out: the log entries themselves (about 300 bytes).

--- a/packages/membership/digest_exchange.cpp
+++ b/packages/membership/digest_exchange.cpp
@@ -69,13 +69,32 @@
   AddTasks(peer, aDirectory, aNow, aMaxAge, message);
   for (const auto& [node, status] : aDirectory.Nodes()) {
     // The peer knows itself best.
-    if (node != aPeer) {
+    if (node != aPeer && IsStatusDue(peer, status, aNow)) {
+      peer.sentNodes_.insert_or_assign(node, SentStatus{ status, aNow });
       message.nodes_.push_back({ status, AgeOf(status.madeAt_, aNow) });
     }
   }
   return message;
 }
 
+bool
+DigestExchange::IsStatusDue(const PeerState& aPeer,
+                            const NodeStatus& aStatus,
+                            MonotonicTime aNow)
+{
+  const auto sent = aPeer.sentNodes_.find(aStatus.node_);
+  if (sent == aPeer.sentNodes_.end()) {
+    return true;
+  }
+  const auto& [last, sentAt] = sent->second;
+  if (aStatus.madeAt_ <= last.madeAt_) {
+    return false;
+  }
+  return aNow - sentAt >= kStatusInterval ||
+         aStatus.tableVersion_ != last.tableVersion_ ||
+         aStatus.inFlight_ != last.inFlight_;
+}
+
 void
 DigestExchange::AddTasks(PeerState& aPeer,
                          const Directory& aDirectory,
@@ -110,6 +129,7 @@
     // The peer's process is new and knows nothing of what the old one was sent.
     peer.sent_.clear();
     peer.sentTasks_.clear();
+    peer.sentNodes_.clear();
   }
   peer.clockMs_ = aMessage.clockMs_;
   peer.boot_ = aMessage.boot_;
--- a/packages/membership/digest_exchange_base.h
+++ b/packages/membership/digest_exchange_base.h
@@ -41,6 +41,11 @@
 /// a digest.
 inline constexpr Millis kTaskReportInterval{ 10000 };
 
+/// A node's status is sent to a peer at most this often, unless its table
+/// version or its requests to draining targets changed: a status for each log
+/// entry was most of the bytes that a claim cost.
+inline constexpr Millis kStatusInterval{ 500 };
+
 /// A digest on its way. It carries the sender's clock, and the receiver's own
 /// clock as the sender last received it, so that the receiver can bound how
 /// long the digest was on its way.
@@ -85,6 +90,12 @@
               Directory& aDirectory);
 
 private:
+  struct SentStatus
+  {
+    NodeStatus status_;
+    MonotonicTime sentAt_{};
+  };
+
   struct PeerState
   {
     std::uint64_t clockMs_ = 0;
@@ -92,10 +103,15 @@
     MonotonicTime receivedAt_{};
     /// When the last statement sent to the peer on each target was made.
     std::map<std::uint32_t, MonotonicTime> sent_;
+    /// The last status of each node sent to the peer, and when.
+    std::map<std::string, SentStatus> sentNodes_;
     /// The last task reports sent to the peer.
     std::map<std::uint32_t, VmTaskReports> sentTasks_;
   };
 
+  static bool IsStatusDue(const PeerState& aPeer,
+                          const NodeStatus& aStatus,
+                          MonotonicTime aNow);
   static void AddTasks(PeerState& aPeer,
                        const Directory& aDirectory,
                        MonotonicTime aNow,
--- a/packages/membership/test/digest_exchange_test.cpp
+++ b/packages/membership/test/digest_exchange_test.cpp
@@ -123,3 +123,30 @@
   CHECK(sentTasks(23s, {}) == 1);
   CHECK(sentTasks(24s, {}) == 0);
 }
+
+// Guards against a status in each message, which was most of a claim's cost,
+// and against holding back what a waiting operator or a drain needs.
+TEST_CASE("a node's status is sent at its interval or on a change that matters")
+{
+  struct Row
+  {
+    const char* name_;
+    NodeStatus next_;
+    bool sent_;
+  };
+  const auto row = GENERATE(
+    Row{ "applied only", { "a", 11, 2, {}, {}, At(10100ms) }, false },
+    Row{ "table", { "a", 11, 3, {}, {}, At(10100ms) }, true },
+    Row{ "in flight", { "a", 11, 2, { { 7, 1 } }, {}, At(10100ms) }, true },
+    Row{ "interval", { "a", 11, 2, {}, {}, At(10500ms) }, true },
+    Row{ "nothing new", { "a", 10, 2, {}, {}, At(10s) }, false });
+  INFO(row.name_);
+  Node sender("a", 1);
+  sender.directory_.HearNode({ "a", 10, 2, {}, {}, At(10s) });
+  CHECK(sender.exchange_.MakeFor("b", sender.directory_, At(10s), kMaxAge)
+          .nodes_.size() == 1);
+  sender.directory_.HearNode(row.next_);
+  const auto message = sender.exchange_.MakeFor(
+    "b", sender.directory_, row.next_.madeAt_, kMaxAge);
+  CHECK(message.nodes_.size() == (row.sent_ ? 1 : 0));
+}
