--- a/packages/consensus/raft_base.h
+++ b/packages/consensus/raft_base.h
@@ -44,7 +44,7 @@
   /// On the leader, the identities of nodes that are voters under another disk
   /// id than the one they answer with: they lost their disk. The shell removes
   /// the old identity and then adds this one. Empty on other members.
-  std::vector<VoterId> StrangersHeard() const;
+  std::vector<VoterId> UnrecognizedVoters() const;
 
 private:
   /// What the leader knows of one node that it replicates to.
--- a/packages/consensus/raft_leader.cpp
+++ b/packages/consensus/raft_leader.cpp
@@ -48,17 +48,17 @@
 }
 
 std::vector<VoterId>
-RaftCore::StrangersHeard() const
+RaftCore::UnrecognizedVoters() const
 {
-  std::vector<VoterId> strangers;
+  std::vector<VoterId> unrecognized;
   for (const auto& voter : Voters().voters_) {
     const auto found = progress_.find(voter.node_);
     if (found != progress_.end() && !found->second.disk_.empty() &&
         found->second.disk_ != voter.disk_) {
-      strangers.push_back({ voter.node_, found->second.disk_ });
+      unrecognized.push_back({ voter.node_, found->second.disk_ });
     }
   }
-  return strangers;
+  return unrecognized;
 }
 
 void
--- a/packages/consensus/test/raft_network.cpp
+++ b/packages/consensus/test/raft_network.cpp
@@ -150,9 +150,9 @@
     return;
   }
   const auto voters = Core(leader).Voters().voters_;
-  for (const auto& stranger : Core(leader).StrangersHeard()) {
+  for (const auto& unrecognizedDisk : Core(leader).UnrecognizedVoters()) {
     for (const auto& voter : voters) {
-      if (voter.node_ == stranger.node_) {
+      if (voter.node_ == unrecognizedDisk.node_) {
         Step(leader, ChangeVoterInput{ 2, voter, false });
         return;
       }
--- a/packages/consensus/test/raft_test.cpp
+++ b/packages/consensus/test/raft_test.cpp
@@ -297,7 +297,7 @@
   };
   const auto row = GENERATE(Row{ "voter", Id("n2"), 2, true },
                             Row{ "another disk", { "n2", "new" }, 2, false },
-                            Row{ "stranger", Id("n9"), 2, false },
+                            Row{ "unknown voter", Id("n9"), 2, false },
                             Row{ "earlier term", Id("n2"), 1, false });
   INFO(row.name_);
   SteppedCore candidate(1, {});
@@ -317,8 +317,8 @@
                 AppendReply{ row.voter_, true, 1, 0, leader.Round() });
   CHECK(Count<ApplyEntries>(actions) == (row.counts_ ? 1 : 0));
   CHECK(leader.core_.HasQuorumContact(leader.now_) == row.counts_);
-  const bool stranger = row.voter_.disk_ == "new";
-  CHECK(leader.core_.StrangersHeard().size() == (stranger ? 1 : 0));
+  const bool unrecognizedDisk = row.voter_.disk_ == "new";
+  CHECK(leader.core_.UnrecognizedVoters().size() == (unrecognizedDisk ? 1 : 0));
 }
 
 // Guards against a late reply that makes a repaired voter look like one that
@@ -330,13 +330,13 @@
   const auto early = n1.Round();
   n1.Tick(500ms);
   n1.Hear("n2", 2, AppendReply{ Id("n2"), true, 1, 0, n1.Round() });
-  CHECK(n1.core_.StrangersHeard().empty());
+  CHECK(n1.core_.UnrecognizedVoters().empty());
   n1.Hear("n2", 2, AppendReply{ { "n2", "old" }, true, 1, 0, early });
-  CHECK(n1.core_.StrangersHeard().empty());
+  CHECK(n1.core_.UnrecognizedVoters().empty());
   n1.Tick(500ms);
   const VoterId renewed{ "n2", "new" };
   n1.Hear("n2", 2, AppendReply{ renewed, true, 1, 0, n1.Round() });
-  CHECK(n1.core_.StrangersHeard() == std::vector{ renewed });
+  CHECK(n1.core_.UnrecognizedVoters() == std::vector{ renewed });
 }
 
 // Guards against the commit of an entry that a later leader may replace.
@@ -482,9 +482,9 @@
   net.Start(leader);
   REQUIRE_FALSE(net.WaitForLeader().empty());
   REQUIRE(net.RunUntil(
-    [&] { return !net.Core(net.Leader()).StrangersHeard().empty(); }));
+    [&] { return !net.Core(net.Leader()).UnrecognizedVoters().empty(); }));
   const VoterId renewed{ others[0], net.At(others[0]).disk_.diskId_ };
-  CHECK(net.Core(net.Leader()).StrangersHeard() == std::vector{ renewed });
+  CHECK(net.Core(net.Leader()).UnrecognizedVoters() == std::vector{ renewed });
   REQUIRE(net.RunUntil([&] {
     net.RepairVoters();
     return net.Core(others[0]).Role() != RaftRole::Learner &&
--- a/packages/daemon/announce_service.cpp
+++ b/packages/daemon/announce_service.cpp
@@ -202,16 +202,16 @@
   }
   // A target that has just booted has seen no assignment yet and reports epoch
   // 0; a target cannot hold an assignment that was never made.
-  directory_->Hear({ vm->number_,
-                     aAnnouncement.identity_.incarnation_,
-                     aAnnouncement.epoch_,
-                     aAnnouncement.draining_,
-                     aAnnouncement.running_,
-                     aMadeAt });
-  directory_->HearTasks({ vm->number_,
-                          aAnnouncement.identity_.incarnation_,
-                          aAnnouncement.tasks_,
-                          aMadeAt });
+  directory_->UpdateTarget({ vm->number_,
+                             aAnnouncement.identity_.incarnation_,
+                             aAnnouncement.epoch_,
+                             aAnnouncement.draining_,
+                             aAnnouncement.running_,
+                             aMadeAt });
+  directory_->UpdateTasks({ vm->number_,
+                            aAnnouncement.identity_.incarnation_,
+                            aAnnouncement.tasks_,
+                            aMadeAt });
   {
     const std::lock_guard lock(mutex_);
     heardHere_[aAnnouncement.identity_.id_] = MonotonicNow();
--- a/packages/daemon/directory_service.cpp
+++ b/packages/daemon/directory_service.cpp
@@ -14,24 +14,24 @@
 }
 
 bool
-DirectoryService::Hear(const TargetEvidence& aEvidence)
+DirectoryService::UpdateTarget(const TargetEvidence& aEvidence)
 {
   const std::lock_guard lock(mutex_);
-  return directory_.Hear(aEvidence);
+  return directory_.UpdateTarget(aEvidence);
 }
 
 void
-DirectoryService::HearNode(const NodeStatus& aStatus)
+DirectoryService::UpdateNode(const NodeStatus& aStatus)
 {
   const std::lock_guard lock(mutex_);
-  directory_.HearNode(aStatus);
+  directory_.UpdateNode(aStatus);
 }
 
 void
-DirectoryService::HearTasks(const VmTaskReports& aReports)
+DirectoryService::UpdateTasks(const VmTaskReports& aReports)
 {
   const std::lock_guard lock(mutex_);
-  directory_.HearTasks(aReports);
+  directory_.UpdateTasks(aReports);
 }
 
 DigestMessage
--- a/packages/daemon/directory_service_base.h
+++ b/packages/daemon/directory_service_base.h
@@ -24,9 +24,9 @@
   Result<Done> Start() override { return Done{}; }
   void Stop() override {}
 
-  bool Hear(const TargetEvidence& aEvidence);
-  void HearNode(const NodeStatus& aStatus);
-  void HearTasks(const VmTaskReports& aReports);
+  bool UpdateTarget(const TargetEvidence& aEvidence);
+  void UpdateNode(const NodeStatus& aStatus);
+  void UpdateTasks(const VmTaskReports& aReports);
 
   DigestMessage MakeDigestFor(const std::string& aPeer);
   void AcceptDigest(const std::string& aPeer, const DigestMessage& aDigest);
--- a/packages/daemon/peer_client.cpp
+++ b/packages/daemon/peer_client.cpp
@@ -149,12 +149,12 @@
   {
     const std::lock_guard lock(mutex_);
     calls_.erase(&aContext);
-    Judge(aAddress, aStatus);
+    CountTimeouts(aAddress, aStatus);
     idle_.notify_all();
   }
 
   /// Counts timeouts and replaces a connection that seems to have gone silent.
-  void Judge(const std::string& aAddress, const grpc::Status& aStatus)
+  void CountTimeouts(const std::string& aAddress, const grpc::Status& aStatus)
   {
     auto& link = links_[aAddress];
     if (aStatus.error_code() != grpc::StatusCode::DEADLINE_EXCEEDED) {
@@ -225,7 +225,7 @@
                         const std::lock_guard lock(impl_->mutex_);
                         --impl_->links_[aAddress].raftInFlight_;
                         impl_->calls_.erase(&call->context_);
-                        impl_->Judge(aAddress, aStatus);
+                        impl_->CountTimeouts(aAddress, aStatus);
                         impl_->idle_.notify_all();
                       });
 }
--- a/packages/daemon/peer_codec.cpp
+++ b/packages/daemon/peer_codec.cpp
@@ -18,7 +18,7 @@
 }
 
 void
-PutTasks(const VmTaskReports& aReports, Millis aAge, wire::VmTasks& aWire)
+WriteTasks(const VmTaskReports& aReports, Millis aAge, wire::VmTasks& aWire)
 {
   aWire.set_target_number(aReports.number_);
   aWire.set_incarnation(aReports.incarnation_);
@@ -35,7 +35,7 @@
 }
 
 VmTaskReports
-TakeTasks(const wire::VmTasks& aWire)
+ReadTasks(const wire::VmTasks& aWire)
 {
   VmTaskReports reports;
   reports.number_ = aWire.target_number();
@@ -52,7 +52,7 @@
 }
 
 void
-PutDigest(const DigestMessage& aDigest, wire::Digest& aWire)
+WriteDigest(const DigestMessage& aDigest, wire::Digest& aWire)
 {
   for (const auto& [evidence, age] : aDigest.targets_) {
     aWire.add_target_number(evidence.number_);
@@ -80,7 +80,7 @@
     }
   }
   for (const auto& [reports, age] : aDigest.tasks_) {
-    PutTasks(reports, age, *aWire.add_tasks());
+    WriteTasks(reports, age, *aWire.add_tasks());
   }
   aWire.set_clock_ms(aDigest.clockMs_);
   aWire.set_boot(aDigest.boot_);
@@ -90,7 +90,7 @@
 }
 
 DigestMessage
-TakeDigest(const wire::Digest& aWire)
+ReadDigest(const wire::Digest& aWire)
 {
   DigestMessage digest;
   // Columns of different lengths come from a faulty sender; the common part is
@@ -132,7 +132,7 @@
     digest.nodes_.push_back({ status, Millis(node.age_ms()) });
   }
   for (const auto& vm : aWire.tasks()) {
-    digest.tasks_.push_back({ TakeTasks(vm), Millis(vm.age_ms()) });
+    digest.tasks_.push_back({ ReadTasks(vm), Millis(vm.age_ms()) });
   }
   digest.clockMs_ = aWire.clock_ms();
   digest.boot_ = aWire.boot();
@@ -143,7 +143,7 @@
 }
 
 void
-PutEntry(const LogEntry& aEntry, wire::Entry& aWire)
+WriteEntry(const LogEntry& aEntry, wire::Entry& aWire)
 {
   aWire.set_index(aEntry.index_);
   aWire.set_term(aEntry.term_);
@@ -152,7 +152,7 @@
 }
 
 LogEntry
-TakeEntry(const wire::Entry& aWire)
+ReadEntry(const wire::Entry& aWire)
 {
   return { aWire.index(),
            aWire.term(),
@@ -161,14 +161,14 @@
 }
 
 void
-PutVoter(const VoterId& aVoter, wire::Voter& aWire)
+WriteVoter(const VoterId& aVoter, wire::Voter& aWire)
 {
   aWire.set_node(aVoter.node_);
   aWire.set_disk(aVoter.disk_);
 }
 
 VoterId
-TakeVoter(const wire::Voter& aWire)
+ReadVoter(const wire::Voter& aWire)
 {
   return { aWire.node(), aWire.disk() };
 }
@@ -181,7 +181,7 @@
   void operator()(const VoteRequest& aBody) const
   {
     auto& wire = *envelope_.mutable_vote_request();
-    PutVoter(aBody.candidate_, *wire.mutable_candidate());
+    WriteVoter(aBody.candidate_, *wire.mutable_candidate());
     wire.set_last_index(aBody.lastIndex_);
     wire.set_last_term(aBody.lastTerm_);
     wire.set_pre_vote(aBody.preVote_);
@@ -190,7 +190,7 @@
   void operator()(const VoteReply& aBody) const
   {
     auto& wire = *envelope_.mutable_vote_reply();
-    PutVoter(aBody.voter_, *wire.mutable_voter());
+    WriteVoter(aBody.voter_, *wire.mutable_voter());
     wire.set_granted(aBody.granted_);
     wire.set_pre_vote(aBody.preVote_);
   }
@@ -201,7 +201,7 @@
     wire.set_previous_index(aBody.previousIndex_);
     wire.set_previous_term(aBody.previousTerm_);
     for (const auto& entry : aBody.entries_) {
-      PutEntry(entry, *wire.add_entries());
+      WriteEntry(entry, *wire.add_entries());
     }
     wire.set_commit_index(aBody.commitIndex_);
     wire.set_round(aBody.round_);
@@ -210,7 +210,7 @@
   void operator()(const AppendReply& aBody) const
   {
     auto& wire = *envelope_.mutable_append_reply();
-    PutVoter(aBody.voter_, *wire.mutable_voter());
+    WriteVoter(aBody.voter_, *wire.mutable_voter());
     wire.set_success(aBody.success_);
     wire.set_match_index(aBody.matchIndex_);
     wire.set_conflict_index(aBody.conflictIndex_);
@@ -229,7 +229,7 @@
 };
 
 std::optional<RaftMessage>
-TakeMessage(const wire::RaftEnvelope& aEnvelope)
+ReadMessage(const wire::RaftEnvelope& aEnvelope)
 {
   RaftMessage message;
   message.from_ = aEnvelope.from();
@@ -238,7 +238,7 @@
   switch (aEnvelope.message_case()) {
     case wire::RaftEnvelope::kVoteRequest: {
       const auto& wire = aEnvelope.vote_request();
-      message.body_ = VoteRequest{ TakeVoter(wire.candidate()),
+      message.body_ = VoteRequest{ ReadVoter(wire.candidate()),
                                    wire.last_index(),
                                    wire.last_term(),
                                    wire.pre_vote() };
@@ -247,7 +247,7 @@
     case wire::RaftEnvelope::kVoteReply: {
       const auto& wire = aEnvelope.vote_reply();
       message.body_ =
-        VoteReply{ TakeVoter(wire.voter()), wire.granted(), wire.pre_vote() };
+        VoteReply{ ReadVoter(wire.voter()), wire.granted(), wire.pre_vote() };
       return message;
     }
     case wire::RaftEnvelope::kAppendRequest: {
@@ -256,7 +256,7 @@
         wire.previous_index(), wire.previous_term(), {}, 0, 0
       };
       for (const auto& entry : wire.entries()) {
-        body.entries_.push_back(TakeEntry(entry));
+        body.entries_.push_back(ReadEntry(entry));
       }
       body.commitIndex_ = wire.commit_index();
       body.round_ = wire.round();
@@ -265,7 +265,7 @@
     }
     case wire::RaftEnvelope::kAppendReply: {
       const auto& wire = aEnvelope.append_reply();
-      message.body_ = AppendReply{ TakeVoter(wire.voter()),
+      message.body_ = AppendReply{ ReadVoter(wire.voter()),
                                    wire.success(),
                                    wire.match_index(),
                                    wire.conflict_index(),
@@ -300,7 +300,7 @@
     envelope.set_term(aRaft.message_->term_);
     std::visit(BodyWriter{ envelope }, aRaft.message_->body_);
   }
-  PutDigest(aRaft.digest_, *envelope.mutable_digest());
+  WriteDigest(aRaft.digest_, *envelope.mutable_digest());
   return envelope;
 }
 
@@ -309,8 +309,8 @@
 {
   return { aEnvelope.cluster(),
            aEnvelope.from(),
-           TakeMessage(aEnvelope),
-           TakeDigest(aEnvelope.digest()) };
+           ReadMessage(aEnvelope),
+           ReadDigest(aEnvelope.digest()) };
 }
 
 wire::PullRequest
@@ -322,7 +322,7 @@
   request.set_disk(aPull.disk_);
   request.set_applied(aPull.applied_);
   request.set_wait_ms(ToAge(aPull.wait_));
-  PutDigest(aPull.digest_, *request.mutable_digest());
+  WriteDigest(aPull.digest_, *request.mutable_digest());
   return request;
 }
 
@@ -334,7 +334,7 @@
            aRequest.disk(),
            aRequest.applied(),
            Millis(aRequest.wait_ms()),
-           TakeDigest(aRequest.digest()) };
+           ReadDigest(aRequest.digest()) };
 }
 
 wire::PullReply
@@ -342,13 +342,13 @@
 {
   wire::PullReply reply;
   for (const auto& entry : aReply.entries_) {
-    PutEntry(entry, *reply.add_entries());
+    WriteEntry(entry, *reply.add_entries());
   }
   reply.set_snapshot(aReply.snapshot_);
   reply.set_snapshot_index(aReply.snapshotIndex_);
   reply.set_leader(aReply.leader_);
   reply.set_control_age_ms(ToAge(aReply.controlAge_));
-  PutDigest(aReply.digest_, *reply.mutable_digest());
+  WriteDigest(aReply.digest_, *reply.mutable_digest());
   return reply;
 }
 
@@ -357,13 +357,13 @@
 {
   PeerPullReply reply;
   for (const auto& entry : aReply.entries()) {
-    reply.entries_.push_back(TakeEntry(entry));
+    reply.entries_.push_back(ReadEntry(entry));
   }
   reply.snapshot_ = aReply.snapshot();
   reply.snapshotIndex_ = aReply.snapshot_index();
   reply.leader_ = aReply.leader();
   reply.controlAge_ = Millis(aReply.control_age_ms());
-  reply.digest_ = TakeDigest(aReply.digest());
+  reply.digest_ = ReadDigest(aReply.digest());
   return reply;
 }
 
--- a/packages/daemon/relay_service.cpp
+++ b/packages/daemon/relay_service.cpp
@@ -171,7 +171,7 @@
                               static_cast<std::uint64_t>(load.refused_) };
     }
   }
-  directory_->HearNode(status);
+  directory_->UpdateNode(status);
 }
 
 void
@@ -265,7 +265,7 @@
 }
 
 void
-RelayService::Hear(const TargetEcho& aEcho)
+RelayService::OnEcho(const TargetEcho& aEcho)
 {
   const auto identity =
     replica_->Read([&aEcho](const Fleet& aFleet) -> std::optional<VmRecord> {
@@ -281,13 +281,14 @@
   const auto known = directory_->Read([&identity](const Directory& aDirectory) {
     return aDirectory.Find(identity->number_);
   });
-  directory_->Hear({ identity->number_,
-                     aEcho.incarnation_ != 0 ? aEcho.incarnation_
-                                             : identity->identity_.incarnation_,
-                     aEcho.epoch_,
-                     aEcho.draining_,
-                     known ? known->running_ : 0,
-                     aEcho.sentAt_ });
+  directory_->UpdateTarget({ identity->number_,
+                             aEcho.incarnation_ != 0
+                               ? aEcho.incarnation_
+                               : identity->identity_.incarnation_,
+                             aEcho.epoch_,
+                             aEcho.draining_,
+                             known ? known->running_ : 0,
+                             aEcho.sentAt_ });
 }
 
 ClaimReply
--- a/packages/daemon/relay_service_base.h
+++ b/packages/daemon/relay_service_base.h
@@ -45,7 +45,7 @@
                    std::uint64_t aFingerprint,
                    MonotonicTime aDeadline) override;
   void End(const EndClaim& aEnd) override;
-  void Hear(const TargetEcho& aEcho) override;
+  void OnEcho(const TargetEcho& aEcho) override;
 
   std::map<std::string, RelayPoolLoad> Loads() const;
 
--- a/packages/daemon/replica_requests.cpp
+++ b/packages/daemon/replica_requests.cpp
@@ -167,7 +167,7 @@
   directory_->AcceptDigest(aRequest.node_, aRequest.digest_);
   if (!aRequest.disk_.empty()) {
     const std::lock_guard lock(controlMutex_);
-    strangers_[aRequest.node_] = { aRequest.disk_, MonotonicNow() };
+    unrecognized_[aRequest.node_] = { aRequest.disk_, MonotonicNow() };
   }
   {
     std::unique_lock lock(tailMutex_);
--- a/packages/daemon/replica_service.cpp
+++ b/packages/daemon/replica_service.cpp
@@ -18,7 +18,7 @@
 constexpr int kTicksPerHeartbeat = 5;
 constexpr Millis kRepairInterval{ 1000 };
 // How long ago a voter with another disk may have been heard to be admitted.
-constexpr Millis kStrangerMaxAge{ 5000 };
+constexpr Millis kUnrecognizedMaxAge{ 5000 };
 // Contact older than the longest election by this much is stale.
 constexpr Millis kStaleMargin{ 1000 };
 
@@ -508,18 +508,18 @@
     return;
   }
   lastRepairAt_ = now;
-  std::map<std::string, KnownStranger> strangers;
+  std::map<std::string, UnrecognizedDisk> unrecognized;
   {
     const std::lock_guard lock(controlMutex_);
-    for (const auto& voter : core_->StrangersHeard()) {
-      strangers_[voter.node_] = { voter.disk_, now };
+    for (const auto& voter : core_->UnrecognizedVoters()) {
+      unrecognized_[voter.node_] = { voter.disk_, now };
     }
-    strangers = strangers_;
+    unrecognized = unrecognized_;
   }
-  for (const auto& [name, stranger] : strangers) {
+  for (const auto& [name, unrecognizedDisk] : unrecognized) {
     const auto& node = name;
     const bool isSetUp = settings_.voters_.contains(node);
-    if (!isSetUp || now - stranger.heardAt_ > kStrangerMaxAge) {
+    if (!isSetUp || now - unrecognizedDisk.heardAt_ > kUnrecognizedMaxAge) {
       continue;
     }
     const auto& voters = core_->Voters().voters_;
@@ -529,9 +529,9 @@
       });
     if (known == voters.end()) {
       LogInfo("admitting a voter with a new disk",
-              { { "voter", node }, { "disk", stranger.disk_ } });
-      Enqueue(ChangeVoters{ { node, stranger.disk_ }, true });
-    } else if (known->disk_ != stranger.disk_) {
+              { { "voter", node }, { "disk", unrecognizedDisk.disk_ } });
+      Enqueue(ChangeVoters{ { node, unrecognizedDisk.disk_ }, true });
+    } else if (known->disk_ != unrecognizedDisk.disk_) {
       LogWarning("removing a voter that lost its disk",
                  { { "voter", node }, { "disk", known->disk_ } });
       Enqueue(ChangeVoters{ *known, false });
--- a/packages/daemon/replica_service_base.h
+++ b/packages/daemon/replica_service_base.h
@@ -135,7 +135,7 @@
     std::shared_ptr<WaitingCommand> command_;
   };
 
-  struct KnownStranger
+  struct UnrecognizedDisk
   {
     std::string disk_;
     MonotonicTime heardAt_{};
@@ -195,7 +195,7 @@
   mutable std::mutex controlMutex_;
   ControlStatus control_;
   MonotonicTime contactAt_{};
-  std::map<std::string, KnownStranger> strangers_;
+  std::map<std::string, UnrecognizedDisk> unrecognized_;
 
   std::mutex workMutex_;
   std::condition_variable workReady_;
--- a/packages/membership/directory.cpp
+++ b/packages/membership/directory.cpp
@@ -10,7 +10,7 @@
 }
 
 bool
-Directory::Hear(const TargetEvidence& aEvidence)
+Directory::UpdateTarget(const TargetEvidence& aEvidence)
 {
   const auto known = targets_.find(aEvidence.number_);
   if (known != targets_.end()) {
@@ -28,7 +28,7 @@
 }
 
 void
-Directory::HearNode(const NodeStatus& aStatus)
+Directory::UpdateNode(const NodeStatus& aStatus)
 {
   const auto known = nodes_.find(aStatus.node_);
   if (known != nodes_.end() && aStatus.madeAt_ <= known->second.madeAt_) {
@@ -38,7 +38,7 @@
 }
 
 void
-Directory::HearTasks(const VmTaskReports& aReports)
+Directory::UpdateTasks(const VmTaskReports& aReports)
 {
   const auto known = tasks_.find(aReports.number_);
   if (known != tasks_.end() && aReports.madeAt_ <= known->second.madeAt_) {
@@ -51,16 +51,16 @@
 Directory::Merge(const DirectoryDigest& aDigest)
 {
   for (const auto& evidence : aDigest.targets_) {
-    Hear(evidence);
+    UpdateTarget(evidence);
   }
   for (const auto& status : aDigest.nodes_) {
     // A node knows itself best.
     if (status.node_ != self_) {
-      HearNode(status);
+      UpdateNode(status);
     }
   }
   for (const auto& reports : aDigest.tasks_) {
-    HearTasks(reports);
+    UpdateTasks(reports);
   }
 }
 
--- a/packages/membership/directory_base.h
+++ b/packages/membership/directory_base.h
@@ -18,13 +18,13 @@
 
   /// Takes a statement of a target; an older one than is known is ignored, and
   /// so is one of an older incarnation. Returns true when it was news.
-  bool Hear(const TargetEvidence& aEvidence);
+  bool UpdateTarget(const TargetEvidence& aEvidence);
 
   /// Takes a statement of a node; an older one than is known is ignored.
-  void HearNode(const NodeStatus& aStatus);
+  void UpdateNode(const NodeStatus& aStatus);
 
   /// Takes a VM's report of its tasks; an older one than is known is ignored.
-  void HearTasks(const VmTaskReports& aReports);
+  void UpdateTasks(const VmTaskReports& aReports);
 
   /// Takes everything in another node's digest.
   void Merge(const DirectoryDigest& aDigest);
--- a/packages/membership/test/digest_exchange_test.cpp
+++ b/packages/membership/test/digest_exchange_test.cpp
@@ -43,7 +43,7 @@
     receiver.exchange_.MakeFor("a", receiver.directory_, At(10s), kMaxAge),
     At(10s + offset),
     sender.directory_);
-  sender.directory_.Hear({ 7, 1, 4, false, 0, At(10s + offset) });
+  sender.directory_.UpdateTarget({ 7, 1, 4, false, 0, At(10s + offset) });
   const auto message = sender.exchange_.MakeFor(
     "b", sender.directory_, At(10100ms + offset), kMaxAge);
 
@@ -67,7 +67,7 @@
                             "a", formerReceiver.directory_, At(9s), kMaxAge),
                           At(9s),
                           sender.directory_);
-  sender.directory_.Hear({ 7, 1, 4, false, 0, At(10s) });
+  sender.directory_.UpdateTarget({ 7, 1, 4, false, 0, At(10s) });
   receiver.exchange_.Accept(
     "a",
     sender.exchange_.MakeFor("b", sender.directory_, At(10s), kMaxAge),
@@ -82,12 +82,12 @@
 {
   Node sender("a", 1);
   Node receiver("b", 2);
-  sender.directory_.Hear({ 7, 1, 4, false, 0, At(10s) });
+  sender.directory_.UpdateTarget({ 7, 1, 4, false, 0, At(10s) });
   CHECK(sender.exchange_.MakeFor("b", sender.directory_, At(10s), kMaxAge)
           .targets_.size() == 1);
   CHECK(sender.exchange_.MakeFor("b", sender.directory_, At(11s), kMaxAge)
           .targets_.empty());
-  sender.directory_.Hear({ 7, 1, 4, false, 2, At(11s) });
+  sender.directory_.UpdateTarget({ 7, 1, 4, false, 2, At(11s) });
   CHECK(sender.exchange_.MakeFor("b", sender.directory_, At(11s), kMaxAge)
           .targets_.size() == 1);
   sender.exchange_.Accept(
@@ -106,7 +106,7 @@
   Node sender("a", 1);
   const auto sentTasks = [&sender](Millis aAt,
                                    const std::vector<TaskReport>& aTasks) {
-    sender.directory_.HearTasks({ 7, 1, aTasks, At(aAt) });
+    sender.directory_.UpdateTasks({ 7, 1, aTasks, At(aAt) });
     return sender.exchange_.MakeFor("b", sender.directory_, At(aAt), kMaxAge)
       .tasks_.size();
   };
@@ -142,10 +142,10 @@
     Row{ "nothing new", { "a", 10, 2, {}, {}, At(10s) }, false });
   INFO(row.name_);
   Node sender("a", 1);
-  sender.directory_.HearNode({ "a", 10, 2, {}, {}, At(10s) });
+  sender.directory_.UpdateNode({ "a", 10, 2, {}, {}, At(10s) });
   CHECK(sender.exchange_.MakeFor("b", sender.directory_, At(10s), kMaxAge)
           .nodes_.size() == 1);
-  sender.directory_.HearNode(row.next_);
+  sender.directory_.UpdateNode(row.next_);
   const auto message = sender.exchange_.MakeFor(
     "b", sender.directory_, row.next_.madeAt_, kMaxAge);
   CHECK(message.nodes_.size() == (row.sent_ ? 1 : 0));
--- a/packages/membership/test/directory_test.cpp
+++ b/packages/membership/test/directory_test.cpp
@@ -78,11 +78,11 @@
 TEST_CASE("older statements do not replace newer ones")
 {
   Directory directory("n1");
-  CHECK(directory.Hear(MakeEvidence(3, 7, false, 1s)));
-  CHECK_FALSE(directory.Hear(MakeEvidence(3, 6, false, 2s)));
-  CHECK_FALSE(directory.Hear(MakeEvidence(2, 9, false, 0s)));
+  CHECK(directory.UpdateTarget(MakeEvidence(3, 7, false, 1s)));
+  CHECK_FALSE(directory.UpdateTarget(MakeEvidence(3, 6, false, 2s)));
+  CHECK_FALSE(directory.UpdateTarget(MakeEvidence(2, 9, false, 0s)));
   CHECK(directory.Find(1)->epoch_ == 7);
-  CHECK(directory.Hear(MakeEvidence(4, 1, false, 2s)));
+  CHECK(directory.UpdateTarget(MakeEvidence(4, 1, false, 2s)));
   CHECK(directory.Find(1)->incarnation_ == 4);
 }
 
@@ -90,7 +90,7 @@
 TEST_CASE("a node's own status is not taken from digests")
 {
   Directory directory("n1");
-  directory.HearNode({ "n1", 10, 2, {}, {}, kNow });
+  directory.UpdateNode({ "n1", 10, 2, {}, {}, kNow });
   directory.Merge({ {}, { { "n1", 99, 9, {}, {}, kNow + 1s } }, {} });
   CHECK(directory.FindNode("n1")->appliedIndex_ == 10);
 }
--- a/packages/relay/relay.cpp
+++ b/packages/relay/relay.cpp
@@ -190,7 +190,7 @@
              std::vector<std::pair<std::string, std::string>> aAttributes);
   void CountAnswer(const Call& aCall, const HttpAnswer& aAnswer);
   void RunTicker();
-  void KeepHouse();
+  void RunMaintenance();
   void Stop(Millis aGrace);
 
   RelaySettings settings_;
@@ -528,7 +528,7 @@
   const auto now = MonotonicNow();
   if (const auto echo =
         ReadEcho(aDispatch.vm_, outcome.answer_.headers_, outcome.sentAt_)) {
-    echoes_.Hear(*echo);
+    echoes_.OnEcho(*echo);
   }
   aCall.lastDetail_ = outcome.detail_;
   aCall.refusedByTarget_ = outcome.end_ == AttemptEnd::TargetRefused;
@@ -700,7 +700,7 @@
       Apply(RouterTick{});
     }
     if (MonotonicNow() >= nextHousekeeping) {
-      KeepHouse();
+      RunMaintenance();
       nextHousekeeping = MonotonicNow() + kHousekeepingInterval;
     }
     lock.lock();
@@ -716,7 +716,7 @@
 }
 
 void
-Relay::Impl::KeepHouse()
+Relay::Impl::RunMaintenance()
 {
   targets_.CloseOldIdle(MonotonicNow());
   std::map<std::string, RouterPoolLoad> loads;
@@ -907,7 +907,7 @@
     return Error{ ErrorKind::AnswerMalformed,
                   "the probe's answer has no Acaciahill-Epoch" };
   }
-  impl_->echoes_.Hear(*echo);
+  impl_->echoes_.OnEcho(*echo);
   return Done{};
 }
 
--- a/packages/relay/relay_type.h
+++ b/packages/relay/relay_type.h
@@ -95,7 +95,7 @@
   TargetEchoSink& operator=(const TargetEchoSink&) = delete;
   virtual ~TargetEchoSink() = default;
 
-  virtual void Hear(const TargetEcho& aEcho) = 0;
+  virtual void OnEcho(const TargetEcho& aEcho) = 0;
 };
 
 } // namespace acaciahill
--- a/packages/relay/target_client.cpp
+++ b/packages/relay/target_client.cpp
@@ -122,7 +122,7 @@
     }
     if (outcome.end_ == AttemptEnd::Answered) {
       outcome.answer_ = exchange.parser_.TakeAnswer();
-      Judge(outcome, aAttempt.requestId_);
+      ClassifyOutcome(outcome, aAttempt.requestId_);
       if (outcome.end_ != AttemptEnd::Malformed && outcome.answer_.keepAlive_ &&
           exchange.IsWritten() && exchange.buffer_.empty() &&
           !aAttempt.ownConnection_) {
@@ -134,7 +134,8 @@
 }
 
 void
-TargetClient::Judge(TargetOutcome& aOutcome, const std::string& aRequestId)
+TargetClient::ClassifyOutcome(TargetOutcome& aOutcome,
+                              const std::string& aRequestId)
 {
   const auto& answer = aOutcome.answer_;
   const auto echoedId = FindHeader(answer.headers_, "Acaciahill-Request-Id");
--- a/packages/relay/target_client_base.h
+++ b/packages/relay/target_client_base.h
@@ -109,7 +109,8 @@
   void Converse(Exchange& aExchange, BufferLease& aLease) const;
   void WriteMore(Exchange& aExchange) const;
   void ReadMore(Exchange& aExchange, BufferLease& aLease) const;
-  static void Judge(TargetOutcome& aOutcome, const std::string& aRequestId);
+  static void ClassifyOutcome(TargetOutcome& aOutcome,
+                              const std::string& aRequestId);
 
   TargetClientSettings settings_;
   const StickyEvent& abort_;
--- a/packages/relay/test/relay_test_support.h
+++ b/packages/relay/test/relay_test_support.h
@@ -317,7 +317,7 @@
 class MemoryEchoes : public TargetEchoSink
 {
 public:
-  void Hear(const TargetEcho& aEcho) override
+  void OnEcho(const TargetEcho& aEcho) override
   {
     const std::lock_guard lock(mutex_);
     echoes_.push_back(aEcho);
--- a/packages/routing/router.cpp
+++ b/packages/routing/router.cpp
@@ -60,9 +60,11 @@
 RouterCore::Step(const RouterInput& aInput, MonotonicTime aNow)
 {
   Actions actions;
-  std::visit([this, aNow, &actions](
-               const auto& aAlternative) { Take(aAlternative, aNow, actions); },
-             aInput);
+  std::visit(
+    [this, aNow, &actions](const auto& aAlternative) {
+      Handle(aAlternative, aNow, actions);
+    },
+    aInput);
   return actions;
 }
 
@@ -126,9 +128,9 @@
 }
 
 void
-RouterCore::Take(const RequestArrived& aInput,
-                 MonotonicTime aNow,
-                 Actions& aOut)
+RouterCore::Handle(const RequestArrived& aInput,
+                   MonotonicTime aNow,
+                   Actions& aOut)
 {
   if (requests_.contains(aInput.id_)) {
     return;
@@ -166,7 +168,7 @@
 }
 
 void
-RouterCore::Take(const RequestCancelled& aInput, MonotonicTime, Actions& aOut)
+RouterCore::Handle(const RequestCancelled& aInput, MonotonicTime, Actions& aOut)
 {
   const auto found = requests_.find(aInput.id_);
   if (found == requests_.end()) {
@@ -189,9 +191,9 @@
 }
 
 void
-RouterCore::Take(const AttemptFinished& aInput,
-                 MonotonicTime aNow,
-                 Actions& aOut)
+RouterCore::Handle(const AttemptFinished& aInput,
+                   MonotonicTime aNow,
+                   Actions& aOut)
 {
   const auto found = requests_.find(aInput.id_);
   if (found == requests_.end() ||
@@ -205,7 +207,7 @@
   --target.inFlight_;
   --pool.inFlight_;
   --inFlight_;
-  JudgeTarget(target, aInput, aNow);
+  RecordAttempt(target, aInput, aNow);
   if (aInput.end_ == AttemptEnd::Answered &&
       !IsRetryableStatus(aInput.status_)) {
     const auto took = static_cast<double>(aInput.took_.count());
@@ -231,9 +233,9 @@
 }
 
 void
-RouterCore::Take(const TargetsChanged& aInput,
-                 MonotonicTime aNow,
-                 Actions& aOut)
+RouterCore::Handle(const TargetsChanged& aInput,
+                   MonotonicTime aNow,
+                   Actions& aOut)
 {
   for (auto& [vm, target] : targets_) {
     target.listed_ = false;
@@ -279,7 +281,9 @@
 }
 
 void
-RouterCore::Take(const PoolsChanged& aInput, MonotonicTime aNow, Actions& aOut)
+RouterCore::Handle(const PoolsChanged& aInput,
+                   MonotonicTime aNow,
+                   Actions& aOut)
 {
   entryNodes_ = aInput.entryNodes_;
   entryNodesInZone_ = aInput.entryNodesInZone_;
@@ -320,14 +324,14 @@
 }
 
 void
-RouterCore::Take(const RouterTick&, MonotonicTime aNow, Actions& aOut)
+RouterCore::Handle(const RouterTick&, MonotonicTime aNow, Actions& aOut)
 {
   Expire(aNow, aOut);
   Pump(aNow, aOut);
 }
 
 void
-RouterCore::Take(const RouterStop&, MonotonicTime aNow, Actions& aOut)
+RouterCore::Handle(const RouterStop&, MonotonicTime aNow, Actions& aOut)
 {
   stopping_ = true;
   // A request that was sent before waits for another try only; it is finished
--- a/packages/routing/router_base.h
+++ b/packages/routing/router_base.h
@@ -210,13 +210,15 @@
 private:
   using Actions = std::vector<RouterAction>;
 
-  void Take(const RequestArrived& aInput, MonotonicTime aNow, Actions& aOut);
-  void Take(const RequestCancelled& aInput, MonotonicTime aNow, Actions& aOut);
-  void Take(const AttemptFinished& aInput, MonotonicTime aNow, Actions& aOut);
-  void Take(const TargetsChanged& aInput, MonotonicTime aNow, Actions& aOut);
-  void Take(const PoolsChanged& aInput, MonotonicTime aNow, Actions& aOut);
-  void Take(const RouterTick& aInput, MonotonicTime aNow, Actions& aOut);
-  void Take(const RouterStop& aInput, MonotonicTime aNow, Actions& aOut);
+  void Handle(const RequestArrived& aInput, MonotonicTime aNow, Actions& aOut);
+  void Handle(const RequestCancelled& aInput,
+              MonotonicTime aNow,
+              Actions& aOut);
+  void Handle(const AttemptFinished& aInput, MonotonicTime aNow, Actions& aOut);
+  void Handle(const TargetsChanged& aInput, MonotonicTime aNow, Actions& aOut);
+  void Handle(const PoolsChanged& aInput, MonotonicTime aNow, Actions& aOut);
+  void Handle(const RouterTick& aInput, MonotonicTime aNow, Actions& aOut);
+  void Handle(const RouterStop& aInput, MonotonicTime aNow, Actions& aOut);
 
   /// Ends a request for its caller: with the last answer if one is held, with
   /// an unknown outcome if it may have run, else with the given kind.
@@ -288,9 +290,9 @@
                       bool aUrgent,
                       MonotonicTime aNow) const;
 
-  void JudgeTarget(detail::RoutedTarget& aTarget,
-                   const AttemptFinished& aInput,
-                   MonotonicTime aNow);
+  void RecordAttempt(detail::RoutedTarget& aTarget,
+                     const AttemptFinished& aInput,
+                     MonotonicTime aNow);
   void CountOutcome(detail::Breaker& aBreaker, bool aError, MonotonicTime aNow);
   void OpenBreaker(detail::Breaker& aBreaker, MonotonicTime aNow);
 
--- a/packages/routing/router_choice.cpp
+++ b/packages/routing/router_choice.cpp
@@ -27,7 +27,7 @@
 }
 
 std::int64_t
-Kept(std::int64_t aWhole, const RouterSettings& aSettings)
+UrgentReserve(std::int64_t aWhole, const RouterSettings& aSettings)
 {
   if (aSettings.urgentPercent_ <= 0 || aWhole < aSettings.urgentFloor_) {
     return 0;
@@ -81,8 +81,8 @@
     return true;
   }
   const auto openOnNode = settings_.maxInFlight_ - inFlight_;
-  if (open <= Kept(whole, settings_) ||
-      openOnNode <= Kept(settings_.maxInFlight_, settings_)) {
+  if (open <= UrgentReserve(whole, settings_) ||
+      openOnNode <= UrgentReserve(settings_.maxInFlight_, settings_)) {
     return false;
   }
   return DispatchFrom(aPool, aPool.normal_, aNow, aOut);
@@ -358,9 +358,9 @@
 }
 
 void
-RouterCore::JudgeTarget(RoutedTarget& aTarget,
-                        const AttemptFinished& aInput,
-                        MonotonicTime aNow)
+RouterCore::RecordAttempt(RoutedTarget& aTarget,
+                          const AttemptFinished& aInput,
+                          MonotonicTime aNow)
 {
   auto& breaker = aTarget.breaker_;
   const bool isProbe =
