--- a/packages/daemon/admin_service.cpp
+++ b/packages/daemon/admin_service.cpp
@@ -135,6 +135,23 @@
   }
 }
 
+/// Counts of all pools that have VMs, by pool name.
+std::map<std::string, PoolCounts>
+CountPools(const Fleet& aFleet,
+           const std::map<std::uint32_t, TargetEvidence>& aEvidence,
+           MonotonicTime aNow,
+           Millis aLease)
+{
+  std::map<std::string, PoolCounts> counts;
+  for (const auto& [id, vm] : aFleet.Vms()) {
+    const auto found = aEvidence.find(vm.number_);
+    const auto heard =
+      found == aEvidence.end() ? std::nullopt : std::optional(found->second);
+    CountVm(counts[vm.pool_], vm, MayRoute(vm, heard, aNow, aLease));
+  }
+  return counts;
+}
+
 } // namespace
 
 AdminService::AdminService(const DaemonSettings& aSettings,
@@ -295,15 +312,7 @@
     [](const Directory& aDirectory) { return aDirectory.Nodes(); });
   auto list = Json::array();
   replica_->Read([&](const Fleet& aFleet) {
-    std::map<std::string, PoolCounts> counts;
-    for (const auto& [id, vm] : aFleet.Vms()) {
-      const auto found = evidence.find(vm.number_);
-      const auto heard =
-        found == evidence.end() ? std::nullopt : std::optional(found->second);
-      CountVm(counts[vm.pool_],
-              vm,
-              MayRoute(vm, heard, now, settings_.routingLease_));
-    }
+    auto counts = CountPools(aFleet, evidence, now, settings_.routingLease_);
     for (const auto& [pool, row] : aFleet.Table().rows_) {
       const auto& count = counts[pool];
       std::int64_t inFlight = 0;
@@ -515,7 +524,18 @@
   metrics_.Set("acaciahill_process_resident_bytes", {}, ResidentBytes());
   metrics_.Set("acaciahill_is_leader", {}, control.isLeader_ ? 1 : 0);
   metrics_.Set("acaciahill_is_stale", {}, control.stale_ ? 1 : 0);
-  replica_->Read([this](const Fleet& aFleet) {
+  const auto evidence = directory_->Read(
+    [](const Directory& aDirectory) { return aDirectory.Targets(); });
+  metrics_.ForgetGauges("acaciahill_pool_headroom");
+  replica_->Read([&](const Fleet& aFleet) {
+    auto counts =
+      CountPools(aFleet, evidence, MonotonicNow(), settings_.routingLease_);
+    for (const auto& [pool, row] : aFleet.Table().rows_) {
+      metrics_.Set(
+        "acaciahill_pool_headroom",
+        { { "pool", pool } },
+        static_cast<double>(counts[pool].available_ - row.minAvailable_));
+    }
     metrics_.Set("acaciahill_applied_index",
                  {},
                  static_cast<double>(aFleet.AppliedIndex()));
