Change: one look-up of a target's evidence, and one place that ends a voter whose log cannot be saved

Eleven copies of the directory went through the same lambda, three look-ups stood in the same form, and the exit after a failed save stood three times, once with its reason. Behaviour as before.

--- a/packages/daemon/admin_service.cpp
+++ b/packages/daemon/admin_service.cpp
@@ -144,9 +144,7 @@
 {
   std::map<std::string, PoolCounts> counts;
   for (const auto& [id, vm] : aFleet.Vms()) {
-    const auto found = aEvidence.find(vm.number_);
-    const auto heard =
-      found == aEvidence.end() ? std::nullopt : std::optional(found->second);
+    const auto heard = FindEvidence(aEvidence, vm.number_);
     CountVm(counts[vm.pool_], vm, MayRoute(vm, heard, aNow, aLease));
   }
   return counts;
@@ -306,10 +304,8 @@
 AdminService::Pools() const
 {
   const auto now = MonotonicNow();
-  const auto evidence = directory_->Read(
-    [](const Directory& aDirectory) { return aDirectory.Targets(); });
-  const auto nodes = directory_->Read(
-    [](const Directory& aDirectory) { return aDirectory.Nodes(); });
+  const auto evidence = directory_->Targets();
+  const auto nodes = directory_->Nodes();
   auto list = Json::array();
   replica_->Read([&](const Fleet& aFleet) {
     auto counts = CountPools(aFleet, evidence, now, settings_.routingLease_);
@@ -347,14 +343,11 @@
 AdminService::Vms() const
 {
   const auto now = MonotonicNow();
-  const auto evidence = directory_->Read(
-    [](const Directory& aDirectory) { return aDirectory.Targets(); });
+  const auto evidence = directory_->Targets();
   auto list = Json::array();
   replica_->Read([&](const Fleet& aFleet) {
     for (const auto& [id, vm] : aFleet.Vms()) {
-      const auto found = evidence.find(vm.number_);
-      const auto heard =
-        found == evidence.end() ? std::nullopt : std::optional(found->second);
+      const auto heard = FindEvidence(evidence, vm.number_);
       Json json = { { "id", id },
                     { "pool", vm.pool_ },
                     { "phase", WordOf(vm.phase_) },
@@ -380,8 +373,7 @@
 {
   const auto now = MonotonicNow();
   const auto control = replica_->Control();
-  const auto statuses = directory_->Read(
-    [](const Directory& aDirectory) { return aDirectory.Nodes(); });
+  const auto statuses = directory_->Nodes();
   auto list = Json::array();
   replica_->Read([&](const Fleet& aFleet) {
     for (const auto& [id, node] : aFleet.Nodes()) {
@@ -424,8 +416,7 @@
     return ServerErrorOf(
       { ErrorKind::BadRequest, "give version=NUMBER or index=NUMBER" });
   }
-  const auto statuses = directory_->Read(
-    [](const Directory& aDirectory) { return aDirectory.Nodes(); });
+  const auto statuses = directory_->Nodes();
   auto behind = Json::array();
   std::size_t all = 0;
   replica_->Read([&](const Fleet& aFleet) {
@@ -524,8 +515,7 @@
   metrics_.Set("acaciahill_process_resident_bytes", {}, ResidentBytes());
   metrics_.Set("acaciahill_is_leader", {}, control.isLeader_ ? 1 : 0);
   metrics_.Set("acaciahill_is_stale", {}, control.stale_ ? 1 : 0);
-  const auto evidence = directory_->Read(
-    [](const Directory& aDirectory) { return aDirectory.Targets(); });
+  const auto evidence = directory_->Targets();
   metrics_.ForgetGauges("acaciahill_pool_headroom");
   replica_->Read([&](const Fleet& aFleet) {
     auto counts =
--- a/packages/daemon/directory_service.cpp
+++ b/packages/daemon/directory_service.cpp
@@ -49,6 +49,20 @@
   exchange_.Accept(aPeer, aDigest, MonotonicNow(), directory_);
 }
 
+std::map<std::uint32_t, TargetEvidence>
+DirectoryService::Targets() const
+{
+  const std::lock_guard lock(mutex_);
+  return directory_.Targets();
+}
+
+std::map<std::string, NodeStatus>
+DirectoryService::Nodes() const
+{
+  const std::lock_guard lock(mutex_);
+  return directory_.Nodes();
+}
+
 void
 DirectoryService::Retain(const std::map<std::string, VmRecord>& aVms,
                          const std::map<std::string, NodeRecord>& aNodes)
--- a/packages/daemon/directory_service_base.h
+++ b/packages/daemon/directory_service_base.h
@@ -39,6 +39,11 @@
     return aFunction(static_cast<const Directory&>(directory_));
   }
 
+  /// The last statement of each target, by number.
+  std::map<std::uint32_t, TargetEvidence> Targets() const;
+  /// The last status of each node, by node id.
+  std::map<std::string, NodeStatus> Nodes() const;
+
   void Retain(const std::map<std::string, VmRecord>& aVms,
               const std::map<std::string, NodeRecord>& aNodes);
 
--- a/packages/daemon/planner_service.cpp
+++ b/packages/daemon/planner_service.cpp
@@ -115,8 +115,7 @@
   const auto now = MonotonicNow();
   PlannerView view;
   FillView(view, now);
-  const auto evidence = directory_->Read(
-    [](const Directory& aDirectory) { return aDirectory.Targets(); });
+  const auto evidence = directory_->Targets();
   const auto tasks = directory_->Read(
     [](const Directory& aDirectory) { return aDirectory.Tasks(); });
   std::vector<PlannerAction> actions;
@@ -163,8 +162,7 @@
 void
 PlannerService::FillView(PlannerView& aView, MonotonicTime aNow)
 {
-  aView.nodes_ = directory_->Read(
-    [](const Directory& aDirectory) { return aDirectory.Nodes(); });
+  aView.nodes_ = directory_->Nodes();
   std::map<std::string, std::int64_t> refused;
   for (const auto& [node, status] : aView.nodes_) {
     if (aNow - status.madeAt_ > settings_.routingLease_) {
--- a/packages/daemon/relay_service.cpp
+++ b/packages/daemon/relay_service.cpp
@@ -106,8 +106,7 @@
   PoolsChanged pools;
   std::map<std::string, std::uint32_t> leaving;
 
-  const auto evidence = directory_->Read(
-    [](const Directory& aDirectory) { return aDirectory.Targets(); });
+  const auto evidence = directory_->Targets();
   replica_->Read([&](const Fleet& aFleet) {
     status.appliedIndex_ = aFleet.AppliedIndex();
     status.tableVersion_ = aFleet.Table().version_;
@@ -124,9 +123,7 @@
                       return aItem.second.zone_ == settings_.zone_;
                     }));
     for (const auto& [id, vm] : aFleet.Vms()) {
-      const auto found = evidence.find(vm.number_);
-      const auto heard =
-        found == evidence.end() ? std::nullopt : std::optional(found->second);
+      const auto heard = FindEvidence(evidence, vm.number_);
       if (vm.phase_ == VmPhase::Draining) {
         leaving.emplace(id, vm.number_);
       }
@@ -192,8 +189,7 @@
   const auto now = MonotonicNow();
   // Evidence is renewed before it ends; announcements normally do so.
   const auto due = settings_.routingLease_ * 3 / 5;
-  const auto evidence = directory_->Read(
-    [](const Directory& aDirectory) { return aDirectory.Targets(); });
+  const auto evidence = directory_->Targets();
   std::vector<std::pair<MonotonicTime, VmIdentity>> silent;
   replica_->Read([&](const Fleet& aFleet) {
     for (const auto& [id, vm] : aFleet.Vms()) {
@@ -227,8 +223,7 @@
 RelayService::NotifyTargets()
 {
   const auto now = MonotonicNow();
-  const auto evidence = directory_->Read(
-    [](const Directory& aDirectory) { return aDirectory.Targets(); });
+  const auto evidence = directory_->Targets();
   std::map<std::string, VmIdentity> news;
   replica_->Read([&](const Fleet& aFleet) {
     for (const auto& [id, vm] : aFleet.Vms()) {
--- a/packages/daemon/replica_service.cpp
+++ b/packages/daemon/replica_service.cpp
@@ -190,12 +190,7 @@
       nextTick = MonotonicNow() + tick;
       RepairVoters();
     }
-    if (!CarryOut(actions)) {
-      // What is not durable must not be acknowledged, and a store that failed
-      // once cannot be trusted to be in a known state.
-      FlushLog();
-      std::_Exit(AnswerOf(ErrorKind::IoError).exitCode_);
-    }
+    CarryOut(actions);
     CompactWhenDue();
     PublishControl();
   }
@@ -240,10 +235,7 @@
     stepped.erase(reply);
   }
   std::move(stepped.begin(), stepped.end(), std::back_inserter(aActions));
-  if (!CarryOut(aActions)) {
-    FlushLog();
-    std::_Exit(AnswerOf(ErrorKind::IoError).exitCode_);
-  }
+  CarryOut(aActions);
   aActions.clear();
   aMessage->reply_.set_value(std::move(answer));
 }
@@ -270,7 +262,7 @@
   std::move(stepped.begin(), stepped.end(), std::back_inserter(aActions));
 }
 
-bool
+void
 ReplicaService::CarryOut(std::vector<RaftAction>& aActions)
 {
   // Saves come first, in their order: sending or applying later than allowed
@@ -283,13 +275,15 @@
   for (const auto& action : aActions) {
     if (IsSave(action)) {
       if (!Save(action)) {
-        return false;
+        // What is not durable must not be acknowledged, and a store that
+        // failed once cannot be trusted to be in a known state.
+        FlushLog();
+        std::_Exit(AnswerOf(ErrorKind::IoError).exitCode_);
       }
     } else {
       CarryOutOther(action);
     }
   }
-  return true;
 }
 
 bool
@@ -492,10 +486,7 @@
   const auto data =
     Read([](const Fleet& aFleet) { return aFleet.EncodeSnapshot(); });
   auto actions = core_->Step(CompactInput{ applied, data }, MonotonicNow());
-  if (!CarryOut(actions)) {
-    FlushLog();
-    std::_Exit(AnswerOf(ErrorKind::IoError).exitCode_);
-  }
+  CarryOut(actions);
   LogInfo("compacted the log", { { "index", applied } });
 }
 
--- a/packages/daemon/replica_service_base.h
+++ b/packages/daemon/replica_service_base.h
@@ -153,7 +153,8 @@
                    std::vector<RaftAction>& aActions);
   void StepMessage(const std::shared_ptr<WaitingMessage>& aMessage,
                    std::vector<RaftAction>& aActions);
-  bool CarryOut(std::vector<RaftAction>& aActions);
+  /// Carries out the actions of a step; ends the process when a save fails.
+  void CarryOut(std::vector<RaftAction>& aActions);
   bool Save(const RaftAction& aAction);
   void CarryOutOther(const RaftAction& aAction);
   void SendToPeer(const RaftMessage& aMessage);
--- a/packages/membership/directory.cpp
+++ b/packages/membership/directory.cpp
@@ -89,11 +89,7 @@
 std::optional<TargetEvidence>
 Directory::Find(std::uint32_t aNumber) const
 {
-  const auto found = targets_.find(aNumber);
-  if (found == targets_.end()) {
-    return std::nullopt;
-  }
-  return found->second;
+  return FindEvidence(targets_, aNumber);
 }
 
 std::optional<NodeStatus>
@@ -126,6 +122,17 @@
   });
 }
 
+std::optional<TargetEvidence>
+FindEvidence(const std::map<std::uint32_t, TargetEvidence>& aTargets,
+             std::uint32_t aNumber)
+{
+  const auto found = aTargets.find(aNumber);
+  if (found == aTargets.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
 bool
 MayRoute(const VmRecord& aVm,
          const std::optional<TargetEvidence>& aEvidence,
--- a/packages/membership/directory_base.h
+++ b/packages/membership/directory_base.h
@@ -55,6 +55,11 @@
   std::map<std::uint32_t, VmTaskReports> tasks_;
 };
 
+/// The evidence of one target; nothing when there is none.
+std::optional<TargetEvidence>
+FindEvidence(const std::map<std::uint32_t, TargetEvidence>& aTargets,
+             std::uint32_t aNumber);
+
 /// True while a node may send requests to a VM: the VM itself said within the
 /// lease that it holds exactly this assignment and does not drain.
 bool
