Fix: the proof of a stopping entry waits for requests at their targets

Cause: the test sent SIGTERM 150 ms after it started 120 callers. A router takes new targets up to 200 ms after the admin port calls them usable (RelayService refreshes every 200 ms). Ruled out: a cut request. The run had unknown 0, exit code 0, and readiness had ended. Change: the stop is sent 150 ms after the first run began at a target. No check was changed.

--- a/tests/proof/data_stop_test.cpp
+++ b/tests/proof/data_stop_test.cpp
@@ -129,6 +129,11 @@
                                kDeadline));
     });
   }
+  // The stop has to meet requests at their targets. A fixed wait from the start
+  // of the threads met none on a busy machine: a router takes new targets only
+  // up to 200 ms after the admin port calls them usable.
+  REQUIRE(
+    WaitUntil(kStartLimit, [&] { return !cluster.TargetRuns().empty(); }));
   std::this_thread::sleep_for(Millis(kServiceMs / 2));
   const auto first = StopNode(cluster, "n4");
   flood.clear();
