Fix: evidence of a target never goes back to an older epoch

Cause: the time of evidence from a digest is a lower bound (the receiver's own echoed clock), so that a statement of an older epoch that arrived by a shorter way could look newer and replace the newer epoch's. Found by: a stepped test of four nodes with clocks of their own, freezes, restarts, and digests that are delayed, reordered, repeated and lost. Incarnation, epoch and time now decide in this order.

--- a/packages/membership/directory.cpp
+++ b/packages/membership/directory.cpp
@@ -1,6 +1,7 @@
 #include "membership/directory_base.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace acaciahill {
 
@@ -15,11 +16,10 @@
   const auto known = targets_.find(aEvidence.number_);
   if (known != targets_.end()) {
     const auto& old = known->second;
-    if (aEvidence.incarnation_ < old.incarnation_) {
-      return false;
-    }
-    if (aEvidence.incarnation_ == old.incarnation_ &&
-        aEvidence.madeAt_ <= old.madeAt_) {
+    // The epoch decides before the time: the time of evidence from a digest is
+    // a lower bound, so that an older epoch's may look newer.
+    if (std::tie(aEvidence.incarnation_, aEvidence.epoch_, aEvidence.madeAt_) <=
+        std::tie(old.incarnation_, old.epoch_, old.madeAt_)) {
       return false;
     }
   }
--- a/packages/membership/directory_base.h
+++ b/packages/membership/directory_base.h
@@ -16,8 +16,8 @@
 public:
   explicit Directory(std::string aSelf);
 
-  /// Takes a statement of a target; an older one than is known is ignored, and
-  /// so is one of an older incarnation. Returns true when it was news.
+  /// Takes a statement of a target unless it is older than what is known, by
+  /// incarnation, epoch and time in this order. Returns true when it was news.
   bool UpdateTarget(const TargetEvidence& aEvidence);
 
   /// Takes a statement of a node; an older one than is known is ignored.
