--- a/packages/planner/burst_meter.cpp
+++ b/packages/planner/burst_meter.cpp
@@ -9,6 +9,11 @@
 
 constexpr double kSmoothingMs = 10000;
 constexpr double kMsPerHour = 3600.0 * 1000;
+// What a VM is worth while its pool is overloaded, as a multiple of the price
+// of holding an idle one. With it a loan needs 6 s of overload once the VM
+// serves at a hold_price of 10 and a move_price of 1, 60 s at equal prices and
+// 600 s at 1 and 10 (docs/measurements.md).
+constexpr double kOverloadWorth = 120;
 // A longer gap between two steps says nothing about the load within it.
 constexpr Millis kLongestStep{ 2000 };
 // The pool counts as idle only below this share of its slots, so that the load
@@ -55,12 +60,11 @@
 BurstMeter::IsBorrowWorthIt(const PoolRow& aRow, Millis aMoveTime) const
 {
   // A burst of unknown length that has lasted for some time is expected to last
-  // as long again. What the operator pays to hold an idle VM for bursts is what
-  // a VM is worth during one.
+  // as long again.
   const auto useful =
     static_cast<double>(std::max(overloaded_ - aMoveTime, Millis{ 0 }).count());
   const double gain =
-    static_cast<double>(aRow.holdPrice_) * useful / kMsPerHour;
+    kOverloadWorth * static_cast<double>(aRow.holdPrice_) * useful / kMsPerHour;
   const double price = 2.0 * static_cast<double>(aRow.movePrice_);
   return gain > price;
 }
--- a/packages/planner/burst_meter_base.h
+++ b/packages/planner/burst_meter_base.h
@@ -29,6 +29,9 @@
   /// returning it.
   bool IsReturnWorthIt(const PoolRow& aRow) const;
 
+  /// A VM was borrowed; the next one has to pay for itself.
+  void RestartOverloadTime() { overloaded_ = Millis{ 0 }; }
+
   /// A VM was returned; the next one waits its own time.
   void RestartIdleTime() { idle_ = Millis{ 0 }; }
 
--- a/packages/planner/move_planner.cpp
+++ b/packages/planner/move_planner.cpp
@@ -419,14 +419,17 @@
         !memory.meter_.IsBorrowWorthIt(*pool.row_, moveTime)) {
       continue;
     }
-    while (pool.vms_ < memory.meter_.NeededVms() &&
-           MoveOne(aRound,
-                   SparePools(aRound),
-                   name,
-                   "pool " + name + " needs " +
-                     std::to_string(memory.meter_.NeededVms()) +
-                     " VMs in a burst and has " + std::to_string(pool.vms_))) {
+    // One loan at a time: the next one must pay for itself with the overload
+    // that is left. The first pool in a burst took all spare VMs otherwise.
+    if (pool.vms_ < memory.meter_.NeededVms() &&
+        MoveOne(aRound,
+                SparePools(aRound),
+                name,
+                "pool " + name + " needs " +
+                  std::to_string(memory.meter_.NeededVms()) +
+                  " VMs in a burst and has " + std::to_string(pool.vms_))) {
       ++memory.borrowed_;
+      memory.meter_.RestartOverloadTime();
     }
   }
 }
