Fix: late timeouts of a replaced connection do not replace its successor

A call's timeout was counted for the address, whatever connection the call was made on. Two calls of a connection that was already replaced, ending after its successor was in use, replaced the successor too. Only the result of a call on the present connection counts now; this also holds for results that reset the count, as an answer on an old connection tells nothing about the new one.

Test: four calls on one connection, two of which end late.

--- a/packages/daemon/peer_client.cpp
+++ b/packages/daemon/peer_client.cpp
@@ -144,24 +144,31 @@
   }
 
   void EndCall(const std::string& aAddress,
+               const wire::Peer::Stub* aStub,
                grpc::ClientContext& aContext,
                const grpc::Status& aStatus)
   {
     const std::lock_guard lock(mutex_);
     calls_.erase(&aContext);
-    CountTimeouts(aAddress, aStatus);
+    CountTimeouts(aAddress, aStub, aStatus);
     idle_.notify_all();
   }
 
   /// Counts timeouts and replaces a connection that seems to have gone silent.
-  void CountTimeouts(const std::string& aAddress, const grpc::Status& aStatus)
+  /// Calls on an earlier connection tell nothing about the present one.
+  void CountTimeouts(const std::string& aAddress,
+                     const wire::Peer::Stub* aStub,
+                     const grpc::Status& aStatus)
   {
     auto& link = links_[aAddress];
+    if (link.stub_.get() != aStub) {
+      return;
+    }
     if (aStatus.error_code() != grpc::StatusCode::DEADLINE_EXCEEDED) {
       link.timeoutsInARow_ = 0;
       return;
     }
-    if (++link.timeoutsInARow_ >= kTimeoutsToReplace && link.stub_) {
+    if (++link.timeoutsInARow_ >= kTimeoutsToReplace) {
       link.timeoutsInARow_ = 0;
       Retire(link);
       LogInfo("replacing a silent connection", { { "peer", aAddress } });
@@ -225,7 +232,8 @@
                         const std::lock_guard lock(impl_->mutex_);
                         --impl_->links_[aAddress].raftInFlight_;
                         impl_->calls_.erase(&call->context_);
-                        impl_->CountTimeouts(aAddress, aStatus);
+                        impl_->CountTimeouts(
+                          aAddress, call->stub_.get(), aStatus);
                         impl_->idle_.notify_all();
                       });
 }
@@ -241,7 +249,7 @@
   }
   wire::PullReply reply;
   const auto status = stub->Pull(&context, ToWire(aRequest), &reply);
-  impl_->EndCall(aAddress, context, status);
+  impl_->EndCall(aAddress, stub.get(), context, status);
   if (!status.ok()) {
     const bool late =
       status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED;
@@ -267,7 +275,7 @@
   }
   wire::ProposeReply reply;
   const auto status = stub->Propose(&context, request, &reply);
-  impl_->EndCall(aAddress, context, status);
+  impl_->EndCall(aAddress, stub.get(), context, status);
   if (!status.ok()) {
     return Error{ ErrorKind::ProposalLost,
                   "no answer from the leader at " + aAddress + ": " +
--- a/packages/daemon/test/peer_client_test.cpp
+++ b/packages/daemon/test/peer_client_test.cpp
@@ -2,10 +2,14 @@
 
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
 
 #include <catch2/catch.hpp>
 
+#include <array>
+#include <atomic>
 #include <chrono>
+#include <future>
 #include <memory>
 #include <string>
 #include <thread>
@@ -31,8 +35,83 @@
   return request;
 }
 
+/// Accepts HTTP/2 connections, so that the client takes them for established,
+/// and never answers a call.
+class UnansweringServer
+{
+public:
+  UnansweringServer()
+    : socket_(Poco::Net::SocketAddress("127.0.0.1", 0))
+    , thread_([this] { Run(); })
+  {
+  }
+  UnansweringServer(const UnansweringServer&) = delete;
+  UnansweringServer& operator=(const UnansweringServer&) = delete;
+  ~UnansweringServer()
+  {
+    stopping_ = true;
+    thread_.join();
+  }
+
+  std::string Address() const { return socket_.address().toString(); }
+  int Accepted() const { return accepted_; }
+
+private:
+  void Run()
+  {
+    constexpr std::array<char, 9> kEmptySettings{ 0, 0, 0, 4 };
+    std::vector<Poco::Net::StreamSocket> open;
+    while (!stopping_) {
+      if (socket_.poll({ 0, 10000 }, Poco::Net::Socket::SELECT_READ)) {
+        open.push_back(socket_.acceptConnection());
+        open.back().sendBytes(kEmptySettings.data(), kEmptySettings.size());
+        ++accepted_;
+      }
+    }
+  }
+
+  Poco::Net::ServerSocket socket_;
+  std::atomic<bool> stopping_{ false };
+  std::atomic<int> accepted_{ 0 };
+  std::thread thread_;
+};
+
+PeerPropose
+Proposal(Millis aTimeout)
+{
+  return { "test", { "request", 0, RemoveVm{} }, aTimeout, 0 };
+}
+
 } // namespace
 
+// Guards against late timeouts of calls on a replaced connection that count
+// against its successor and replace that too.
+TEST_CASE("late timeouts of a replaced connection leave its successor alone")
+{
+  const UnansweringServer server;
+  PeerClient client;
+  const auto propose = [&](Millis aTimeout) {
+    return IsOk(client.Propose(server.Address(), Proposal(aTimeout)));
+  };
+  const auto call = [&] {
+    client.SendRaft(server.Address(), Heartbeat(), 10s, [](const auto&) {});
+  };
+  // Four calls on the first connection: two end soon and replace it, two end
+  // when its successor is in use.
+  const auto late = [&] { return propose(800ms); };
+  auto first = std::async(std::launch::async, late);
+  auto second = std::async(std::launch::async, late);
+  CHECK_FALSE(propose(200ms));
+  CHECK_FALSE(propose(100ms));
+  call();
+  CHECK_FALSE(first.get());
+  CHECK_FALSE(second.get());
+  call();
+  std::this_thread::sleep_for(300ms);
+  CHECK(server.Accepted() == 2);
+  client.Stop();
+}
+
 // Guards against gRPC's abort of the process (assertion "prior > 0") when a
 // silent connection is replaced while several of its calls end at once.
 TEST_CASE("connections to silent peers are replaced again and again")
