Fix: a node leaves a source that no longer hears the leader within 2.5 s

A voter's age of contact stayed 0 until its own election timer ran out, and the next pull could last 1 s more, so that a neighbour of a silently isolated voter was up to 5 s behind with the default timing (elections of 2 to 4 s). The target is 4 s.

The age now counts from the leader's last request, and on the leader from the sending of the latest requests that a quorum answered. Above three heartbeats another source is asked, which answers at once as only the first source is asked to wait for news: 1.5 s + 1 s with the default timing. A source that does not answer costs 2.5 s as before, but no longer on every pull, as the source that was last in contact is asked first. A better one (a voter in the own zone) is tried again every 5 s.

A limit on the age alone was ruled out: the age was not that of the contact.

--- a/packages/consensus/raft_base.h
+++ b/packages/consensus/raft_base.h
@@ -41,6 +41,10 @@
   /// timeout (electionMin_, counted from the sending of the answered request).
   /// No other leader can be elected while it is true.
   bool HasQuorumContact(MonotonicTime aNow) const;
+  /// When this member was last in contact with the group: on the leader the
+  /// sending time of the latest requests that a quorum answered, elsewhere the
+  /// arrival of the leader's last request. Nothing while no leader is known.
+  std::optional<MonotonicTime> LastContact(MonotonicTime aNow) const;
   /// On the leader, the identities of nodes that are voters under another disk
   /// id than the one they answer with: they lost their disk. The shell removes
   /// the old identity and then adds this one. Empty on other members.
--- a/packages/consensus/raft_leader.cpp
+++ b/packages/consensus/raft_leader.cpp
@@ -47,6 +47,17 @@
          aNow - QuorumContact(aNow, kNever) < timing_.electionMin_;
 }
 
+std::optional<MonotonicTime>
+RaftCore::LastContact(MonotonicTime aNow) const
+{
+  if (role_ == RaftRole::Leader) {
+    return HasQuorumContact(aNow) ? std::optional(QuorumContact(aNow, kNever))
+                                  : std::nullopt;
+  }
+  return leader_.empty() ? std::nullopt
+                         : std::optional(quietUntil_ - timing_.electionMin_);
+}
+
 std::vector<VoterId>
 RaftCore::UnrecognizedVoters() const
 {
--- a/packages/consensus/test/raft_test.cpp
+++ b/packages/consensus/test/raft_test.cpp
@@ -367,6 +367,30 @@
   CHECK(Sent<AppendRequest>(actions).empty());
 }
 
+// Guards against a member that counts as current for longer than its contact
+// with the group lasts.
+TEST_CASE("the last contact is that with the leader or with a quorum")
+{
+  SteppedCore follower(1, {});
+  CHECK_FALSE(follower.core_.LastContact(follower.now_));
+  follower.Hear("n2", 1, AppendRequest{});
+  const auto heardAt = follower.now_;
+  follower.Tick(1500ms);
+  CHECK(follower.core_.LastContact(follower.now_) == heardAt);
+  follower.Tick(4s);
+  CHECK_FALSE(follower.core_.LastContact(follower.now_));
+
+  SteppedCore leader(1, {});
+  leader.Elect();
+  CHECK_FALSE(leader.core_.LastContact(leader.now_));
+  const auto sentAt = leader.now_;
+  leader.Tick(500ms);
+  leader.Hear(
+    "n2", 2, AppendReply{ Id("n2"), true, 1, 0, leader.Round() - 500 });
+  leader.Tick(1000ms);
+  CHECK(leader.core_.LastContact(leader.now_) == sentAt);
+}
+
 // Guards against repair that needs one exchange per conflicting entry, and
 // against the replacement of entries that are equal.
 TEST_CASE("a conflicting log is backed up by whole terms")
--- a/packages/daemon/replica_follower.cpp
+++ b/packages/daemon/replica_follower.cpp
@@ -15,31 +15,35 @@
 
 constexpr Millis kPullWait{ 1000 };
 constexpr Millis kPullPause{ 200 };
+// Age of a voter's contact, in heartbeats, above which other sources are asked.
+// With the default heartbeat of 500 ms a voter that lost the leader at time 0
+// answers its last accepted pull before 1.5 s and the next one kPullWait later,
+// at 2.5 s at the latest. The next source then answers at once. A source that
+// goes silent itself costs kPullWait and the client's margin of 1.5 s, also
+// 2.5 s. Both leave 1.5 s of the 4 s in which a change has to be in force.
+constexpr int kMaxHeartbeats = 3;
+// A node without a vote knows of the contact by its own pulls: the age of what
+// it has lies between one and two waits above that of its source.
+constexpr int kPullsPerHop = 2;
+// Rank of a node without a vote as a source; voters have lower ones.
+constexpr int kNodeRank = 2;
+// Between tries of a source that is better than the present one. A silent one
+// costs 1.5 s, in which no news arrives.
+constexpr Millis kBetterSourceInterval{ 5000 };
 constexpr Millis kRegistrationPause{ 1000 };
 constexpr Millis kRegistrationTimeout{ 5000 };
 
 } // namespace
 
-std::vector<std::pair<std::string, std::string>>
+std::vector<ReplicaService::PullSource>
 ReplicaService::PullSources() const
 {
-  struct Source
-  {
-    int rank_;
-    std::string node_;
-    std::string address_;
-
-    bool operator<(const Source& aOther) const
-    {
-      return std::tie(rank_, node_) < std::tie(aOther.rank_, aOther.node_);
-    }
-  };
   const auto nodes = Read([](const Fleet& aFleet) { return aFleet.Nodes(); });
   const auto isInOwnZone = [&](const std::string& aNode) {
     const auto found = nodes.find(aNode);
     return found != nodes.end() && found->second.zone_ == settings_.zone_;
   };
-  std::vector<Source> sources;
+  std::vector<PullSource> sources;
   for (const auto& [node, address] : settings_.voters_) {
     if (node != settings_.node_) {
       sources.push_back({ isInOwnZone(node) ? 0 : 1, node, address });
@@ -48,21 +52,17 @@
   for (const auto& [node, record] : nodes) {
     if (node != settings_.node_ && !settings_.voters_.contains(node) &&
         isInOwnZone(node)) {
-      sources.push_back({ 2, node, record.peerAddress_ });
+      sources.push_back({ kNodeRank, node, record.peerAddress_ });
     }
   }
   std::sort(sources.begin(), sources.end());
-  std::vector<std::pair<std::string, std::string>> ordered;
-  ordered.reserve(sources.size());
-  for (const auto& source : sources) {
-    ordered.emplace_back(source.node_, source.address_);
-  }
-  return ordered;
+  return sources;
 }
 
 void
 ReplicaService::RunFollower()
 {
+  SourceChoice choice;
   while (!stopping_) {
     const bool hasVote = [this] {
       const std::lock_guard lock(controlMutex_);
@@ -74,41 +74,77 @@
       std::this_thread::sleep_for(kPullWait);
       continue;
     }
-    // The first source that answers serves until it fails; after each pull the
-    // order starts anew, so that a better source that is back is used again.
-    bool pulled = false;
-    for (const auto& [node, address] : PullSources()) {
-      if (stopping_ || PullOnce(node, address)) {
-        pulled = true;
-        break;
+    if (!PullFromAny(choice)) {
+      std::this_thread::sleep_for(kPullPause);
+    }
+  }
+}
+
+bool
+ReplicaService::PullFromAny(SourceChoice& aChoice)
+{
+  auto sources = PullSources();
+  const auto isCurrent = [&aChoice](const PullSource& aSource) {
+    return aSource.node_ == aChoice.current_;
+  };
+  const auto current = std::find_if(sources.begin(), sources.end(), isCurrent);
+  if (current != sources.end()) {
+    const auto better =
+      std::count_if(sources.begin(), sources.end(), [&](const auto& aSource) {
+        return aSource.rank_ < current->rank_;
+      });
+    const auto now = MonotonicNow();
+    if (better > 0 && now - aChoice.triedAt_ >= kBetterSourceInterval) {
+      aChoice.triedAt_ = now;
+      const auto& source = sources[aChoice.tries_++ % better];
+      if (PullOnce(source, Millis(0))) {
+        aChoice.current_ = source.node_;
+        return true;
       }
     }
-    if (!pulled) {
-      std::this_thread::sleep_for(kPullPause);
+    // The source that was last in contact comes first, so that one which does
+    // not answer costs its timeout only once.
+    std::rotate(sources.begin(), current, std::next(current));
+  }
+  // Only the first source is asked to wait for news: when it is no longer in
+  // contact the others are asked for what is there already.
+  auto wait = kPullWait;
+  for (const auto& source : sources) {
+    if (stopping_) {
+      return true;
+    }
+    if (PullOnce(source, wait)) {
+      if (aChoice.current_ != source.node_) {
+        aChoice.current_ = source.node_;
+        aChoice.triedAt_ = MonotonicNow();
+      }
+      return true;
     }
+    wait = Millis(0);
   }
+  return false;
 }
 
 bool
-ReplicaService::PullOnce(const std::string& aPeer, const std::string& aAddress)
+ReplicaService::PullOnce(const PullSource& aSource, Millis aWait)
 {
   PeerPull request;
   request.cluster_ = settings_.cluster_;
   request.node_ = settings_.node_;
   request.disk_ = self_.disk_;
-  request.wait_ = kPullWait;
-  request.digest_ = directory_->MakeDigestFor(aPeer);
+  request.wait_ = aWait;
+  request.digest_ = directory_->MakeDigestFor(aSource.node_);
   {
     const std::lock_guard lock(tailMutex_);
     request.applied_ = appliedIndex_;
   }
   const auto askedAt = MonotonicNow();
-  const auto pulled = client_.Pull(aAddress, request);
+  const auto pulled = client_.Pull(aSource.address_, request);
   if (!IsOk(pulled)) {
     return false;
   }
   const auto& reply = ValueOf(pulled);
-  directory_->AcceptDigest(aPeer, reply.digest_);
+  directory_->AcceptDigest(aSource.node_, reply.digest_);
   if (!reply.snapshot_.empty()) {
     Restore({ reply.snapshotIndex_, 0, {}, reply.snapshot_ });
   }
@@ -125,8 +161,10 @@
   }
   // A source that lost its leader answers, but with old state; another source
   // may be in contact.
-  return !reply.leader_.empty() &&
-         reply.controlAge_ <= settings_.raft_.electionMin_;
+  const auto maxAge =
+    kMaxHeartbeats * settings_.raft_.heartbeat_ +
+    (aSource.rank_ == kNodeRank ? kPullsPerHop * kPullWait : Millis(0));
+  return !reply.leader_.empty() && reply.controlAge_ <= maxAge;
 }
 
 void
--- a/packages/daemon/replica_service.cpp
+++ b/packages/daemon/replica_service.cpp
@@ -545,9 +545,8 @@
   control_.isLeader_ = core_->Role() == RaftRole::Leader;
   control_.commitIndex_ = core_->CommitIndex();
   control_.voters_ = core_->Voters().voters_;
-  if (control_.isLeader_ ? core_->HasQuorumContact(now)
-                         : !control_.leader_.empty()) {
-    contactAt_ = now;
+  if (const auto contact = core_->LastContact(now)) {
+    contactAt_ = std::max(contactAt_, *contact);
   }
 }
 
--- a/packages/daemon/replica_service_base.h
+++ b/packages/daemon/replica_service_base.h
@@ -20,6 +20,7 @@
 #include <shared_mutex>
 #include <string>
 #include <thread>
+#include <tuple>
 #include <vector>
 
 namespace acaciahill {
@@ -141,12 +142,40 @@
     MonotonicTime heardAt_{};
   };
 
+  /// A node to pull from; a lower rank is better.
+  struct PullSource
+  {
+    int rank_ = 0;
+    std::string node_;
+    std::string address_;
+
+    bool operator<(const PullSource& aOther) const
+    {
+      return std::tie(rank_, node_) < std::tie(aOther.rank_, aOther.node_);
+    }
+  };
+
+  /// What the follower remembers between pulls.
+  struct SourceChoice
+  {
+    /// The source that was last in contact.
+    std::string current_;
+    /// When a better one was last tried, and how often.
+    MonotonicTime triedAt_{};
+    std::size_t tries_ = 0;
+  };
+
   Result<Done> OpenLog();
   void RunVoter();
   void RunFollower();
   void RunRegistration();
-  bool PullOnce(const std::string& aPeer, const std::string& aAddress);
-  std::vector<std::pair<std::string, std::string>> PullSources() const;
+  std::vector<PullSource> PullSources() const;
+  /// Asks the sources until one is in contact with the leader; false if none
+  /// is.
+  bool PullFromAny(SourceChoice& aChoice);
+  /// Takes the newest state from a source. False when it does not answer, or
+  /// lost its own contact with the leader.
+  bool PullOnce(const PullSource& aSource, Millis aWait);
 
   void StepWork(const Work& aWork, std::vector<RaftAction>& aActions);
   void StepCommand(const std::shared_ptr<WaitingCommand>& aCommand,
--- a/tests/proof/control_partition_test.cpp
+++ b/tests/proof/control_partition_test.cpp
@@ -19,6 +19,9 @@
 constexpr Millis kRefusalTimeout{ 15000 };
 /// The time in which a returning node would depose the leader.
 constexpr Millis kSettleTime{ 2500 };
+/// Election timers are random; several rounds meet long ones too.
+constexpr int kNeighbourRounds = 6;
+constexpr Millis kPullPeriod{ 1200 };
 
 enum class Loss : std::uint8_t
 {
@@ -48,12 +51,6 @@
   { "non-voter silent", Loss::Silent, false, false, true },
 };
 
-bool
-IsVoter(const std::string& aNode)
-{
-  return aNode == "n1" || aNode == "n2" || aNode == "n3";
-}
-
 /// Faults of the links that the node opens (aOwn), and of those to it.
 ProxyFaults
 FaultsOf(Loss aLoss, bool aOwn)
@@ -71,7 +68,7 @@
 Partition(Cluster& aCluster, const std::string& aNode, const PartitionRow& aRow)
 {
   for (const auto& other : aCluster.NodeIds()) {
-    if (other != aNode && (!aRow.votersOnly_ || IsVoter(other))) {
+    if (other != aNode && (!aRow.votersOnly_ || aCluster.Node(other).voter_)) {
       aCluster.PairProxy(aNode, other).Set(FaultsOf(aRow.loss_, true));
       aCluster.PairProxy(other, aNode).Set(FaultsOf(aRow.loss_, false));
     }
@@ -121,6 +118,25 @@
   return count;
 }
 
+/// True when the node keeps pulling from the source: bytes pass in each of
+/// several periods. One pull takes at most a second; other sources are tried
+/// less often than every three periods.
+bool
+PullsFrom(Cluster& aCluster,
+          const std::string& aNode,
+          const std::string& aSource)
+{
+  const auto& proxy = aCluster.PairProxy(aNode, aSource);
+  for (int period = 0; period < 3; ++period) {
+    const auto before = proxy.Bytes();
+    std::this_thread::sleep_for(kPullPeriod);
+    if (proxy.Bytes() == before) {
+      return false;
+    }
+  }
+  return true;
+}
+
 CellChange
 LateChange(Cluster& aCluster, const std::string& aNode, int aNumber)
 {
@@ -224,3 +240,56 @@
       found.begin() + std::min<std::ptrdiff_t>(std::ssize(found), 5) }));
   CHECK(found.empty());
 }
+
+// Guards against a node that keeps to a source which no longer hears the
+// leader, until the accepted change is late on the node.
+TEST_CASE("neighbours of silently isolated voters are up to date in time")
+{
+  constexpr int kVoters = 5;
+  ClusterSettings settings;
+  settings.nodes_ = 2 * kVoters;
+  settings.voters_ = kVoters;
+  settings.zones_ = kVoters;
+  settings.proxies_ = PeerProxies::PerPair;
+  Cluster cluster(settings);
+  cluster.StartAll();
+  ApplyFirstTable(cluster, "n1");
+  cluster.WaitInForce(1, kStartLimit);
+  for (int round = 1; round <= kNeighbourRounds; ++round) {
+    std::string leader;
+    cluster.Require("a leader", kStartLimit, [&] {
+      leader = cluster.Leader();
+      return !leader.empty();
+    });
+    // The two voters after the leader. Node i + 5 lies in the zone of voter i.
+    std::vector<std::string> isolated;
+    std::vector<std::string> neighbours;
+    for (const int step : { 0, 1 }) {
+      const int voter = (std::stoi(leader.substr(1)) + step) % kVoters + 1;
+      isolated.push_back("n" + std::to_string(voter));
+      neighbours.push_back("n" + std::to_string(voter + kVoters));
+      cluster.Require(
+        neighbours.back() + " at its own source", kStartLimit, [&] {
+          return PullsFrom(cluster, neighbours.back(), isolated.back());
+        });
+    }
+    for (const auto& node : isolated) {
+      Partition(cluster, node, { "", Loss::Silent, true, false, false });
+    }
+    const auto version = RequireChange(cluster, leader, round);
+    const auto acceptedNs = MonotonicNs();
+    for (const auto& node : neighbours) {
+      cluster.Require(node + " up to date", kChangeLimit, [&] {
+        return VersionOn(cluster, node) >= version;
+      });
+      const Millis late(
+        static_cast<Millis::rep>((MonotonicNs() - acceptedNs) / kNsPerMs));
+      std::cout << node << " up to date after " << late.count() << " ms\n";
+      CHECK(late <= kInForceLimit);
+    }
+    for (const auto& node : isolated) {
+      Heal(cluster, node);
+    }
+    cluster.WaitInForce(version, kInForceLimit);
+  }
+}
