--- a/tests/proof/control_support.h
+++ b/tests/proof/control_support.h
@@ -135,6 +135,30 @@
   bool stale_ = false;
 };
 
+/// Every version that was seen holds the value of the change that made it.
+inline Violations
+CheckValues(const std::vector<TableLook>& aLooks,
+            const std::vector<CellChange>& aChanges)
+{
+  std::map<std::uint64_t, std::string> values;
+  for (const auto& change : aChanges) {
+    if (change.outcome_ == "accepted") {
+      values[change.version_] = change.value_;
+    }
+  }
+  Violations found;
+  for (const auto& look : aLooks) {
+    const auto value = values.find(look.seen_.version_);
+    if (value != values.end() && value->second != look.weight_) {
+      found.push_back({ "table",
+                        look.seen_.observer_ + " has " + look.weight_ +
+                          " at version " + std::to_string(value->first) +
+                          ", but " + value->second + " was accepted" });
+    }
+  }
+  return found;
+}
+
 /// Looks at every node's table all the time, one thread for each node.
 class TableWatch
 {
@@ -266,8 +290,13 @@
 class Operators
 {
 public:
-  Operators(Cluster& aCluster, int aCount, std::uint64_t aSeed)
+  /// The name begins the request ids, which are used once in a cluster.
+  Operators(Cluster& aCluster,
+            int aCount,
+            std::uint64_t aSeed,
+            std::string aName = "o")
     : cluster_(aCluster)
+    , name_(std::move(aName))
   {
     for (int i = 0; i < aCount; ++i) {
       threads_.emplace_back(
@@ -310,7 +339,7 @@
       }
       CellChange change;
       change.requestId_ =
-        "o" + std::to_string(aOperator) + "-" + std::to_string(number);
+        name_ + std::to_string(aOperator) + "-" + std::to_string(number);
       change.base_ = table.value("version", std::uint64_t{ 0 });
       change.value_ =
         std::to_string(aOperator * kValuesPerOperator + number + 1);
@@ -336,6 +365,7 @@
   static constexpr Millis kGiveUp{ 20000 };
 
   Cluster& cluster_;
+  const std::string name_;
   std::atomic<bool> stopping_{ false };
   std::mutex mutex_;
   std::vector<CellChange> changes_;
--- a/tests/proof/control_table_test.cpp
+++ b/tests/proof/control_table_test.cpp
@@ -75,30 +75,6 @@
   return found;
 }
 
-/// Every version that was seen holds the value of the change that made it.
-Violations
-CheckValues(const std::vector<TableLook>& aLooks,
-            const std::vector<CellChange>& aChanges)
-{
-  std::map<std::uint64_t, std::string> values;
-  for (const auto& change : aChanges) {
-    if (change.outcome_ == "accepted") {
-      values[change.version_] = change.value_;
-    }
-  }
-  Violations found;
-  for (const auto& look : aLooks) {
-    const auto value = values.find(look.seen_.version_);
-    if (value != values.end() && value->second != look.weight_) {
-      found.push_back({ "table",
-                        look.seen_.observer_ + " has " + look.weight_ +
-                          " at version " + std::to_string(value->first) +
-                          ", but " + value->second + " was accepted" });
-    }
-  }
-  return found;
-}
-
 } // namespace
 
 // Guards against accepted changes that revert or are not in force everywhere
