Fix: a voter whose log was moved or removed exits instead of acknowledging

The log stays open between appends. When its folder was moved away, the voter went on acknowledging entries in a file that nobody finds after a restart; it noticed only at the next replacement of a whole file. Each append now compares the open file with the path and fails with io_error otherwise, which ends the voter with exit code 6. Opening the log for each append was ruled out: it would create an empty one, and costs more than a stat.

proof_control_disk has a case for a folder that cannot be written: a file in the folder's place, a folder in the log's place, the log removed; followers and the leader. The voter exits with 6 and names the path, also when it is started again; the others take changes; once mended, it comes back.

--- a/packages/consensus/os_file_system.cpp
+++ b/packages/consensus/os_file_system.cpp
@@ -36,6 +36,14 @@
 
   bool IsOpen() const { return number_ >= 0; }
   int Number() const { return number_; }
+  /// True when the path still leads to the open file.
+  bool IsFileAt(const std::string& aPath) const
+  {
+    struct stat open = {};
+    struct stat found = {};
+    return ::fstat(number_, &open) == 0 && ::stat(aPath.c_str(), &found) == 0 &&
+           open.st_dev == found.st_dev && open.st_ino == found.st_ino;
+  }
   void Reopen(const std::string& aPath, int aFlags)
   {
     Close();
@@ -148,6 +156,12 @@
     if (::fdatasync(appendFile_.Number()) != 0) {
       return SystemError("sync", aPath);
     }
+    // A file that was moved or removed still takes writes through the open
+    // descriptor, but nobody finds them after a restart.
+    if (!appendFile_.IsFileAt(aPath)) {
+      return Error{ ErrorKind::IoError,
+                    aPath + " was moved or removed while in use" };
+    }
     return Done{};
   }
 
--- a/tests/proof/control_disk_test.cpp
+++ b/tests/proof/control_disk_test.cpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <filesystem>
+#include <fstream>
 #include <iostream>
 
 using namespace acaciahill;
@@ -14,6 +15,8 @@
 
 /// Repair runs once a second, and an addition takes a few exchanges.
 constexpr Millis kAdmitLimit{ 15000 };
+/// Exit code of errors of the process and its surroundings.
+constexpr int kIoExitCode = 6;
 /// Several elections with FastTiming().
 constexpr Millis kNoQuorumTime{ 5000 };
 
@@ -41,6 +44,66 @@
   std::filesystem::remove_all(aCluster.Node(aNode).folder_ + "/data");
 }
 
+/// Ways to make a data folder unwritable, also for root.
+enum class FolderFault : std::uint8_t
+{
+  FileInPlace, ///< A file stands where the folder was.
+  LogIsFolder, ///< A folder stands where the log was.
+  LogRemoved,  ///< The log is gone; the open file still takes writes.
+};
+
+struct FolderRow
+{
+  const char* name_;
+  FolderFault fault_;
+  bool leader_;
+  /// What the error names.
+  const char* path_;
+};
+
+const std::vector<FolderRow> kFolderFaults{
+  { "file in place, follower", FolderFault::FileInPlace, false, "/data/log" },
+  { "log is a folder, leader", FolderFault::LogIsFolder, true, "/data/log" },
+  { "log removed, follower", FolderFault::LogRemoved, false, "/data/log" },
+};
+
+void
+BreakFolder(const std::string& aFolder, FolderFault aFault)
+{
+  if (aFault == FolderFault::FileInPlace) {
+    std::filesystem::rename(aFolder, aFolder + ".moved");
+    std::ofstream(aFolder) << "not a folder";
+    return;
+  }
+  std::filesystem::rename(aFolder + "/log", aFolder + "/log.moved");
+  if (aFault == FolderFault::LogIsFolder) {
+    std::filesystem::create_directory(aFolder + "/log");
+  }
+}
+
+void
+MendFolder(const std::string& aFolder, FolderFault aFault)
+{
+  const auto path =
+    aFault == FolderFault::FileInPlace ? aFolder : aFolder + "/log";
+  std::filesystem::remove(path);
+  std::filesystem::rename(path + ".moved", path);
+}
+
+/// Requires that a voter ends by itself with the exit code and text of an
+/// error of its surroundings that names a path.
+void
+RequireExit(Cluster& aCluster, const std::string& aNode, const char* aPath)
+{
+  auto& process = *aCluster.Node(aNode).process_;
+  const auto code = process.WaitForExit(kChangeLimit);
+  INFO(process.Output());
+  REQUIRE(code.has_value());
+  CHECK(*code == kIoExitCode);
+  CHECK(process.Output().find("io_error") != std::string::npos);
+  CHECK(process.Output().find(aPath) != std::string::npos);
+}
+
 ClusterSettings
 FastSettings()
 {
@@ -156,3 +219,35 @@
     CHECK(table["stale"] == true);
   }
 }
+
+// Guards against a voter that acknowledges what it cannot save, that hangs or
+// hides the cause, and against a group that stops with it.
+TEST_CASE("a voter that cannot write its folder exits and the others go on")
+{
+  Cluster cluster(FastSettings());
+  StartWithTable(cluster);
+  int number = 0;
+  for (const auto& row : kFolderFaults) {
+    INFO(row.name_);
+    std::string leader;
+    cluster.Require("a leader", kStartLimit, [&] {
+      leader = cluster.Leader();
+      return !leader.empty();
+    });
+    const std::string other = leader == "n1" ? "n2" : "n1";
+    const auto voter = row.leader_ ? leader : other;
+    const auto folder = cluster.Node(voter).folder_ + "/data";
+    BreakFolder(folder, row.fault_);
+    const auto version = RequireChange(cluster, "n4", ++number);
+    RequireExit(cluster, voter, row.path_);
+    cluster.WaitInForce(version, kInForceLimit);
+    const auto later = RequireChange(cluster, "n4", ++number);
+    cluster.WaitInForce(later, kInForceLimit);
+    // Started again before the folder is mended it ends the same way.
+    cluster.StartNode(voter);
+    RequireExit(cluster, voter, "/data");
+    MendFolder(folder, row.fault_);
+    cluster.StartNode(voter);
+    cluster.WaitInForce(later, kAdmitLimit);
+  }
+}
