--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -3,6 +3,7 @@
 #include "daemon/announce_service_base.h"
 #include "daemon/daemon_settings_type.h"
 #include "daemon/directory_service_base.h"
+#include "daemon/peer_client_base.h"
 #include "daemon/planner_service_base.h"
 #include "daemon/random_func.h"
 #include "daemon/relay_service_base.h"
@@ -21,6 +22,9 @@
 
 namespace {
 
+// How long --init waits for each of the other voters.
+constexpr Millis kStatusTimeout{ 1000 };
+
 int
 Fail(const Error& aError)
 {
@@ -36,6 +40,35 @@
   return "genesis-" + aSettings.cluster_ + "-" + aNode;
 }
 
+Error
+ClusterHasBegun(const std::string& aVoter, const std::string& aAddress)
+{
+  return { ErrorKind::InvalidState,
+           "voter " + aVoter + " at " + aAddress +
+             " belongs to a cluster that has begun; start this voter without "
+             "--init, and the others admit it" };
+}
+
+/// Refuses when another voter belongs to a cluster that has begun: it may count
+/// on votes and log entries that a voter without its folder has lost. Voters
+/// that do not answer are passed over, as none runs at the first start.
+Result<Done>
+CheckNoCluster(const DaemonSettings& aSettings)
+{
+  PeerClient client;
+  for (const auto& [node, address] : aSettings.voters_) {
+    if (node == aSettings.node_) {
+      continue;
+    }
+    const auto status =
+      client.Status(address, aSettings.cluster_, kStatusTimeout);
+    if (IsOk(status) && ValueOf(status) != PeerStatus{}) {
+      return ClusterHasBegun(node, address);
+    }
+  }
+  return Done{};
+}
+
 /// Creates the data folder of a voter of a new cluster.
 int
 InitFolder(const DaemonSettings& aSettings)
@@ -50,6 +83,9 @@
                     " exists already; a voter that lost its disk is started "
                     "without --init, and the others admit it" });
   }
+  if (const auto checked = CheckNoCluster(aSettings); !IsOk(checked)) {
+    return Fail(ErrorOf(checked));
+  }
   auto opened = OpenFileLog(OsFileSystem(),
                             aSettings.dataDir_,
                             GenesisDisk(aSettings, aSettings.node_));
--- a/packages/daemon/peer_client.cpp
+++ b/packages/daemon/peer_client.cpp
@@ -61,6 +61,14 @@
   aContext.set_deadline(std::chrono::system_clock::now() + aTimeout);
 }
 
+Error
+ToError(const std::string& aAddress, const grpc::Status& aStatus)
+{
+  const bool late = aStatus.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED;
+  return { late ? ErrorKind::Timeout : ErrorKind::IoError,
+           aAddress + ": " + aStatus.error_message() };
+}
+
 } // namespace
 
 struct PeerClient::Impl
@@ -251,10 +259,7 @@
   const auto status = stub->Pull(&context, ToWire(aRequest), &reply);
   impl_->EndCall(aAddress, stub.get(), context, status);
   if (!status.ok()) {
-    const bool late =
-      status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED;
-    return Error{ late ? ErrorKind::Timeout : ErrorKind::IoError,
-                  aAddress + ": " + status.error_message() };
+    return ToError(aAddress, status);
   }
   return FromWire(reply);
 }
@@ -284,6 +289,28 @@
   return DecodeResult(reply.result());
 }
 
+Result<PeerStatus>
+PeerClient::Status(const std::string& aAddress,
+                   const std::string& aCluster,
+                   Millis aTimeout)
+{
+  grpc::ClientContext context;
+  SetTimeout(context, aTimeout);
+  const auto stub = impl_->BeginCall(aAddress, context);
+  if (!stub) {
+    return Error{ ErrorKind::NodeStopping, "" };
+  }
+  wire::StatusRequest request;
+  request.set_cluster(aCluster);
+  wire::StatusReply reply;
+  const auto status = stub->Status(&context, request, &reply);
+  impl_->EndCall(aAddress, stub.get(), context, status);
+  if (!status.ok()) {
+    return ToError(aAddress, status);
+  }
+  return PeerStatus{ reply.leader(), reply.term(), reply.last_index() };
+}
+
 void
 PeerClient::Stop()
 {
--- a/packages/daemon/peer_client_base.h
+++ b/packages/daemon/peer_client_base.h
@@ -37,6 +37,11 @@
   Result<CommandResult> Propose(const std::string& aAddress,
                                 const PeerPropose& aRequest);
 
+  /// Blocks until the reply is there. Errors: Timeout, IoError.
+  Result<PeerStatus> Status(const std::string& aAddress,
+                            const std::string& aCluster,
+                            Millis aTimeout);
+
   /// Ends calls that are waiting and refuses new ones.
   void Stop();
 
--- a/packages/daemon/peer_server.cpp
+++ b/packages/daemon/peer_server.cpp
@@ -68,6 +68,20 @@
     return grpc::Status::OK;
   }
 
+  grpc::Status Status(grpc::ServerContext*,
+                      const wire::StatusRequest* aRequest,
+                      wire::StatusReply* aReply) override
+  {
+    if (aRequest->cluster() != cluster_) {
+      return OtherCluster();
+    }
+    const auto status = handler_.HandleStatus();
+    aReply->set_leader(status.leader_);
+    aReply->set_term(status.term_);
+    aReply->set_last_index(status.lastIndex_);
+    return grpc::Status::OK;
+  }
+
 private:
   static grpc::Status OtherCluster()
   {
--- a/packages/daemon/peer_type.h
+++ b/packages/daemon/peer_type.h
@@ -57,6 +57,18 @@
   std::uint32_t hops_ = 0;
 };
 
+/// What a voter knows of the cluster. All members are empty or 0 on a voter
+/// whose cluster has not begun.
+struct PeerStatus
+{
+  std::string leader_;
+  std::uint64_t term_ = 0;
+  /// Index of its last log entry.
+  std::uint64_t lastIndex_ = 0;
+
+  bool operator==(const PeerStatus&) const = default;
+};
+
 /// Serves other nodes' calls. Called from many threads at once.
 class PeerHandler
 {
@@ -69,6 +81,7 @@
   virtual PeerRaft HandleRaft(const PeerRaft& aRequest) = 0;
   virtual PeerPullReply HandlePull(const PeerPull& aRequest) = 0;
   virtual CommandResult HandlePropose(const PeerPropose& aRequest) = 0;
+  virtual PeerStatus HandleStatus() = 0;
 };
 
 } // namespace acaciahill
--- a/packages/daemon/replica_requests.cpp
+++ b/packages/daemon/replica_requests.cpp
@@ -161,6 +161,13 @@
   return reply;
 }
 
+PeerStatus
+ReplicaService::HandleStatus()
+{
+  const auto control = Control();
+  return { control.leader_, control.term_, control.lastIndex_ };
+}
+
 PeerPullReply
 ReplicaService::HandlePull(const PeerPull& aRequest)
 {
--- a/packages/daemon/replica_service.cpp
+++ b/packages/daemon/replica_service.cpp
@@ -535,6 +535,8 @@
 {
   const auto now = MonotonicNow();
   const std::lock_guard lock(controlMutex_);
+  control_.term_ = core_->Term();
+  control_.lastIndex_ = core_->LastIndex();
   if (core_->Role() == RaftRole::Learner) {
     // A learner follows by pulls as well; RunFollower publishes.
     control_.isLeader_ = false;
--- a/packages/daemon/replica_service_base.h
+++ b/packages/daemon/replica_service_base.h
@@ -41,6 +41,9 @@
   /// True once the node has caught up with the log after its start.
   bool caughtUp_ = false;
   std::uint64_t commitIndex_ = 0;
+  /// Term and index of the last log entry; 0 on nodes that are no voters.
+  std::uint64_t term_ = 0;
+  std::uint64_t lastIndex_ = 0;
   std::vector<VoterId> voters_;
 
   bool operator==(const ControlStatus&) const = default;
@@ -102,6 +105,7 @@
   PeerRaft HandleRaft(const PeerRaft& aRequest) override;
   PeerPullReply HandlePull(const PeerPull& aRequest) override;
   CommandResult HandlePropose(const PeerPropose& aRequest) override;
+  PeerStatus HandleStatus() override;
 
 private:
   /// A message from a peer that waits for the core's answer.
--- a/tests/proof/control_disk_test.cpp
+++ b/tests/proof/control_disk_test.cpp
@@ -17,6 +17,10 @@
 constexpr Millis kAdmitLimit{ 15000 };
 /// Exit code of errors of the process and its surroundings.
 constexpr int kIoExitCode = 6;
+/// Exit code of a refusal in the present state.
+constexpr int kRefusedExitCode = 3;
+/// --init asks two voters for at most 1 s each.
+constexpr Millis kInitLimit{ 5000 };
 /// Several elections with FastTiming().
 constexpr Millis kNoQuorumTime{ 5000 };
 
@@ -251,3 +255,47 @@
     cluster.WaitInForce(later, kAdmitLimit);
   }
 }
+
+// Guards against --init on a voter that lost its folder: under its first disk
+// id it would vote without knowing its earlier votes and entries.
+TEST_CASE("init is refused while another voter knows the cluster")
+{
+  Cluster cluster(FastSettings());
+  StartWithTable(cluster);
+  const auto version = RequireChange(cluster, "n4", 1);
+  // The other voters have a leader, or only one is left and knows none.
+  for (const bool alone : { false, true }) {
+    const auto oldDisk = DiskOf(cluster, "n1", "n2");
+    if (alone) {
+      cluster.Node("n3").process_->Kill();
+    }
+    DeleteFolder(cluster, "n2");
+    if (alone) {
+      cluster.Require("n1 without a leader", kNoQuorumTime, [&] {
+        const auto nodes = cluster.AdminGet("n1", "/v1/nodes");
+        return nodes.is_object() && nodes.value("leader", "none").empty();
+      });
+    }
+    const auto& folder = cluster.Node("n2").folder_;
+    const auto run =
+      RunProgram(DaemonProgram(),
+                 { "--init", "--config", folder + "/acaciahill.ini" },
+                 folder,
+                 kInitLimit);
+    INFO(run.output_);
+    CHECK(run.exitCode_.value_or(-1) == kRefusedExitCode);
+    CHECK(run.output_.find("invalid_state") != std::string::npos);
+    CHECK(run.output_.find("start this voter without --init") !=
+          std::string::npos);
+    REQUIRE_FALSE(std::filesystem::exists(folder + "/data/disk_id"));
+    if (alone) {
+      cluster.StartNode("n3");
+    }
+    cluster.StartNode("n2");
+    cluster.Require("n2 admitted again", kAdmitLimit, [&] {
+      const auto disk = DiskOf(cluster, "n1", "n2");
+      return !disk.empty() && disk != oldDisk;
+    });
+    cluster.WaitInForce(version, kAdmitLimit);
+  }
+}
