--- a/packages/daemon/peer_client.cpp
+++ b/packages/daemon/peer_client.cpp
@@ -61,6 +61,14 @@
   aContext.set_deadline(std::chrono::system_clock::now() + aTimeout);
 }
 
+Error
+ToError(const std::string& aAddress, const grpc::Status& aStatus)
+{
+  const bool late = aStatus.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED;
+  return { late ? ErrorKind::Timeout : ErrorKind::IoError,
+           aAddress + ": " + aStatus.error_message() };
+}
+
 } // namespace
 
 struct PeerClient::Impl
@@ -144,24 +152,31 @@
   }
 
   void EndCall(const std::string& aAddress,
+               const wire::Peer::Stub* aStub,
                grpc::ClientContext& aContext,
                const grpc::Status& aStatus)
   {
     const std::lock_guard lock(mutex_);
     calls_.erase(&aContext);
-    CountTimeouts(aAddress, aStatus);
+    CountTimeouts(aAddress, aStub, aStatus);
     idle_.notify_all();
   }
 
   /// Counts timeouts and replaces a connection that seems to have gone silent.
-  void CountTimeouts(const std::string& aAddress, const grpc::Status& aStatus)
+  /// Calls on an earlier connection tell nothing about the present one.
+  void CountTimeouts(const std::string& aAddress,
+                     const wire::Peer::Stub* aStub,
+                     const grpc::Status& aStatus)
   {
     auto& link = links_[aAddress];
+    if (link.stub_.get() != aStub) {
+      return;
+    }
     if (aStatus.error_code() != grpc::StatusCode::DEADLINE_EXCEEDED) {
       link.timeoutsInARow_ = 0;
       return;
     }
-    if (++link.timeoutsInARow_ >= kTimeoutsToReplace && link.stub_) {
+    if (++link.timeoutsInARow_ >= kTimeoutsToReplace) {
       link.timeoutsInARow_ = 0;
       Retire(link);
       LogInfo("replacing a silent connection", { { "peer", aAddress } });
@@ -225,7 +240,8 @@
                         const std::lock_guard lock(impl_->mutex_);
                         --impl_->links_[aAddress].raftInFlight_;
                         impl_->calls_.erase(&call->context_);
-                        impl_->CountTimeouts(aAddress, aStatus);
+                        impl_->CountTimeouts(
+                          aAddress, call->stub_.get(), aStatus);
                         impl_->idle_.notify_all();
                       });
 }
@@ -241,12 +257,9 @@
   }
   wire::PullReply reply;
   const auto status = stub->Pull(&context, ToWire(aRequest), &reply);
-  impl_->EndCall(aAddress, context, status);
+  impl_->EndCall(aAddress, stub.get(), context, status);
   if (!status.ok()) {
-    const bool late =
-      status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED;
-    return Error{ late ? ErrorKind::Timeout : ErrorKind::IoError,
-                  aAddress + ": " + status.error_message() };
+    return ToError(aAddress, status);
   }
   return FromWire(reply);
 }
@@ -267,7 +280,7 @@
   }
   wire::ProposeReply reply;
   const auto status = stub->Propose(&context, request, &reply);
-  impl_->EndCall(aAddress, context, status);
+  impl_->EndCall(aAddress, stub.get(), context, status);
   if (!status.ok()) {
     return Error{ ErrorKind::ProposalLost,
                   "no answer from the leader at " + aAddress + ": " +
@@ -276,6 +289,28 @@
   return DecodeResult(reply.result());
 }
 
+Result<PeerStatus>
+PeerClient::Status(const std::string& aAddress,
+                   const std::string& aCluster,
+                   Millis aTimeout)
+{
+  grpc::ClientContext context;
+  SetTimeout(context, aTimeout);
+  const auto stub = impl_->BeginCall(aAddress, context);
+  if (!stub) {
+    return Error{ ErrorKind::NodeStopping, "" };
+  }
+  wire::StatusRequest request;
+  request.set_cluster(aCluster);
+  wire::StatusReply reply;
+  const auto status = stub->Status(&context, request, &reply);
+  impl_->EndCall(aAddress, stub.get(), context, status);
+  if (!status.ok()) {
+    return ToError(aAddress, status);
+  }
+  return PeerStatus{ reply.leader(), reply.term(), reply.last_index() };
+}
+
 void
 PeerClient::Stop()
 {
--- a/packages/daemon/replica_service.cpp
+++ b/packages/daemon/replica_service.cpp
@@ -535,6 +535,8 @@
 {
   const auto now = MonotonicNow();
   const std::lock_guard lock(controlMutex_);
+  control_.term_ = core_->Term();
+  control_.lastIndex_ = core_->LastIndex();
   if (core_->Role() == RaftRole::Learner) {
     // A learner follows by pulls as well; RunFollower publishes.
     control_.isLeader_ = false;
@@ -545,9 +547,8 @@
   control_.isLeader_ = core_->Role() == RaftRole::Leader;
   control_.commitIndex_ = core_->CommitIndex();
   control_.voters_ = core_->Voters().voters_;
-  if (control_.isLeader_ ? core_->HasQuorumContact(now)
-                         : !control_.leader_.empty()) {
-    contactAt_ = now;
+  if (const auto contact = core_->LastContact(now)) {
+    contactAt_ = std::max(contactAt_, *contact);
   }
 }
 
