Change: nodes without a vote follow the log without claims

Cause: BeginClaim and EndClaim went to every node, though a node without a vote proposes them to the leader and never reads its own replica for them.

The answer to a pull of such a node holds one run for each series of claim commands: its first and last index and the logical time after it. The time is absolute, so that a node that got a part of the run from another source can take it. A node set up as a voter always pulls whole states, also without a vote, and neither it nor its disk takes a state that lacks claims; a source without claims tells so, names no leader and gives its digest only.

acaciahill_control_bytes_total counts the bytes of messages between nodes and of announcements by rpc and direction. acaciahill_claims is left out on nodes that do not know the number.

Ruled out: the sum of the elapsed times in a run, as a node that has applied a part of it would count that part twice. A kind of log entry for runs, as the consensus core has no use for it.

--- a/packages/daemon/admin_service.cpp
+++ b/packages/daemon/admin_service.cpp
@@ -534,8 +534,11 @@
                  static_cast<double>(aFleet.Table().version_));
     metrics_.Set(
       "acaciahill_moves", {}, static_cast<double>(aFleet.MoveCount()));
-    metrics_.Set(
-      "acaciahill_claims", {}, static_cast<double>(aFleet.Claims().size()));
+    // Other replicas do not know their number.
+    if (aFleet.HoldsClaims()) {
+      metrics_.Set(
+        "acaciahill_claims", {}, static_cast<double>(aFleet.Claims().size()));
+    }
   });
   return TextAnswer(metrics_.PrometheusText(),
                     "text/plain; version=0.0.4; charset=utf-8");
--- a/packages/daemon/announce_service.cpp
+++ b/packages/daemon/announce_service.cpp
@@ -140,9 +140,15 @@
   : settings_(aSettings)
   , registry_(aRegistry)
   , metrics_(aMetrics)
-  , server_([this](const ServerCall& aCall) { return Handle(aCall); },
-            kMaxThreads,
-            kMaxBodyBytes)
+  , meter_(aMetrics)
+  , server_(
+      [this](const ServerCall& aCall) {
+        auto answer = Handle(aCall);
+        meter_.Count("announce", answer.body_.size(), aCall.body_.size());
+        return answer;
+      },
+      kMaxThreads,
+      kMaxBodyBytes)
 {
 }
 
--- a/packages/daemon/announce_service_base.h
+++ b/packages/daemon/announce_service_base.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "daemon/control_meter_base.h"
 #include "daemon/daemon_settings_type.h"
 #include "daemon/http_server_base.h"
 #include "daemon/replica_service_base.h"
@@ -52,6 +53,7 @@
   const DaemonSettings settings_;
   const ServiceRegistry& registry_;
   Metrics& metrics_;
+  ControlMeter meter_;
   ReplicaService* replica_ = nullptr;
   DirectoryService* directory_ = nullptr;
   HttpServer server_;
--- a/packages/daemon/peer_client.cpp
+++ b/packages/daemon/peer_client.cpp
@@ -84,6 +84,7 @@
     std::shared_ptr<wire::Peer::Stub> stub_;
   };
 
+  const ControlMeter* meter_ = nullptr;
   std::mutex mutex_;
   std::condition_variable idle_;
   std::map<std::string, Link> links_;
@@ -153,6 +154,20 @@
     idle_.notify_all();
   }
 
+  /// Counts the bytes of a call that has ended.
+  template<typename Request, typename Reply>
+  void Meter(const char* aRpc,
+             const Request& aRequest,
+             const Reply& aReply,
+             const grpc::Status& aStatus) const
+  {
+    if (meter_ != nullptr) {
+      meter_->Count(aRpc,
+                    aRequest.ByteSizeLong(),
+                    aStatus.ok() ? aReply.ByteSizeLong() : 0);
+    }
+  }
+
   /// Counts timeouts and replaces a connection that seems to have gone silent.
   void CountTimeouts(const std::string& aAddress, const grpc::Status& aStatus)
   {
@@ -169,9 +184,10 @@
   }
 };
 
-PeerClient::PeerClient()
+PeerClient::PeerClient(const ControlMeter* aMeter)
   : impl_(std::make_unique<Impl>())
 {
+  impl_->meter_ = aMeter;
 }
 
 PeerClient::~PeerClient()
@@ -219,6 +235,8 @@
                       &call->reply_,
                       [this, call, aAddress, onReply = std::move(aOnReply)](
                         const grpc::Status& aStatus) {
+                        impl_->Meter(
+                          "raft", call->request_, call->reply_, aStatus);
                         if (aStatus.ok()) {
                           onReply(FromWire(call->reply_));
                         }
@@ -240,7 +258,9 @@
     return Error{ ErrorKind::NodeStopping, "" };
   }
   wire::PullReply reply;
-  const auto status = stub->Pull(&context, ToWire(aRequest), &reply);
+  const auto request = ToWire(aRequest);
+  const auto status = stub->Pull(&context, request, &reply);
+  impl_->Meter("pull", request, reply, status);
   impl_->EndCall(aAddress, context, status);
   if (!status.ok()) {
     const bool late =
@@ -267,6 +287,7 @@
   }
   wire::ProposeReply reply;
   const auto status = stub->Propose(&context, request, &reply);
+  impl_->Meter("propose", request, reply, status);
   impl_->EndCall(aAddress, context, status);
   if (!status.ok()) {
     return Error{ ErrorKind::ProposalLost,
--- a/packages/daemon/peer_client_base.h
+++ b/packages/daemon/peer_client_base.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "daemon/control_meter_base.h"
 #include "daemon/peer_type.h"
 
 #include <functional>
@@ -14,7 +15,8 @@
 class PeerClient
 {
 public:
-  PeerClient();
+  /// The meter, when there is one, must outlive the client.
+  explicit PeerClient(const ControlMeter* aMeter = nullptr);
   PeerClient(const PeerClient&) = delete;
   PeerClient& operator=(const PeerClient&) = delete;
   /// Waits until every call in flight has ended.
--- a/packages/daemon/peer_codec.cpp
+++ b/packages/daemon/peer_codec.cpp
@@ -323,6 +323,7 @@
   request.set_applied(aPull.applied_);
   request.set_wait_ms(ToAge(aPull.wait_));
   WriteDigest(aPull.digest_, *request.mutable_digest());
+  request.set_without_claims(aPull.withoutClaims_);
   return request;
 }
 
@@ -334,16 +335,25 @@
            aRequest.disk(),
            aRequest.applied(),
            Millis(aRequest.wait_ms()),
-           ReadDigest(aRequest.digest()) };
+           ReadDigest(aRequest.digest()),
+           aRequest.without_claims() };
 }
 
 wire::PullReply
 ToWire(const PeerPullReply& aReply)
 {
   wire::PullReply reply;
-  for (const auto& entry : aReply.entries_) {
-    WriteEntry(entry, *reply.add_entries());
+  for (const auto& pulled : aReply.entries_) {
+    if (const auto* entry = std::get_if<LogEntry>(&pulled)) {
+      WriteEntry(*entry, *reply.add_entries());
+    } else if (const auto* run = std::get_if<ClaimRun>(&pulled)) {
+      auto& wire = *reply.add_claim_runs();
+      wire.set_first_index(run->firstIndex_);
+      wire.set_last_index(run->lastIndex_);
+      wire.set_logical_ms(run->logicalMs_);
+    }
   }
+  reply.set_without_claims(aReply.withoutClaims_);
   reply.set_snapshot(aReply.snapshot_);
   reply.set_snapshot_index(aReply.snapshotIndex_);
   reply.set_leader(aReply.leader_);
@@ -356,9 +366,23 @@
 FromWire(const wire::PullReply& aReply)
 {
   PeerPullReply reply;
+  // The two lists become one in the order of indices.
+  int runs = 0;
+  const auto readRunsBefore = [&](std::uint64_t aIndex) {
+    for (; runs < aReply.claim_runs_size() &&
+           aReply.claim_runs(runs).first_index() < aIndex;
+         ++runs) {
+      const auto& run = aReply.claim_runs(runs);
+      reply.entries_.emplace_back(
+        ClaimRun{ run.first_index(), run.last_index(), run.logical_ms() });
+    }
+  };
   for (const auto& entry : aReply.entries()) {
-    reply.entries_.push_back(ReadEntry(entry));
+    readRunsBefore(entry.index());
+    reply.entries_.emplace_back(ReadEntry(entry));
   }
+  readRunsBefore(UINT64_MAX);
+  reply.withoutClaims_ = aReply.without_claims();
   reply.snapshot_ = aReply.snapshot();
   reply.snapshotIndex_ = aReply.snapshot_index();
   reply.leader_ = aReply.leader();
--- a/packages/daemon/peer_server.cpp
+++ b/packages/daemon/peer_server.cpp
@@ -20,9 +20,12 @@
 class PeerService final : public wire::Peer::Service
 {
 public:
-  PeerService(PeerHandler& aHandler, std::string aCluster)
+  PeerService(PeerHandler& aHandler,
+              std::string aCluster,
+              const ControlMeter* aMeter)
     : handler_(aHandler)
     , cluster_(std::move(aCluster))
+    , meter_(aMeter)
   {
   }
 
@@ -34,6 +37,7 @@
       return OtherCluster();
     }
     *aReply = ToWire(handler_.HandleRaft(FromWire(*aRequest)));
+    Meter("raft", *aRequest, *aReply);
     return grpc::Status::OK;
   }
 
@@ -45,6 +49,7 @@
       return OtherCluster();
     }
     *aReply = ToWire(handler_.HandlePull(FromWire(*aRequest)));
+    Meter("pull", *aRequest, *aReply);
     return grpc::Status::OK;
   }
 
@@ -65,6 +70,7 @@
                                                  Millis(aRequest->timeout_ms()),
                                                  aRequest->hops() });
     aReply->set_result(EncodeResult(result));
+    Meter("propose", *aRequest, *aReply);
     return grpc::Status::OK;
   }
 
@@ -75,26 +81,39 @@
              "this node belongs to another cluster" };
   }
 
+  template<typename Request, typename Reply>
+  void Meter(const char* aRpc,
+             const Request& aRequest,
+             const Reply& aReply) const
+  {
+    if (meter_ != nullptr) {
+      meter_->Count(aRpc, aReply.ByteSizeLong(), aRequest.ByteSizeLong());
+    }
+  }
+
   PeerHandler& handler_;
   std::string cluster_;
+  const ControlMeter* meter_;
 };
 
 } // namespace
 
 struct PeerServer::Impl
 {
-  explicit Impl(PeerHandler& aHandler)
+  Impl(PeerHandler& aHandler, const ControlMeter* aMeter)
     : handler_(aHandler)
+    , meter_(aMeter)
   {
   }
 
   PeerHandler& handler_;
+  const ControlMeter* meter_;
   std::unique_ptr<PeerService> service_;
   std::unique_ptr<grpc::Server> server_;
 };
 
-PeerServer::PeerServer(PeerHandler& aHandler)
-  : impl_(std::make_unique<Impl>(aHandler))
+PeerServer::PeerServer(PeerHandler& aHandler, const ControlMeter* aMeter)
+  : impl_(std::make_unique<Impl>(aHandler, aMeter))
 {
 }
 
@@ -106,7 +125,8 @@
 Result<Done>
 PeerServer::Start(const std::string& aAddress, const std::string& aCluster)
 {
-  impl_->service_ = std::make_unique<PeerService>(impl_->handler_, aCluster);
+  impl_->service_ =
+    std::make_unique<PeerService>(impl_->handler_, aCluster, impl_->meter_);
   grpc::ServerBuilder builder;
   int port = 0;
   builder.AddListeningPort(aAddress, grpc::InsecureServerCredentials(), &port);
--- a/packages/daemon/peer_server_base.h
+++ b/packages/daemon/peer_server_base.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "daemon/control_meter_base.h"
 #include "daemon/peer_type.h"
 
 #include <memory>
@@ -11,8 +12,9 @@
 class PeerServer
 {
 public:
-  /// The handler must outlive the server.
-  explicit PeerServer(PeerHandler& aHandler);
+  /// The handler and the meter, when there is one, must outlive the server.
+  explicit PeerServer(PeerHandler& aHandler,
+                      const ControlMeter* aMeter = nullptr);
   PeerServer(const PeerServer&) = delete;
   PeerServer& operator=(const PeerServer&) = delete;
   ~PeerServer();
--- a/packages/daemon/peer_type.h
+++ b/packages/daemon/peer_type.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace acaciahill {
@@ -23,6 +24,20 @@
   DigestMessage digest_;
 };
 
+/// Stands for claim commands in what a node without claims pulls. The logical
+/// time is the one right after the last of them, not the sum of what they add,
+/// so that a node that has applied some of them can take it as it is.
+struct ClaimRun
+{
+  std::uint64_t firstIndex_ = 0;
+  std::uint64_t lastIndex_ = 0;
+  std::uint64_t logicalMs_ = 0;
+
+  bool operator==(const ClaimRun&) const = default;
+};
+
+using PulledEntry = std::variant<LogEntry, ClaimRun>;
+
 /// Asks for committed entries after an index.
 struct PeerPull
 {
@@ -33,18 +48,23 @@
   std::uint64_t applied_ = 0;
   Millis wait_{ 0 };
   DigestMessage digest_;
+  /// The node holds no claims. False on every node that may get a vote.
+  bool withoutClaims_ = false;
 };
 
 /// Entries after the asked index, or a whole state when they are gone.
 struct PeerPullReply
 {
-  std::vector<LogEntry> entries_;
+  std::vector<PulledEntry> entries_;
   std::string snapshot_;
   std::uint64_t snapshotIndex_ = 0;
   std::string leader_;
   /// Age of the replying node's last contact with the leader.
   Millis controlAge_{ 0 };
   DigestMessage digest_;
+  /// Claims are left out, or the replying node holds none and has nothing for a
+  /// node that needs them.
+  bool withoutClaims_ = false;
 };
 
 /// A command on its way to the leader.
--- a/packages/daemon/replica_follower.cpp
+++ b/packages/daemon/replica_follower.cpp
@@ -98,6 +98,7 @@
   request.disk_ = self_.disk_;
   request.wait_ = kPullWait;
   request.digest_ = directory_->MakeDigestFor(aPeer);
+  request.withoutClaims_ = !HoldsClaims();
   {
     const std::lock_guard lock(tailMutex_);
     request.applied_ = appliedIndex_;
@@ -109,11 +110,19 @@
   }
   const auto& reply = ValueOf(pulled);
   directory_->AcceptDigest(aPeer, reply.digest_);
+  // A source without claims has only its digest for a node that needs them.
+  if (reply.withoutClaims_ && !request.withoutClaims_) {
+    return false;
+  }
   if (!reply.snapshot_.empty()) {
     Restore({ reply.snapshotIndex_, 0, {}, reply.snapshot_ });
   }
-  for (const auto& entry : reply.entries_) {
-    ApplyOne(entry);
+  for (const auto& each : reply.entries_) {
+    if (const auto* entry = std::get_if<LogEntry>(&each)) {
+      ApplyOne(*entry);
+    } else if (const auto* run = std::get_if<ClaimRun>(&each)) {
+      ApplyRun(*run);
+    }
   }
   NotifyApplied();
   const std::lock_guard lock(controlMutex_);
--- a/packages/daemon/replica_requests.cpp
+++ b/packages/daemon/replica_requests.cpp
@@ -169,34 +169,42 @@
     const std::lock_guard lock(controlMutex_);
     unrecognized_[aRequest.node_] = { aRequest.disk_, MonotonicNow() };
   }
+  // A state without claims is of no use to a node that may get a vote. Such a
+  // pull exchanges digests only, and waits all the same: it would be repeated
+  // at once.
+  const bool isOfUse = aRequest.withoutClaims_ || HoldsClaims();
   {
     std::unique_lock lock(tailMutex_);
     applied_.wait_for(lock, std::min(aRequest.wait_, kPullWait), [&] {
-      return stopping_ || announcedIndex_ > aRequest.applied_;
+      return stopping_ || (isOfUse && announcedIndex_ > aRequest.applied_);
     });
   }
 
   PeerPullReply reply;
+  reply.withoutClaims_ = aRequest.withoutClaims_ || !isOfUse;
+  if (!isOfUse) {
+    // No leader and no contact: the asking node must not take its own state to
+    // be current.
+    reply.controlAge_ = Millis(INT32_MAX);
+    reply.digest_ = directory_->MakeDigestFor(aRequest.node_);
+    return reply;
+  }
   bool needsSnapshot = false;
   {
     const std::lock_guard lock(tailMutex_);
     if (appliedIndex_ > aRequest.applied_) {
-      needsSnapshot =
-        tail_.empty() || tail_.front().index_ > aRequest.applied_ + 1;
-      if (!needsSnapshot) {
-        const auto first = aRequest.applied_ + 1 - tail_.front().index_;
-        for (std::size_t i = first;
-             i < tail_.size() && reply.entries_.size() < kPullEntries;
-             ++i) {
-          reply.entries_.push_back(tail_[i]);
-        }
-      }
+      auto entries =
+        tail_.After(aRequest.applied_, aRequest.withoutClaims_, kPullEntries);
+      needsSnapshot = !entries;
+      reply.entries_ = std::move(entries).value_or(std::vector<PulledEntry>{});
     }
   }
   if (needsSnapshot) {
     const std::shared_lock lock(fleetMutex_);
     const std::lock_guard tailLock(tailMutex_);
-    reply.snapshot_ = fleet_.EncodeSnapshot();
+    reply.snapshot_ = aRequest.withoutClaims_
+                        ? fleet_.EncodeSnapshotWithoutClaims()
+                        : fleet_.EncodeSnapshot();
     reply.snapshotIndex_ = appliedIndex_;
   }
   const auto control = Control();
--- a/packages/daemon/replica_service.cpp
+++ b/packages/daemon/replica_service.cpp
@@ -72,8 +72,14 @@
   : settings_(aSettings)
   , registry_(aRegistry)
   , metrics_(aMetrics)
+  , meter_(aMetrics)
+  , client_(&meter_)
+  , tail_(kTailEntries, kTailBytes)
   , requestPrefix_(aSettings.node_ + "-" + RandomId() + "-")
 {
+  if (!settings_.voter_) {
+    fleet_.DropClaims();
+  }
 }
 
 ReplicaService::~ReplicaService()
@@ -91,7 +97,7 @@
       return opened;
     }
   }
-  server_ = std::make_unique<PeerServer>(*this);
+  server_ = std::make_unique<PeerServer>(*this, &meter_);
   auto listening = server_->Start(settings_.listenPeers_, settings_.cluster_);
   if (!IsOk(listening)) {
     return listening;
@@ -135,6 +141,10 @@
     if (!IsOk(fleet)) {
       return ErrorOf(fleet);
     }
+    if (!ValueOf(fleet).HoldsClaims()) {
+      return Error{ ErrorKind::CorruptSnapshot,
+                    "the snapshot of a voter leaves out claims" };
+    }
     fleet_ = ValueOf(std::move(fleet));
     appliedIndex_ = stored.snapshot_.lastIndex_;
     announcedIndex_ = appliedIndex_;
@@ -370,10 +380,18 @@
   if (aSnapshot.data_.empty()) {
     return;
   }
-  auto fleet = Fleet::DecodeSnapshot(aSnapshot.data_);
-  if (!IsOk(fleet)) {
+  auto decoded = Fleet::DecodeSnapshot(aSnapshot.data_);
+  if (!IsOk(decoded)) {
     LogError("a snapshot cannot be read",
-             { { "error", Describe(ErrorOf(fleet)) } });
+             { { "error", Describe(ErrorOf(decoded)) } });
+    return;
+  }
+  auto fleet = ValueOf(std::move(decoded));
+  if (!settings_.voter_) {
+    fleet.DropClaims();
+  } else if (!fleet.HoldsClaims()) {
+    LogError("a snapshot that leaves out claims is of no use to a voter",
+             { { "index", aSnapshot.lastIndex_ } });
     return;
   }
   {
@@ -382,9 +400,8 @@
     if (aSnapshot.lastIndex_ <= appliedIndex_) {
       return;
     }
-    fleet_ = ValueOf(std::move(fleet));
-    tail_.clear();
-    tailBytes_ = 0;
+    fleet_ = std::move(fleet);
+    tail_.Clear();
     appliedIndex_ = aSnapshot.lastIndex_;
     announcedIndex_ = aSnapshot.lastIndex_;
     commandAppliedAt_ = MonotonicNow();
@@ -430,9 +447,7 @@
     if (aEntry.kind_ == EntryKind::Command) {
       const auto envelope = DecodeEnvelope(aEntry.data_);
       if (IsOk(envelope)) {
-        const auto& command = ValueOf(envelope).command_;
-        isClaim = std::holds_alternative<BeginClaim>(command) ||
-                  std::holds_alternative<EndClaim>(command);
+        isClaim = IsClaimCommand(ValueOf(envelope).command_);
         result = fleet_.Apply(ValueOf(envelope), aEntry.index_);
       } else {
         LogError("a committed command cannot be read",
@@ -447,21 +462,36 @@
     }
     if (!isClaim) {
       announcedIndex_ = aEntry.index_;
+      tail_.Add(aEntry);
+    } else if (fleet_.HoldsClaims()) {
+      tail_.AddClaim(aEntry, fleet_.LogicalMs());
+    } else {
+      tail_.AddRun({ aEntry.index_, aEntry.index_, fleet_.LogicalMs() });
     }
-    KeepForPulls(aEntry);
   }
   return result;
 }
 
 void
-ReplicaService::KeepForPulls(const LogEntry& aEntry)
+ReplicaService::ApplyRun(const ClaimRun& aRun)
 {
-  tail_.push_back(aEntry);
-  tailBytes_ += aEntry.data_.size();
-  while (tail_.size() > kTailEntries || tailBytes_ > kTailBytes) {
-    tailBytes_ -= tail_.front().data_.size();
-    tail_.pop_front();
+  const std::unique_lock lock(fleetMutex_);
+  const std::lock_guard tailLock(tailMutex_);
+  // A state that holds claims needs the commands themselves.
+  if (fleet_.HoldsClaims() || aRun.firstIndex_ > appliedIndex_ + 1 ||
+      aRun.lastIndex_ <= appliedIndex_) {
+    return;
   }
+  fleet_.PassClaims(aRun.lastIndex_, aRun.logicalMs_);
+  tail_.AddRun({ appliedIndex_ + 1, aRun.lastIndex_, aRun.logicalMs_ });
+  appliedIndex_ = aRun.lastIndex_;
+  commandAppliedAt_ = MonotonicNow();
+}
+
+bool
+ReplicaService::HoldsClaims() const
+{
+  return Read([](const Fleet& aFleet) { return aFleet.HoldsClaims(); });
 }
 
 void
--- a/packages/daemon/replica_service_base.h
+++ b/packages/daemon/replica_service_base.h
@@ -2,10 +2,12 @@
 
 #include "consensus/log_store_base.h"
 #include "consensus/raft_base.h"
+#include "daemon/control_meter_base.h"
 #include "daemon/daemon_settings_type.h"
 #include "daemon/directory_service_base.h"
 #include "daemon/peer_client_base.h"
 #include "daemon/peer_server_base.h"
+#include "daemon/pull_tail_base.h"
 #include "kernel/metrics_base.h"
 #include "kernel/service_registry_base.h"
 #include "state/fleet_base.h"
@@ -46,7 +48,10 @@
 };
 
 /// The node's replica of the fleet state: runs the consensus core on voters,
-/// follows the log by pulls elsewhere, and takes commands.
+/// follows the log by pulls elsewhere, and takes commands. A node that is not
+/// set up as a voter holds no claims: the leader decides on them, so that no
+/// other node needs them. A node that may get a vote always holds them, also
+/// while it has none.
 class ReplicaService
   : public Service
   , public PeerHandler
@@ -161,7 +166,8 @@
   void Restore(const Snapshot& aSnapshot);
   void ApplyCommitted(const std::vector<LogEntry>& aEntries);
   CommandResult ApplyOne(const LogEntry& aEntry);
-  void KeepForPulls(const LogEntry& aEntry);
+  void ApplyRun(const ClaimRun& aRun);
+  bool HoldsClaims() const;
   void CompactWhenDue();
   void RepairVoters();
   void PublishControl();
@@ -176,6 +182,7 @@
   const ServiceRegistry& registry_;
   Metrics& metrics_;
   DirectoryService* directory_ = nullptr;
+  ControlMeter meter_;
   PeerClient client_;
   std::unique_ptr<PeerServer> server_;
 
@@ -185,8 +192,7 @@
   // Committed entries kept for pulls; guarded by tailMutex_.
   mutable std::mutex tailMutex_;
   mutable std::condition_variable applied_;
-  std::deque<LogEntry> tail_;
-  std::size_t tailBytes_ = 0;
+  PullTail tail_;
   std::uint64_t appliedIndex_ = 0;
   /// Index of the last entry that ends long polls early. Claims do not: no
   /// other node acts on them, and each would cost a message to every node.
