Change: the commit of a claim goes to voters with the next message

Cause: each commit was told to each voter at once, so that a claim of two entries took 8 exchanges between the leader and two voters in place of 4. No voter but the leader acts on a claim. A proposal now says whether its commit is to be announced; claims are not, and their commit goes with the next entry or heartbeat, within 500 ms.

Ruled out: batches of claims at the leader, which add latency to each request.

--- a/packages/consensus/raft_base.h
+++ b/packages/consensus/raft_base.h
@@ -136,7 +136,9 @@
   // raft_leader.cpp: replication and commit.
   void Receive(const RaftMessage& aMessage, const AppendReply& aReply);
   void TickLeader();
-  std::uint64_t AppendAsLeader(EntryKind aKind, std::string aData);
+  std::uint64_t AppendAsLeader(EntryKind aKind,
+                               std::string aData,
+                               bool aAnnouncesCommit = true);
   void TakeReply(Progress& aProgress, const AppendReply& aReply);
   void SendAppend(const std::string& aNode,
                   Progress& aProgress,
@@ -178,6 +180,8 @@
   // Only on the leader.
   MonotonicTime leaderSince_;
   MonotonicTime heartbeatAt_;
+  /// Index of the last own entry whose commit is told to followers at once.
+  std::uint64_t announceIndex_ = 0;
   std::map<std::string, Progress> progress_;
   std::optional<PendingAdd> pendingAdd_;
   std::optional<AddGate> addGate_;
--- a/packages/consensus/raft_core.cpp
+++ b/packages/consensus/raft_core.cpp
@@ -78,7 +78,8 @@
     actions_.emplace_back(ProposalRefused{ aInput.proposal_ });
     return;
   }
-  const auto index = AppendAsLeader(EntryKind::Command, aInput.data_);
+  const auto index =
+    AppendAsLeader(EntryKind::Command, aInput.data_, aInput.announcesCommit_);
   actions_.emplace_back(ProposalAccepted{ aInput.proposal_, index, Term() });
   AdvanceCommit();
   SendPending();
--- a/packages/consensus/raft_leader.cpp
+++ b/packages/consensus/raft_leader.cpp
@@ -145,12 +145,17 @@
 }
 
 std::uint64_t
-RaftCore::AppendAsLeader(EntryKind aKind, std::string aData)
+RaftCore::AppendAsLeader(EntryKind aKind,
+                         std::string aData,
+                         bool aAnnouncesCommit)
 {
   LogEntry entry{ LastIndex() + 1, Term(), aKind, std::move(aData) };
   log_.Append(entry);
   FlushHardState();
   actions_.emplace_back(SaveEntries{ { std::move(entry) } });
+  if (aAnnouncesCommit) {
+    announceIndex_ = LastIndex();
+  }
   return LastIndex();
 }
 
@@ -195,9 +200,10 @@
   if (role_ != RaftRole::Leader) {
     return;
   }
+  const auto announced = std::min(commitIndex_, announceIndex_);
   for (auto& [node, progress] : progress_) {
-    if (!progress.waiting_ && (progress.next_ <= LastIndex() ||
-                               progress.sentCommit_ < commitIndex_)) {
+    if (!progress.waiting_ &&
+        (progress.next_ <= LastIndex() || progress.sentCommit_ < announced)) {
       SendAppend(node, progress, true);
     }
   }
--- a/packages/consensus/raft_type.h
+++ b/packages/consensus/raft_type.h
@@ -152,6 +152,9 @@
 {
   std::uint64_t proposal_ = 0;
   std::string data_;
+  /// False when followers need not learn of the commit before the next message
+  /// that goes to them anyway, at the latest a heartbeat.
+  bool announcesCommit_ = true;
 
   bool operator==(const ProposeInput&) const = default;
 };
--- a/packages/consensus/test/raft_network.cpp
+++ b/packages/consensus/test/raft_network.cpp
@@ -130,7 +130,8 @@
 {
   accepted_ = 0;
   if (const auto leader = Leader(); !leader.empty()) {
-    Step(leader, ProposeInput{ 1, aData });
+    // Both kinds of proposals, without a change of the random numbers.
+    Step(leader, ProposeInput{ 1, aData, committed_.size() % 2 == 0 });
   }
   return accepted_;
 }
--- a/packages/consensus/test/raft_test.cpp
+++ b/packages/consensus/test/raft_test.cpp
@@ -642,3 +642,44 @@
     CHECK(request.commitIndex_ == 1);
   }
 }
+
+// Guards against a message to each follower for each commit that none of them
+// needs at once, and against a commit that is then never told.
+TEST_CASE("a commit that needs no announcement goes with the next message")
+{
+  SteppedCore n1(1, {});
+  n1.Elect();
+  n1.Hear("n2", 2, AppendReply{ Id("n2"), true, 1, 0, n1.Round() });
+  n1.Hear("n3", 2, AppendReply{ Id("n3"), true, 1, 0, n1.Round() });
+  const auto store = [&n1](const char* aNode, std::uint64_t aIndex) {
+    return Sent<AppendRequest>(
+      n1.Hear(aNode, 2, AppendReply{ Id(aNode), true, aIndex, 0, n1.Round() }));
+  };
+  n1.core_.Step(ProposeInput{ 1, "quiet", false }, n1.now_);
+  CHECK(store("n2", 2).empty());
+  CHECK(store("n3", 2).empty());
+  CHECK(n1.core_.CommitIndex() == 2);
+  const auto isTold = [](const std::vector<AppendRequest>& aSent,
+                         std::uint64_t aIndex) {
+    return aSent.size() == 2 && aSent[0].commitIndex_ == aIndex &&
+           aSent[1].commitIndex_ == aIndex;
+  };
+  SECTION("a heartbeat")
+  {
+    CHECK(isTold(Sent<AppendRequest>(n1.Tick(500ms)), 2));
+  }
+  SECTION("the next entry")
+  {
+    CHECK(isTold(Sent<AppendRequest>(
+                   n1.core_.Step(ProposeInput{ 2, "quiet", false }, n1.now_)),
+                 2));
+  }
+  SECTION("the commit of an entry that is announced")
+  {
+    n1.core_.Step(ProposeInput{ 2, "announced" }, n1.now_);
+    n1.core_.Step(ProposeInput{ 3, "quiet", false }, n1.now_);
+    const auto sent = store("n2", 3);
+    REQUIRE_FALSE(sent.empty());
+    CHECK(sent[0].commitIndex_ == 3);
+  }
+}
--- a/packages/daemon/replica_service.cpp
+++ b/packages/daemon/replica_service.cpp
@@ -264,8 +264,12 @@
       : static_cast<std::uint64_t>((now - lastProposalAt_).count());
   const auto proposal = nextProposal_++;
   proposed_.emplace(proposal, aCommand);
-  auto stepped =
-    core_->Step(ProposeInput{ proposal, EncodeEnvelope(envelope) }, now);
+  // No node but the leader acts on claims, and a message to each voter for each
+  // commit doubles what a claim costs the leader.
+  auto stepped = core_->Step(ProposeInput{ proposal,
+                                           EncodeEnvelope(envelope),
+                                           !IsClaimCommand(envelope.command_) },
+                             now);
   if (core_->Role() == RaftRole::Leader) {
     lastProposalAt_ = now;
   }
