--- a/packages/daemon/peer_client.cpp
+++ b/packages/daemon/peer_client.cpp
@@ -92,6 +92,7 @@
     std::shared_ptr<wire::Peer::Stub> stub_;
   };
 
+  const ControlMeter* meter_ = nullptr;
   std::mutex mutex_;
   std::condition_variable idle_;
   std::map<std::string, Link> links_;
@@ -162,6 +163,20 @@
     idle_.notify_all();
   }
 
+  /// Counts the bytes of a call that has ended.
+  template<typename Request, typename Reply>
+  void Meter(const char* aRpc,
+             const Request& aRequest,
+             const Reply& aReply,
+             const grpc::Status& aStatus) const
+  {
+    if (meter_ != nullptr) {
+      meter_->Count(aRpc,
+                    aRequest.ByteSizeLong(),
+                    aStatus.ok() ? aReply.ByteSizeLong() : 0);
+    }
+  }
+
   /// Counts timeouts and replaces a connection that seems to have gone silent.
   /// Calls on an earlier connection tell nothing about the present one.
   void CountTimeouts(const std::string& aAddress,
@@ -184,9 +199,10 @@
   }
 };
 
-PeerClient::PeerClient()
+PeerClient::PeerClient(const ControlMeter* aMeter)
   : impl_(std::make_unique<Impl>())
 {
+  impl_->meter_ = aMeter;
 }
 
 PeerClient::~PeerClient()
@@ -229,21 +245,22 @@
     impl_->calls_.insert(&call->context_);
   }
   auto* stub = call->stub_.get();
-  stub->async()->Raft(&call->context_,
-                      &call->request_,
-                      &call->reply_,
-                      [this, call, aAddress, onReply = std::move(aOnReply)](
-                        const grpc::Status& aStatus) {
-                        if (aStatus.ok()) {
-                          onReply(FromWire(call->reply_));
-                        }
-                        const std::lock_guard lock(impl_->mutex_);
-                        --impl_->links_[aAddress].raftInFlight_;
-                        impl_->calls_.erase(&call->context_);
-                        impl_->CountTimeouts(
-                          aAddress, call->stub_.get(), aStatus);
-                        impl_->idle_.notify_all();
-                      });
+  stub->async()->Raft(
+    &call->context_,
+    &call->request_,
+    &call->reply_,
+    [this, call, aAddress, onReply = std::move(aOnReply)](
+      const grpc::Status& aStatus) {
+      impl_->Meter("raft", call->request_, call->reply_, aStatus);
+      if (aStatus.ok()) {
+        onReply(FromWire(call->reply_));
+      }
+      const std::lock_guard lock(impl_->mutex_);
+      --impl_->links_[aAddress].raftInFlight_;
+      impl_->calls_.erase(&call->context_);
+      impl_->CountTimeouts(aAddress, call->stub_.get(), aStatus);
+      impl_->idle_.notify_all();
+    });
 }
 
 Result<PeerPullReply>
@@ -256,7 +273,9 @@
     return Error{ ErrorKind::NodeStopping, "" };
   }
   wire::PullReply reply;
-  const auto status = stub->Pull(&context, ToWire(aRequest), &reply);
+  const auto request = ToWire(aRequest);
+  const auto status = stub->Pull(&context, request, &reply);
+  impl_->Meter("pull", request, reply, status);
   impl_->EndCall(aAddress, stub.get(), context, status);
   if (!status.ok()) {
     return ToError(aAddress, status);
@@ -280,6 +299,7 @@
   }
   wire::ProposeReply reply;
   const auto status = stub->Propose(&context, request, &reply);
+  impl_->Meter("propose", request, reply, status);
   impl_->EndCall(aAddress, stub.get(), context, status);
   if (!status.ok()) {
     return Error{ ErrorKind::ProposalLost,
