Change: a digest sends no statement back to the node that told it

Cause: acaciahill_control_bytes_total on an idle cluster showed that a node without a vote sends about as many bytes in its pulls as it receives: it sent every statement of the others back to its source, as did voters to each other.

What a peer told is noted as known to it, but only where the directory holds exactly that; a newer epoch or time held here still goes to the peer, and a new process of the peer gets everything.

--- a/packages/membership/digest_exchange.cpp
+++ b/packages/membership/digest_exchange.cpp
@@ -159,6 +159,37 @@
     digest.nodes_.push_back(heard);
   }
   aDirectory.Merge(digest);
+  MarkTold(peer, digest, aDirectory);
+}
+
+void
+DigestExchange::MarkTold(PeerState& aPeer,
+                         const DirectoryDigest& aDigest,
+                         const Directory& aDirectory)
+{
+  // Only what the directory holds exactly as the peer told it: anything else is
+  // news for the peer.
+  const auto isHeld =
+    [](const auto& aKnown, const auto& aKey, const auto& aOne) {
+      const auto found = aKnown.find(aKey);
+      return found != aKnown.end() && found->second == aOne;
+    };
+  for (const auto& evidence : aDigest.targets_) {
+    if (isHeld(aDirectory.Targets(), evidence.number_, evidence)) {
+      aPeer.sent_[evidence.number_] = evidence.madeAt_;
+    }
+  }
+  for (const auto& reports : aDigest.tasks_) {
+    if (isHeld(aDirectory.Tasks(), reports.number_, reports)) {
+      aPeer.sentTasks_.insert_or_assign(reports.number_, reports);
+    }
+  }
+  for (const auto& status : aDigest.nodes_) {
+    if (isHeld(aDirectory.Nodes(), status.node_, status)) {
+      // The time of sending stays: it bounds what is sent, not what is told.
+      aPeer.sentNodes_[status.node_].status_ = status;
+    }
+  }
 }
 
 } // namespace acaciahill
--- a/packages/membership/digest_exchange_base.h
+++ b/packages/membership/digest_exchange_base.h
@@ -76,7 +76,7 @@
   DigestExchange(std::string aSelf, std::uint64_t aBoot);
 
   /// A digest for a peer: the statements newer than those last put into a
-  /// digest for it, not older than aMaxAge.
+  /// digest for it or told by it, not older than aMaxAge.
   DigestMessage MakeFor(const std::string& aPeer,
                         const Directory& aDirectory,
                         MonotonicTime aNow,
@@ -109,6 +109,10 @@
     std::map<std::uint32_t, VmTaskReports> sentTasks_;
   };
 
+  /// Notes what the peer has told as known to it, so that it is not sent back.
+  static void MarkTold(PeerState& aPeer,
+                       const DirectoryDigest& aDigest,
+                       const Directory& aDirectory);
   static bool IsStatusDue(const PeerState& aPeer,
                           const NodeStatus& aStatus,
                           MonotonicTime aNow);
--- a/packages/membership/test/digest_exchange_test.cpp
+++ b/packages/membership/test/digest_exchange_test.cpp
@@ -150,3 +150,96 @@
     "b", sender.directory_, row.next_.madeAt_, kMaxAge);
   CHECK(message.nodes_.size() == (row.sent_ ? 1 : 0));
 }
+
+namespace {
+
+/// Two nodes that have heard each other, so that the way of a digest is bound.
+struct Pair
+{
+  Node a_{ "a", 1 };
+  Node b_{ "b", 2 };
+
+  Pair()
+  {
+    Send(a_, b_, "a", "b", At(9s));
+    Send(b_, a_, "b", "a", At(9s));
+  }
+
+  static DigestMessage Send(Node& aFrom,
+                            Node& aTo,
+                            const std::string& aFromName,
+                            const std::string& aToName,
+                            MonotonicTime aNow)
+  {
+    auto message =
+      aFrom.exchange_.MakeFor(aToName, aFrom.directory_, aNow, kMaxAge);
+    aTo.exchange_.Accept(aFromName, message, aNow, aTo.directory_);
+    return message;
+  }
+
+  DigestMessage ToB(MonotonicTime aNow) { return Send(a_, b_, "a", "b", aNow); }
+
+  DigestMessage ToA(MonotonicTime aNow) { return Send(b_, a_, "b", "a", aNow); }
+};
+
+} // namespace
+
+// Guards against statements that go back to the node that told them: this was
+// half of the bytes of digests.
+TEST_CASE("what a peer told is not sent back to it")
+{
+  Pair pair;
+  pair.a_.directory_.UpdateTarget({ 7, 1, 4, false, 0, At(10s) });
+  pair.a_.directory_.UpdateNode({ "c", 10, 2, {}, {}, At(10s) });
+  pair.a_.directory_.UpdateTasks({ 7, 1, { { "t", 1, "running" } }, At(10s) });
+  const auto there = pair.ToB(At(10s));
+  REQUIRE(there.targets_.size() == 1);
+  REQUIRE(there.nodes_.size() == 1);
+  REQUIRE(there.tasks_.size() == 1);
+  const auto back = pair.ToA(At(11s));
+  CHECK(back.targets_.empty());
+  CHECK(back.nodes_.empty());
+  CHECK(back.tasks_.empty());
+  // Another node gets it, and so does a new process of the peer.
+  const auto other =
+    pair.b_.exchange_.MakeFor("d", pair.b_.directory_, At(11s), kMaxAge);
+  CHECK(other.targets_.size() == 1);
+  CHECK(other.nodes_.size() == 1);
+  CHECK(other.tasks_.size() == 1);
+  Node restarted("a", 3);
+  Pair::Send(restarted, pair.b_, "a", "b", At(12s));
+  const auto again = pair.ToA(At(12s));
+  CHECK(again.targets_.size() == 1);
+  CHECK(again.nodes_.size() == 1);
+  CHECK(again.tasks_.size() == 1);
+}
+
+// Guards against holding back what a peer does not know: it told something
+// older, or of an older epoch, than this node holds.
+TEST_CASE("what a peer told wrongly is corrected")
+{
+  Pair pair;
+  const auto ours =
+    GENERATE(TargetEvidence{ 7, 1, 5, true, 0, At(9500ms) },  // newer epoch
+             TargetEvidence{ 7, 2, 1, false, 0, At(9500ms) }, // newer boot
+             TargetEvidence{ 7, 1, 4, false, 0, At(10500ms) });
+  pair.b_.directory_.UpdateTarget(ours);
+  pair.b_.directory_.UpdateNode({ "c", 11, 2, {}, {}, At(10500ms) });
+  pair.a_.directory_.UpdateTarget({ 7, 1, 4, false, 0, At(10s) });
+  pair.a_.directory_.UpdateNode({ "c", 10, 2, {}, {}, At(10s) });
+  pair.ToB(At(11s));
+  const auto back = pair.ToA(At(11s));
+  CHECK(back.targets_.size() == 1);
+  CHECK(back.nodes_.size() == 1);
+  CHECK(pair.a_.directory_.Find(7)->epoch_ == ours.epoch_);
+}
+
+// Guards against news that waits for a status that the peer told itself.
+TEST_CASE("a newer status than the one told is sent at once")
+{
+  Pair pair;
+  pair.a_.directory_.UpdateNode({ "c", 10, 2, {}, {}, At(10s) });
+  pair.ToB(At(10s));
+  pair.b_.directory_.UpdateNode({ "c", 11, 2, {}, {}, At(10100ms) });
+  CHECK(pair.ToA(At(10100ms)).nodes_.size() == 1);
+}
