--- a/tests/proof/data_support.h
+++ b/tests/proof/data_support.h
@@ -26,15 +26,20 @@
 }
 
 /// Starts vm-1, vm-2, ... in the zones z1 to z3 in turn, each in a rack of its
-/// own.
+/// own. Without names of nodes they announce to the nodes of their zone.
 inline void
-StartTargets(Cluster& aCluster, int aCount, bool aProxy, int aServiceMs)
+StartTargets(Cluster& aCluster,
+             int aCount,
+             bool aProxy,
+             int aServiceMs,
+             const std::vector<std::string>& aAnnounceTo = {})
 {
   for (int i = 1; i <= aCount; ++i) {
     ClusterTarget target;
     target.id_ = TargetName(i);
     target.zone_ = "z" + std::to_string((i - 1) % 3 + 1);
     target.rack_ = "r" + std::to_string(i);
+    target.announceTo_ = aAnnounceTo;
     target.proxy_ = aProxy;
     target.arguments_ = {
       "--seed", std::to_string(i), "--service-ms", std::to_string(aServiceMs)
@@ -51,7 +56,8 @@
             const std::string& aRows,
             int aTargets,
             bool aProxy,
-            int aServiceMs)
+            int aServiceMs,
+            const std::vector<std::string>& aAnnounceTo = {})
 {
   aCluster.StartAll();
   aCluster.WaitReady(kStartLimit);
@@ -62,7 +68,7 @@
   const auto applied = aCluster.RunClient({ "apply", path, "--wait" });
   INFO(applied.output_);
   REQUIRE(applied.exitCode_ == 0);
-  StartTargets(aCluster, aTargets, aProxy, aServiceMs);
+  StartTargets(aCluster, aTargets, aProxy, aServiceMs, aAnnounceTo);
   for (const auto& node : aCluster.NodeIds()) {
     aCluster.WaitUsable(node, static_cast<std::size_t>(aTargets), kStartLimit);
   }
--- a/tests/support/cluster_fixture.cpp
+++ b/tests/support/cluster_fixture.cpp
@@ -478,6 +478,17 @@
   }
 }
 
+void
+Cluster::IsolateNode(const std::string& aNode, const ProxyFaults& aFaults)
+{
+  for (const auto& [pair, proxy] : pairProxies_) {
+    if (pair.first == aNode || pair.second == aNode) {
+      proxy->Set(aFaults);
+    }
+  }
+  peerProxies_.at(aNode)->Set(aFaults);
+}
+
 std::string
 Cluster::LogTails() const
 {
--- a/tests/support/cluster_fixture.h
+++ b/tests/support/cluster_fixture.h
@@ -145,6 +145,9 @@
   /// Cuts or heals all links between nodes of a zone and the other nodes.
   /// Needs PerPair.
   void CutZone(const std::string& aZone, bool aCut);
+  /// Sets the faults of all links between a node and the other nodes; without
+  /// any it is connected again. Needs PerPair.
+  void IsolateNode(const std::string& aNode, const ProxyFaults& aFaults);
 
   const std::string& Folder() const { return folder_.Path(); }
   /// The last lines of all nodes' logs.
--- a/tests/support/vm_watcher.h
+++ b/tests/support/vm_watcher.h
@@ -5,8 +5,10 @@
 
 #include <chrono>
 #include <map>
+#include <memory>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace acaciahill::testing {
@@ -96,4 +98,55 @@
   return periods;
 }
 
+/// What each node process shows of the assignments. Nodes are to be killed and
+/// started again through it.
+class ProcessWatchers
+{
+public:
+  explicit ProcessWatchers(Cluster& aCluster)
+    : cluster_(aCluster)
+  {
+    for (const auto& node : aCluster.NodeIds()) {
+      Begin(node);
+    }
+  }
+
+  void Kill(const std::string& aNode)
+  {
+    cluster_.Node(aNode).process_->Kill();
+    watchers_[aNode].back()->Stop();
+  }
+
+  void Restart(const std::string& aNode)
+  {
+    cluster_.StartNode(aNode);
+    Begin(aNode);
+  }
+
+  /// Ends the watch. A restarted process is another observer.
+  std::vector<AssignmentSeen> Finish()
+  {
+    std::vector<AssignmentSeen> all;
+    for (auto& [node, watchers] : watchers_) {
+      watchers.back()->Stop();
+      for (std::size_t i = 0; i < watchers.size(); ++i) {
+        for (auto seen : watchers[i]->Seen()) {
+          seen.observer_ += "#" + std::to_string(i + 1);
+          all.push_back(std::move(seen));
+        }
+      }
+    }
+    return all;
+  }
+
+private:
+  void Begin(const std::string& aNode)
+  {
+    watchers_[aNode].push_back(std::make_unique<VmWatcher>(cluster_, aNode));
+  }
+
+  Cluster& cluster_;
+  std::map<std::string, std::vector<std::unique_ptr<VmWatcher>>> watchers_;
+};
+
 } // namespace acaciahill::testing
