Fix: the check of one pool judges requests whose pool is not in the path

Entry nodes take /pools/{pool} out of the path, so that CheckOnePool compared no run that went through one. CheckOnePool now also takes the operations, which name the pool that the caller asked for. A run on a VM that holds no assignment yet is left out: it is in no pool, not in two.

The proof cuts a node off before the VMs drain. A node cut off within the drain knows the VMs as draining and sends nothing whatever its evidence is.

--- a/tests/proof/control_onepool_test.cpp
+++ b/tests/proof/control_onepool_test.cpp
@@ -32,14 +32,15 @@
   const char* name_;
   /// The process that gets a SIGKILL: a node, "leader", or empty for none.
   const char* killed_;
-  /// The node that is cut off from all other nodes; empty for none.
+  /// The node that is cut off from all other nodes; empty for none. It is cut
+  /// off before VMs drain, so that it holds them as active and only their
+  /// evidence keeps it from sending. Other faults begin while VMs drain.
   const char* cut_;
   /// The cut drops everything in silence; otherwise it resets connections.
   bool silent_;
 };
 
-/// Each begins while VMs drain and ends when they have moved. n4 and n5 are
-/// entry nodes without a vote.
+/// Each ends when the VMs have moved. n4 and n5 are entry nodes without a vote.
 const std::vector<FaultRow> kFaults{
   { "entry isolated silently", "", "n4", true },
   { "entry killed", "n4", "", false },
@@ -69,22 +70,24 @@
   }
 }
 
-/// VMs that a node shows in another pool than the one they hold. It must not
-/// use them.
+/// VMs that a node shows in a pool that they have left, all or only those that
+/// it shows as active. It must not use them.
 int
 CountStale(const Cluster& aCluster,
            const TargetWatcher& aTargets,
-           const std::string& aNode)
+           const std::string& aNode,
+           bool aOnlyActive)
 {
   int count = 0;
   const auto vms = aCluster.AdminGet(aNode, "/v1/vms");
-  const auto held = aTargets.Pools();
+  const auto allHeld = aTargets.Held();
   for (const auto& vm : vms) {
-    const auto& pool = held.at(vm.value("id", std::string()));
-    if (vm.value("pool", std::string()) != pool) {
-      INFO(aNode << " shows " << vm.dump() << ", which holds " << pool);
+    const auto& held = allHeld.at(vm.value("id", ""));
+    if (vm.value("epoch", held.epoch_) < held.epoch_ &&
+        vm.value("pool", "") != held.pool_) {
+      INFO(aNode << " shows " << vm.dump() << ", which holds " << held.pool_);
       CHECK_FALSE(vm.value("usable", true));
-      ++count;
+      count += !aOnlyActive || vm.value("phase", "") == "active" ? 1 : 0;
     }
   }
   return count;
@@ -101,8 +104,12 @@
          const FaultRow& aRow)
 {
   INFO(aRow.name_);
-  aCluster.Require("a drain", kMoveWait, [&] { return aTargets.HasDrain(); });
   const std::string cut = aRow.cut_;
+  if (cut.empty()) {
+    aCluster.Require("a drain", kMoveWait, [&] { return aTargets.HasDrain(); });
+  } else {
+    aCluster.WaitUsable(cut, kTargets, kMoveWait);
+  }
   const bool isLeader = std::string(aRow.killed_) == "leader";
   const std::string killed = isLeader ? aCluster.Leader() : aRow.killed_;
   const auto goal = aTargets.Moves() + kMovesPerChange;
@@ -127,7 +134,7 @@
             << (moved - start) / kNsPerMs << " ms";
   if (!cut.empty()) {
     std::this_thread::sleep_for(kNoNewWorkLimit);
-    const auto stale = CountStale(aCluster, aTargets, cut);
+    const auto stale = CountStale(aCluster, aTargets, cut, true);
     CHECK(stale > 0);
     aCluster.IsolateNode(cut, {});
     std::map<std::string, int> answered{ { "rota", 0 }, { "receipts", 0 } };
@@ -199,7 +206,7 @@
     const auto& ids = cluster.NodeIds();
     return std::all_of(ids.begin(), ids.end(), [&](const auto& aNode) {
       return cluster.AdminGet(aNode, "/v1/vms").size() == kTargets &&
-             CountStale(cluster, targets, aNode) == 0;
+             CountStale(cluster, targets, aNode, false) == 0;
     });
   });
   changer.request_stop();
@@ -219,7 +226,7 @@
             << operations.size() << " runs " << runs.size() << " looks "
             << seen.size() << '\n';
   CHECK(targets.Moves() >= kMovesPerChange * static_cast<int>(kFaults.size()));
-  CHECK(Describe(CheckOnePool(seen, runs)) == kNone);
+  CHECK(Describe(CheckOnePool(seen, runs, operations)) == kNone);
   CHECK(Describe(CheckNoNewWork(runs, targets.Drains(), kNoNewWorkLimit)) ==
         kNone);
   CheckCallers(operations, runs);
--- a/tests/support/history.cpp
+++ b/tests/support/history.cpp
@@ -333,9 +333,14 @@
 
 Violations
 CheckOnePool(const std::vector<AssignmentSeen>& aSeen,
-             const std::vector<ExecutedRun>& aRuns)
+             const std::vector<ExecutedRun>& aRuns,
+             const std::vector<Operation>& aOperations)
 {
   Violations found;
+  std::map<std::string, std::string> asked;
+  for (const auto& operation : aOperations) {
+    asked.emplace(operation.nonce_, operation.pool_);
+  }
   std::map<std::pair<std::string, std::uint64_t>, AssignmentSeen> pools;
   std::map<std::pair<std::string, std::string>, std::uint64_t> epochs;
   for (const auto& seen : InOrder(aSeen)) {
@@ -359,15 +364,21 @@
   }
   const std::string prefix = "/pools/";
   for (const auto& run : aRuns) {
-    // The path names the pool when the entry node passes it on as it came.
-    if (run.path_.rfind(prefix, 0) == 0) {
-      const auto rest = run.path_.substr(prefix.size());
-      const auto pool = rest.substr(0, rest.find_first_of("/?"));
-      if (pool != run.pool_) {
+    const auto check = [&](const std::string& aPool) {
+      if (aPool != run.pool_) {
         found.push_back({ "one pool",
-                          NameOf(run) + " for pool " + pool +
+                          NameOf(run) + " for pool " + aPool +
                             " ran while the VM was in " + run.pool_ });
       }
+    };
+    const auto operation = asked.find(run.nonce_);
+    if (operation != asked.end() && !run.pool_.empty()) {
+      check(operation->second);
+    }
+    // The path names the pool when the entry node passes it on as it came.
+    if (run.path_.rfind(prefix, 0) == 0) {
+      const auto rest = run.path_.substr(prefix.size());
+      check(rest.substr(0, rest.find_first_of("/?")));
     }
   }
   return found;
--- a/tests/support/history.h
+++ b/tests/support/history.h
@@ -174,9 +174,14 @@
 
 /// Promise 2: a VM has one pool in each epoch, whoever looks, no observer sees
 /// its epoch go back, and no VM runs a request for another pool than its own.
+/// The pool of a request is that of its operation, or in the path of the run;
+/// entry nodes take it out of the path, so that runs sent through them are
+/// judged only with operations. A VM without any pool has just restarted and
+/// holds no assignment yet; its runs are not judged by operations.
 Violations
 CheckOnePool(const std::vector<AssignmentSeen>& aSeen,
-             const std::vector<ExecutedRun>& aRuns);
+             const std::vector<ExecutedRun>& aRuns,
+             const std::vector<Operation>& aOperations = {});
 
 /// What an observer saw of the table. The content is any text or hash that is
 /// equal for equal tables; empty when it was not looked at.
--- a/tests/support/target_watcher.h
+++ b/tests/support/target_watcher.h
@@ -39,11 +39,11 @@
   /// Changes of pool seen so far.
   int Moves() const { return moves_; }
   bool HasDrain() const { return draining_ > 0; }
-  /// The pool of each VM at the last look.
-  std::map<std::string, std::string> Pools() const
+  /// The assignment of each VM at the last look.
+  std::map<std::string, AssignmentSeen> Held() const
   {
     const std::lock_guard lock(mutex_);
-    return pools_;
+    return held_;
   }
   /// Complete after Stop().
   const std::vector<AssignmentSeen>& Seen() const { return seen_; }
@@ -56,9 +56,12 @@
       const auto before = MonotonicNs();
       const auto status = cluster_.TargetStatus(vm);
       const auto now = MonotonicNs();
-      const auto pool = status.value("pool", std::string());
-      seen_.push_back(
-        { vm, now, vm, status.value("epoch", std::uint64_t{ 0 }), pool });
+      const AssignmentSeen seen{ vm,
+                                 now,
+                                 vm,
+                                 status.value("epoch", std::uint64_t{ 0 }),
+                                 status.value("pool", std::string()) };
+      seen_.push_back(seen);
       const auto open = open_.find(vm);
       const bool isDraining = status.value("draining", false);
       if (isDraining && open == open_.end()) {
@@ -72,8 +75,9 @@
       }
       last_[vm] = before;
       const std::lock_guard lock(mutex_);
-      moves_ += !pools_[vm].empty() && pools_[vm] != pool ? 1 : 0;
-      pools_[vm] = pool;
+      auto& held = held_[vm];
+      moves_ += !held.pool_.empty() && held.pool_ != seen.pool_ ? 1 : 0;
+      held = seen;
     }
     draining_ = static_cast<int>(open_.size());
   }
@@ -83,7 +87,7 @@
   mutable std::mutex mutex_;
   std::atomic<int> moves_{ 0 };
   std::atomic<int> draining_{ 0 };
-  std::map<std::string, std::string> pools_;
+  std::map<std::string, AssignmentSeen> held_;
   std::map<std::string, std::uint64_t> last_;
   std::map<std::string, std::size_t> open_;
   std::vector<AssignmentSeen> seen_;
--- a/tests/support/test/history_test.cpp
+++ b/tests/support/test/history_test.cpp
@@ -164,6 +164,23 @@
   CHECK(CheckOnePool(AssignmentsOf({ run }), { run }).size() == 1);
 }
 
+// Entry nodes take the pool out of the path, so that only the caller knows it.
+TEST_CASE("a run for a pool that only the operation names is found")
+{
+  auto run = MakeRun("a");
+  run.path_ = "/load";
+  run.pool_ = "gifts";
+  Operation operation;
+  operation.nonce_ = run.nonce_;
+  operation.pool_ = "rota";
+  CHECK(CheckOnePool({}, { run }).empty());
+  CHECK(CheckOnePool({}, { run }, { operation }).size() == 1);
+  run.pool_ = "rota";
+  CHECK(CheckOnePool({}, { run }, { operation }).empty());
+  run.pool_.clear();
+  CHECK(CheckOnePool({}, { run }, { operation }).empty());
+}
+
 TEST_CASE("table versions that go back, differ or come late are found")
 {
   struct Row
