Change: data_wave judges one pool by operations, data_leave cuts by the fixture

The moves of data_wave went through entries, so that CheckOnePool compared no run with the pool its caller asked for. data_leave's own cut of a node is now Cluster::IsolateNode, which does the same on all links.

--- a/tests/proof/data_leave_test.cpp
+++ b/tests/proof/data_leave_test.cpp
@@ -21,19 +21,6 @@
 constexpr Millis kDrainWait{ 15000 };
 constexpr Millis kCutSettle{ 1500 };
 
-/// Cuts an entry VM off from all other nodes, or heals it.
-void
-CutNode(Cluster& aCluster, const std::string& aNode, bool aCut)
-{
-  for (const auto& other : aCluster.NodeIds()) {
-    if (other != aNode) {
-      aCluster.PairProxy(aNode, other).Cut(aCut);
-      aCluster.PairProxy(other, aNode).Cut(aCut);
-    }
-  }
-  aCluster.PeerProxy(aNode).Cut(aCut);
-}
-
 } // namespace
 
 // Guards promise 6 where it is hardest: an entry VM that no longer hears of the
@@ -83,14 +70,16 @@
   VmWatcher watcher(cluster, "n1");
   std::jthread loader([&] { report = RunLoad(load, recorder); });
   std::this_thread::sleep_for(kCutSettle);
-  CutNode(cluster, "n4", true);
+  ProxyFaults cut;
+  cut.cut_ = true;
+  cluster.IsolateNode("n4", cut);
   const auto cutNs = MonotonicNs();
   const auto started = cluster.RunClient({ "wave", "start", "w1" });
   INFO(started.output_);
   REQUIRE(started.exitCode_ == 0);
   loader.join();
   watcher.Stop();
-  CutNode(cluster, "n4", false);
+  cluster.IsolateNode("n4", {});
 
   const auto operations = recorder.Operations();
   const auto runs = cluster.TargetRuns();
--- a/tests/proof/data_wave_test.cpp
+++ b/tests/proof/data_wave_test.cpp
@@ -265,7 +265,8 @@
           { { "rota", 4, 2, 1 }, { "receipts", 4, 2, 1 } })) == kNone);
   CHECK(Describe(CheckNoNewWork(
           plannedRuns, watcher.Drains(), kNoNewWorkLimit)) == kNone);
-  CHECK(Describe(CheckOnePool(watcher.Seen(), plannedRuns)) == kNone);
+  CHECK(Describe(CheckOnePool(
+          watcher.Seen(), plannedRuns, recorder.Operations())) == kNone);
 
   ProveDrainLimit(cluster, recorder);
   CheckCallers(recorder.Operations(), cluster.TargetRuns());
