--- a/tests/support/vm_watcher.h
+++ b/tests/support/vm_watcher.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <map>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -14,6 +15,17 @@
 /// Time between two looks of a VmWatcher.
 inline constexpr Millis kWatchInterval{ 50 };
 
+/// The first look that shows a VM in a state, and the look before it. Looks are
+/// in the order of the log, so that a change in a later look came later.
+struct VmChange
+{
+  std::string vm_;
+  std::string pool_;
+  std::uint64_t incarnation_ = 0;
+  std::uint64_t beforeNs_ = 0;
+  std::uint64_t seenNs_ = 0;
+};
+
 /// Phases and assignments of the VMs as one node shows them over time.
 class VmWatcher
 {
@@ -40,12 +52,19 @@
   const std::vector<DrainPeriod>& Drains() const { return drains_; }
   /// The pool that the VM of each drain left.
   const std::vector<std::string>& Pools() const { return pools_; }
+  /// Each incarnation of each VM.
+  const std::vector<VmChange>& Incarnations() const { return incarnations_; }
+  /// Each confirmed stop of a VM.
+  const std::vector<VmChange>& Stops() const { return stops_; }
 
 private:
   void Look()
   {
     const auto vms = cluster_.AdminGet(node_, "/v1/vms");
     const auto now = MonotonicNs();
+    if (!vms.is_array()) {
+      return;
+    }
     for (const auto& vm : vms) {
       const auto id = vm.value("id", std::string());
       seen_.push_back({ node_,
@@ -65,16 +84,41 @@
         drains_[open->second].endedNs_ = last_;
         open_.erase(open);
       }
+      LookAtChanges(vm, now);
     }
     last_ = now;
   }
 
+  void LookAtChanges(const nlohmann::json& aVm, std::uint64_t aNowNs)
+  {
+    const VmChange change{ aVm.value("id", std::string()),
+                           aVm.value("pool", std::string()),
+                           aVm.value("incarnation", std::uint64_t{ 0 }),
+                           last_,
+                           aNowNs };
+    auto& incarnation = incarnationOf_[change.vm_];
+    if (incarnation != change.incarnation_) {
+      incarnation = change.incarnation_;
+      incarnations_.push_back(change);
+    }
+    const bool isStopping = aVm.value("phase", std::string()) == "stopping";
+    if (!isStopping) {
+      stopping_.erase(change.vm_);
+    } else if (stopping_.insert(change.vm_).second) {
+      stops_.push_back(change);
+    }
+  }
+
   const Cluster& cluster_;
   std::string node_;
   std::vector<AssignmentSeen> seen_;
   std::vector<DrainPeriod> drains_;
   std::vector<std::string> pools_;
   std::map<std::string, std::size_t> open_;
+  std::vector<VmChange> incarnations_;
+  std::map<std::string, std::uint64_t> incarnationOf_;
+  std::vector<VmChange> stops_;
+  std::set<std::string> stopping_;
   std::uint64_t last_ = 0;
   std::jthread thread_;
 };
@@ -96,4 +140,17 @@
   return periods;
 }
 
+/// The same, and a moment for each confirmed stop, as the budget is checked
+/// again before the platform is asked.
+inline std::vector<UnavailablePeriod>
+PeriodsWithStops(const VmWatcher& aWatcher)
+{
+  auto periods = PeriodsOf(aWatcher);
+  for (const auto& stop : aWatcher.Stops()) {
+    periods.push_back(
+      { stop.vm_, stop.pool_, stop.seenNs_, stop.seenNs_ + 1, true });
+  }
+  return periods;
+}
+
 } // namespace acaciahill::testing
