Change: the proof of the budgets loses a rack of both pools and sees the reserve

Racks now have two VMs of each pool, all four VMs of a rack are lost, and the second wave has max_unavailable 2 with min_available 3 of 6, so that the reserve decides.

The limit of the time for detection and RequireClient move to the headers that other proofs use.

--- a/tests/proof/control_budget_test.cpp
+++ b/tests/proof/control_budget_test.cpp
@@ -19,7 +19,7 @@
 constexpr const char* kWatchNode = "n4";
 /// Chooses the lost VMs among those that wait for their stop at that moment.
 constexpr std::uint64_t kSeed = 911;
-/// 6 VMs for each pool. Racks have two VMs of one pool at first.
+/// 6 VMs for each pool, of which each of the three racks has two.
 constexpr const char* kRows = "rota,100,6,3,1\nreceipts,100,6,2,1\n";
 /// In the first wave receipts goes down to 5 VMs, and a VM out next to a lost
 /// one breaks max_unavailable.
@@ -30,11 +30,6 @@
 const std::vector<PoolBudget> kSecondBudgets{ { "rota", 6, 3, 2 },
                                               { "receipts", 5, 2, 1 } };
 
-/// The time that the leader may take to count a loss: a statement of a target
-/// proves it available for availability_ms (5 s), the planner looks every
-/// 250 ms, its decision reaches the watched node with the next heartbeat
-/// (500 ms) at the latest, and the watcher looks every kWatchInterval.
-constexpr Millis kDetection = Millis(5000 + 250 + 500) + kWatchInterval;
 /// VMs stay away for this time after their loss is known.
 constexpr Millis kKnownOutage{ 3000 };
 /// A new leader grants nothing in this time.
@@ -60,14 +55,6 @@
   std::uint64_t incarnation_ = 0;
 };
 
-void
-RequireClient(const Cluster& aCluster, const std::vector<std::string>& aWords)
-{
-  const auto run = aCluster.RunClient(aWords);
-  INFO(aWords[0] << ": " << run.output_);
-  REQUIRE(run.exitCode_ == 0);
-}
-
 class BudgetProof
 {
 public:
@@ -113,7 +100,7 @@
     aWatcher.Stop();
     INFO(wave_);
     const auto planned = PeriodsWithStops(aWatcher);
-    auto periods = Losses(aWatcher, kDetection);
+    auto periods = Losses(aWatcher, kLossDetection);
     periods.insert(periods.end(), planned.begin(), planned.end());
     CHECK(Describe(CheckBudgets(periods, aBudgets)) == kNone);
 
@@ -135,31 +122,35 @@
               << outages_.size() - firstOutage_ << " losses\n";
   }
 
-  /// Kills a rack of rota, or one of its VMs, and waits until it is known.
+  /// Kills a VM of rota that waits for its stop, or all VMs of a rack with two
+  /// of them, and waits until the loss is known.
   void Lose(bool aRack)
   {
     const auto waiting = Waiting();
-    std::vector<std::vector<std::string>> choices;
-    for (const auto& [id, rack] : waiting) {
-      std::vector<std::string> lost{ id };
-      for (const auto& [other, otherRack] : waiting) {
-        if (aRack && other != id && rack == otherRack) {
-          lost.push_back(other);
-        }
-      }
-      if (lost.size() == (aRack ? 2 : 1)) {
-        choices.push_back(lost);
+    std::vector<std::string> choices;
+    for (const auto& vm : waiting) {
+      const auto isMate = [&vm](const auto& aOther) {
+        return aOther.second == vm.second;
+      };
+      if (!aRack || std::count_if(waiting.begin(), waiting.end(), isMate) > 1) {
+        choices.push_back(vm.first);
       }
     }
     REQUIRE_FALSE(choices.empty());
     std::uniform_int_distribution<std::size_t> any(0, choices.size() - 1);
-    lost_ = choices[any(random_)];
-    for (const auto& id : lost_) {
-      cluster_.TargetProcess(id).Kill();
-      std::cout << "budget: lost " << id << '\n';
-      outages_.push_back({ id, "rota", MonotonicNs(), incarnation_ += 100 });
+    const auto& chosen = choices[any(random_)];
+    lost_ = 0;
+    for (const auto& vm : Vms()) {
+      const std::string id = vm.at("id");
+      if (id == chosen || (aRack && vm.at("rack") == waiting.at(chosen))) {
+        cluster_.TargetProcess(id).Kill();
+        outages_.push_back(
+          { id, vm.at("pool"), MonotonicNs(), incarnation_ += 100 });
+        ++lost_;
+        std::cout << "budget: lost " << id << " of " << vm.at("pool") << '\n';
+      }
     }
-    std::this_thread::sleep_for(kDetection);
+    std::this_thread::sleep_for(kLossDetection);
     // A planner that ignores the loss would stop one of these next.
     std::cout << "budget: " << Waiting().size() << " VMs of rota wait\n";
     CHECK_FALSE(Waiting().empty());
@@ -169,7 +160,7 @@
   void Return()
   {
     std::this_thread::sleep_for(kKnownOutage);
-    for (auto i = outages_.size() - lost_.size(); i < outages_.size(); ++i) {
+    for (auto i = outages_.size() - lost_; i < outages_.size(); ++i) {
       const auto incarnation = outages_[i].incarnation_;
       StartTarget(outages_[i].vm_, incarnation);
       cluster_.Require("the return", kReturnLimit, [&] {
@@ -279,7 +270,7 @@
     ClusterTarget target;
     target.id_ = aId;
     target.zone_ = "z" + std::to_string(number % 3 + 1);
-    target.rack_ = "r" + std::to_string(number % 6 + 1);
+    target.rack_ = "r" + std::to_string(number % 3 + 1);
     target.arguments_ = { "--incarnation", std::to_string(aIncarnation) };
     cluster_.StartTarget(target);
   }
@@ -287,7 +278,8 @@
   Cluster& cluster_;
   std::mt19937_64 random_{ kSeed };
   std::string wave_;
-  std::vector<std::string> lost_;
+  /// The number of the last outages that belong together.
+  std::size_t lost_ = 0;
   std::vector<Outage> outages_;
   /// Of restarted processes, in steps that planned reboots do not reach.
   std::uint64_t incarnation_ = 0;
--- a/tests/proof/data_support.h
+++ b/tests/proof/data_support.h
@@ -43,6 +43,15 @@
   }
 }
 
+/// Runs acaciahill and requires that it succeeds.
+inline void
+RequireClient(const Cluster& aCluster, const std::vector<std::string>& aWords)
+{
+  const auto run = aCluster.RunClient(aWords);
+  INFO(aWords[0] << ": " << run.output_);
+  REQUIRE(run.exitCode_ == 0);
+}
+
 /// Starts the nodes, applies a table with these rows (pool, weight, size,
 /// min_available, max_unavailable), starts the targets and waits until every
 /// node may use all of them.
--- a/tests/proof/data_wave_test.cpp
+++ b/tests/proof/data_wave_test.cpp
@@ -32,14 +32,6 @@
 constexpr std::size_t kRotaSize = 5;
 constexpr Millis kLongDeadline{ 15000 };
 
-void
-RequireClient(const Cluster& aCluster, const std::vector<std::string>& aWords)
-{
-  const auto run = aCluster.RunClient(aWords);
-  INFO(aWords[0] << ": " << run.output_);
-  REQUIRE(run.exitCode_ == 0);
-}
-
 std::string
 WavePhaseOf(const Cluster& aCluster, const std::string& aWave)
 {
--- a/tests/support/vm_watcher.h
+++ b/tests/support/vm_watcher.h
@@ -15,6 +15,13 @@
 /// Time between two looks of a VmWatcher.
 inline constexpr Millis kWatchInterval{ 50 };
 
+/// Time until a loss shows in the plans that a watcher sees: a statement of a
+/// target proves it available for availability_ms (5 s), the planner looks
+/// every 250 ms, its decision reaches the watched node with the next heartbeat
+/// (500 ms) at the latest, and the watcher looks every kWatchInterval.
+inline constexpr Millis kLossDetection =
+  Millis(5000 + 250 + 500) + kWatchInterval;
+
 /// The first look that shows a VM in a state, and the look before it. Looks are
 /// in the order of the log, so that a change in a later look came later.
 struct VmChange
