Fix: an answer that only the close of its connection ends is no answer

The relay passed on an answer without a length when it announced the close.

The parser now refuses the form as answer_malformed as soon as the head is read, so the caller sees outcome unknown. Chunked answers were right before: whole ones are passed on and cut ones are answer_lost.

The fake target can send chunked and close-ended answers and cut any number of bytes; four kinds of faults and one case use it.

--- a/packages/relay/http_framing.cpp
+++ b/packages/relay/http_framing.cpp
@@ -326,10 +326,11 @@
     return Error{ ErrorKind::AnswerMalformed,
                   "status " + std::to_string(answer_.status_) };
   }
-  if (parser_->need_eof() && !parser_->is_done() &&
-      !HasConnectionToken(answer_.headers_, "close")) {
+  // Such an answer ends with its connection, so a cut one looks like a whole
+  // one.
+  if (parser_->need_eof() && !parser_->is_done()) {
     return Error{ ErrorKind::AnswerMalformed,
-                  "an answer without a length, and without Connection: close" };
+                  "neither a Content-Length nor chunks" };
   }
   headDone_ = true;
   parser_->eager(true);
@@ -384,23 +385,6 @@
   }
 }
 
-Result<FramingStatus>
-AnswerParser::PutEnd()
-{
-  auto& parser = *impl_->parser_;
-  if (!impl_->headDone_ || !parser.need_eof()) {
-    return Error{ ErrorKind::AnswerLost,
-                  "the connection ended within the answer" };
-  }
-  boost::system::error_code error;
-  parser.put_eof(error);
-  if (error) {
-    return Error{ ErrorKind::AnswerMalformed, error.message() };
-  }
-  impl_->Finish();
-  return FramingStatus::Complete;
-}
-
 HttpAnswer
 AnswerParser::TakeAnswer()
 {
--- a/packages/relay/http_framing_func.h
+++ b/packages/relay/http_framing_func.h
@@ -54,15 +54,11 @@
   AnswerParser& operator=(const AnswerParser&) = delete;
   ~AnswerParser();
 
-  /// Takes what belongs to this answer from the front of the buffer. Errors:
-  /// AnswerMalformed, AnswerTooLarge.
+  /// Takes what belongs to this answer from the front of the buffer. An answer
+  /// whose end only a close would mark is malformed. Errors: AnswerMalformed,
+  /// AnswerTooLarge.
   Result<FramingStatus> Put(std::string& aBuffer);
 
-  /// The peer has closed its side. Complete when the answer is whole by that,
-  /// which needs an answer without a length that announced the close with
-  /// "Connection: close". Errors: AnswerLost, AnswerMalformed.
-  Result<FramingStatus> PutEnd();
-
   HttpAnswer TakeAnswer();
 
 private:
--- a/packages/relay/target_client.cpp
+++ b/packages/relay/target_client.cpp
@@ -25,14 +25,8 @@
 AttemptEnd
 EndOfError(ErrorKind aKind)
 {
-  switch (aKind) {
-    case ErrorKind::AnswerTooLarge:
-      return AttemptEnd::TooLarge;
-    case ErrorKind::AnswerMalformed:
-      return AttemptEnd::Malformed;
-    default:
-      return AttemptEnd::Lost;
-  }
+  return aKind == ErrorKind::AnswerTooLarge ? AttemptEnd::TooLarge
+                                            : AttemptEnd::Malformed;
 }
 
 } // namespace
@@ -271,13 +265,15 @@
     aExchange.End(AttemptEnd::Lost, "the connection failed");
     return;
   }
-  if (read.status_ == IoStatus::Moved && !aLease.Grow(read.size_)) {
+  if (read.status_ == IoStatus::End) {
+    aExchange.End(AttemptEnd::Lost, "the connection ended within the answer");
+    return;
+  }
+  if (!aLease.Grow(read.size_)) {
     aExchange.End(AttemptEnd::TooLarge, "no buffer is left for the answer");
     return;
   }
-  const auto status = read.status_ == IoStatus::End
-                        ? aExchange.parser_.PutEnd()
-                        : aExchange.parser_.Put(aExchange.buffer_);
+  const auto status = aExchange.parser_.Put(aExchange.buffer_);
   if (!IsOk(status)) {
     const auto& error = ErrorOf(status);
     aExchange.End(EndOfError(error.kind_), error.detail_);
--- a/tests/proof/data_answers_test.cpp
+++ b/tests/proof/data_answers_test.cpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <iostream>
+#include <set>
 #include <thread>
 
 using namespace acaciahill;
@@ -16,6 +17,8 @@
 constexpr Millis kDeadline{ 1000 };
 constexpr Millis kFaultTime{ 1200 };
 constexpr Millis kCalmTime{ 400 };
+/// Spans many chunks and several reads of the relay.
+constexpr std::size_t kLongAnswer = 20000;
 /// An open circuit breaker and an evidence that expired are renewed in this
 /// time.
 constexpr Millis kRecoveryLimit{ 15000 };
@@ -45,6 +48,28 @@
       { { "truncate", -1 } },
       { { "truncate", 0 } },
       {} },
+    { "answer in chunks",
+      {},
+      { { "framing", "chunked" } },
+      { { "framing", "length" } },
+      {} },
+    { "answer in chunks lacks some",
+      {},
+      { { "framing", "chunked" },
+        { "truncate", -1 },
+        { "truncate_bytes", 150 } },
+      { { "framing", "length" }, { "truncate", 0 }, { "truncate_bytes", 1 } },
+      {} },
+    { "answer ended by close",
+      {},
+      { { "framing", "close" } },
+      { { "framing", "length" } },
+      {} },
+    { "answer ended by close lacks some",
+      {},
+      { { "framing", "close" }, { "truncate", -1 }, { "truncate_bytes", 150 } },
+      { { "framing", "length" }, { "truncate", 0 }, { "truncate_bytes", 1 } },
+      {} },
     { "request ends on its way",
       { { "up", { { "truncate_after", 150 } } } },
       {},
@@ -142,8 +167,77 @@
   }
 }
 
+/// Sends through every entry and gives each caller's view: "whole" for a
+/// target's own answer with all its bytes, else the outcome and error kind.
+std::set<std::string>
+ViewsOf(const Cluster& aCluster, const std::string& aMethod)
+{
+  std::set<std::string> views;
+  for (const auto& node : aCluster.NodeIds()) {
+    for (int i = 0; i < kTargets; ++i) {
+      const auto nonce = node + "-" + std::to_string(i);
+      const auto outcome = aCluster.Request(
+        node,
+        { aMethod,
+          "/pools/rota/x",
+          { { "X-Nonce", nonce },
+            { "X-Answer-Bytes", std::to_string(kLongAnswer) } },
+          "body" });
+      const auto body = json::parse(outcome.answer_.body_, nullptr, false);
+      if (!outcome.Answered()) {
+        views.emplace(ReadEndName(outcome.end_));
+      } else if (!body.is_object()) {
+        views.emplace("not JSON");
+      } else if (body.contains("error")) {
+        views.emplace(outcome.answer_.Header("acaciahill-outcome") + " " +
+                      body["error"].get<std::string>());
+      } else {
+        const bool isWhole = body.value("nonce", "") == nonce &&
+                             body.value("padding", "").size() == kLongAnswer;
+        views.emplace(isWhole ? "whole" : "not its own");
+      }
+    }
+  }
+  return views;
+}
+
+void
+ControlAll(const Cluster& aCluster, const json& aSwitches)
+{
+  for (int i = 1; i <= kTargets; ++i) {
+    aCluster.ControlTarget(TargetName(i), aSwitches);
+  }
+}
+
 } // namespace
 
+// Guards against a whole chunked answer that is not passed on, and against a
+// cut answer that is: what ends with the connection cannot be told whole from
+// cut, so a caller must not get any answer of that kind.
+TEST_CASE("answers without a stated length are whole or fail visibly")
+{
+  using Views = std::set<std::string>;
+  Cluster cluster({});
+  StartSystem(cluster, "rota,100,6,1,1\n", kTargets, false, 5);
+  const json cut{ { "truncate", -1 }, { "truncate_bytes", kLongAnswer / 2 } };
+  const json uncut{ { "truncate", 0 } };
+  ControlAll(cluster, { { "framing", "chunked" } });
+  CHECK(ViewsOf(cluster, "GET") == Views{ "whole" });
+  CHECK(ViewsOf(cluster, "POST") == Views{ "whole" });
+  ControlAll(cluster, cut);
+  CHECK(ViewsOf(cluster, "POST").count("whole") == 0);
+  CHECK(ViewsOf(cluster, "POST").count("not JSON") == 0);
+  ControlAll(cluster, uncut);
+  ControlAll(cluster, { { "framing", "close" } });
+  for (const auto& switches : { uncut, cut }) {
+    ControlAll(cluster, switches);
+    const auto views = ViewsOf(cluster, "POST");
+    CHECK(views.count("unknown answer_malformed") == 1);
+    CHECK(views.count("whole") == 0);
+    CHECK(views.count("not JSON") == 0);
+  }
+}
+
 // Guards promises 3 to 5 against every way in which a connection or an answer
 // can fail: short, crossed or repeated answers taken as own ones, a request
 // called not run that ran, and a POST sent again after it may have run.
--- a/tests/support/fake_target.h
+++ b/tests/support/fake_target.h
@@ -61,6 +61,9 @@
 ///   counts of answers cut short, sent twice or not HTTP, of connections
 ///   closed before or after executing, of requests refused as not run (421),
 ///   and of requests answered 500;
+/// - framing: how an answer's end is marked: "length" (Content-Length),
+///   "chunked", or "close" (the end of the connection, which is announced);
+/// - truncate_bytes: bytes that an answer cut short lacks, 1 at first;
 /// - silence_open: true makes all open connections silent for good; new ones
 ///   work;
 /// - check_epoch: false accepts requests with an older epoch;
@@ -95,6 +98,8 @@
     Millis late_{ 0 };
     std::map<std::string, std::int64_t> counts_;
     std::uint64_t silentUpTo_ = 0;
+    std::string framing_ = "length";
+    std::size_t truncateBytes_ = 1;
     bool checkEpoch_ = true;
     bool announce_ = true;
     std::string taskMode_ = "ok";
