Add: proof of kept-alive callers' connections

The load generator opened a connection for each request, so that nothing showed an answer that goes to another request of the same connection.

HttpCaller keeps its connections; half of the load of proof_data_answers uses it. A new case sends in sequence on one connection, after not-run and unknown replies and while the answer to a timed-out request comes late, and sends two requests at once.

--- a/tests/proof/data_answers_test.cpp
+++ b/tests/proof/data_answers_test.cpp
@@ -1,5 +1,7 @@
 #include "proof/data_support.h"
 
+#include <Poco/Net/SocketAddress.h>
+
 #include <chrono>
 #include <iostream>
 #include <set>
@@ -14,6 +16,7 @@
 
 constexpr int kTargets = 6;
 constexpr std::uint64_t kSeed = 101;
+constexpr std::uint64_t kKeptSeed = 102;
 constexpr Millis kDeadline{ 1000 };
 constexpr Millis kFaultTime{ 1200 };
 constexpr Millis kCalmTime{ 400 };
@@ -209,8 +212,86 @@
   }
 }
 
+/// A request to which an answer takes at most this time.
+HttpRequest
+NumberedRequest(const std::string& aMethod, int aNumber, Millis aDeadline)
+{
+  return { aMethod,
+           "/pools/rota/x",
+           { { "X-Nonce", std::to_string(aNumber) },
+             { "Acaciahill-Deadline-Ms", std::to_string(aDeadline.count()) } },
+           "body " + std::to_string(aNumber) };
+}
+
+/// What an answer says: the number of the request that it belongs to, or the
+/// outcome of a reply that is no answer.
+std::string
+NumberOf(const HttpMessage& aAnswer)
+{
+  const auto outcome = aAnswer.Header("acaciahill-outcome");
+  return outcome.empty() ? aAnswer.Header("x-nonce") : outcome;
+}
+
 } // namespace
 
+// Guards against an answer that goes to another request of the same caller's
+// connection: after replies that are no answers, behind an answer that comes
+// too late, and to a second request sent before the first was answered.
+TEST_CASE("each answer on a kept connection belongs to its own request")
+{
+  constexpr Millis kShort{ 300 };
+  constexpr Millis kLate{ 450 };
+  Cluster cluster({});
+  StartSystem(cluster, "rota,100,1,0,1\n", 1, false, 5);
+  const auto entry = cluster.Node("n1").callers_;
+  HttpCaller caller;
+  int number = 0;
+  const auto ask = [&](const std::string& aMethod) {
+    const auto outcome = caller.Call(
+      entry, NumberedRequest(aMethod, ++number, kShort), kDeadline * 5);
+    return outcome.Answered() ? NumberOf(outcome.answer_)
+                              : std::string(ReadEndName(outcome.end_));
+  };
+  const auto askOwn = [&] {
+    const auto answer = ask("POST");
+    CHECK(answer == std::to_string(number));
+  };
+  askOwn();
+  cluster.ControlTarget("vm-1", { { "refuse", 1 } });
+  CHECK(ask("POST") == "not-run");
+  askOwn();
+  for (int i = 0; i < 3; ++i) {
+    cluster.ControlTarget("vm-1", { { "late_ms", kLate.count() } });
+    CHECK(ask("POST") == "unknown");
+    cluster.ControlTarget("vm-1", { { "late_ms", 0 } });
+    askOwn();
+    // The late answer comes while the connection is idle, and then once more
+    // while the next request waits for its own.
+    std::this_thread::sleep_for(i == 0 ? kLate : Millis{ 0 });
+    cluster.ControlTarget("vm-1", { { "delay_ms", (kShort / 2).count() } });
+    askOwn();
+    askOwn();
+    cluster.ControlTarget("vm-1", { { "delay_ms", 0 } });
+  }
+  CHECK(caller.Reused() == number - 1);
+
+  Poco::Net::StreamSocket socket{ Poco::Net::SocketAddress(entry) };
+  HttpConnection connection(socket);
+  for (const auto& lateMs : { 0, 100, 400 }) {
+    cluster.ControlTarget("vm-1", { { "late_ms", lateMs } });
+    REQUIRE(connection.Send(
+      FormatRequest(entry, NumberedRequest("POST", 1, kShort), true) +
+      FormatRequest(entry, NumberedRequest("POST", 2, kDeadline), true)));
+    const bool isLate = lateMs > kShort.count();
+    for (const auto* expected : { isLate ? "unknown" : "1", "2" }) {
+      HttpMessage answer;
+      REQUIRE(connection.ReadAnswer(answer, kDeadline * 5, false) ==
+              ReadEnd::Whole);
+      CHECK(NumberOf(answer) == expected);
+    }
+  }
+}
+
 // Guards against a whole chunked answer that is not passed on, and against a
 // cut answer that is: what ends with the connection cannot be told whole from
 // cut, so a caller must not get any answer of that kind.
@@ -254,21 +335,28 @@
     load.entries_.push_back(callers.back()->Address());
   }
   load.pools_ = { "rota", "receipts" };
-  load.rate_ = 150;
+  load.rate_ = 75;
   load.duration_ = (kFaultTime + kCalmTime) * static_cast<int>(Faults().size());
   load.postPercent_ = 60;
   load.deadline_ = kDeadline;
   load.seed_ = kSeed;
+  auto keptLoad = load;
+  keptLoad.keepAlive_ = true;
+  keptLoad.seed_ = kKeptSeed;
   HistoryRecorder recorder;
   LoadReport report;
+  LoadReport kept;
   std::jthread loader([&] { report = RunLoad(load, recorder); });
+  std::jthread keptLoader([&] { kept = RunLoad(keptLoad, recorder); });
   InjectFaults(cluster, callers);
   loader.join();
+  keptLoader.join();
 
   const auto operations = recorder.Operations();
   const auto runs = cluster.TargetRuns();
   std::cout << "answers: seed " << kSeed << " " << ToJson(report).dump()
-            << " runs " << runs.size() << '\n';
+            << " runs " << runs.size() << "\nkept connections: seed "
+            << kKeptSeed << " " << ToJson(kept).dump() << '\n';
   INFO("seed " << kSeed);
   CheckCallers(operations, runs);
   CHECK(Describe(CheckOnePool(AssignmentsOf(runs), runs)) == kNone);
@@ -276,6 +364,9 @@
   // nothing.
   CHECK(report.answered_ > report.sent_ / 2);
   CHECK(report.unknown_ > 0);
+  CHECK(kept.answered_ > kept.sent_ / 2);
+  CHECK(kept.unknown_ > 0);
+  CHECK(kept.reused_ > kept.sent_ / 2);
   // No fault leaves a lasting mark.
   for (const auto& node : cluster.NodeIds()) {
     cluster.WaitUsable(node, kTargets, kRecoveryLimit);
--- a/tests/support/http_func.cpp
+++ b/tests/support/http_func.cpp
@@ -461,6 +461,63 @@
   ended_.wait(lock, [this] { return open_.empty(); });
 }
 
+std::string
+FormatRequest(const std::string& aHost,
+              const HttpRequest& aRequest,
+              bool aKeepAlive)
+{
+  std::string text = aRequest.method_ + " " + aRequest.path_ +
+                     " HTTP/1.1\r\nHost: " + aHost + "\r\n";
+  for (const auto& [name, value] : aRequest.headers_) {
+    text += name;
+    text += ": ";
+    text += value;
+    text += "\r\n";
+  }
+  if (!aRequest.body_.empty() || aRequest.method_ == "POST" ||
+      aRequest.method_ == "PUT" || aRequest.method_ == "PATCH") {
+    text += "Content-Length: " + std::to_string(aRequest.body_.size()) + "\r\n";
+  }
+  if (!aKeepAlive) {
+    text += "Connection: close\r\n";
+  }
+  return text + "\r\n" + aRequest.body_;
+}
+
+HttpOutcome
+HttpCaller::Call(const std::string& aAddress,
+                 const HttpRequest& aRequest,
+                 Millis aTimeout)
+{
+  const auto deadline = Clock::now() + aTimeout;
+  HttpOutcome outcome;
+  auto connection = std::move(kept_[aAddress]);
+  try {
+    if (connection) {
+      ++reused_;
+    } else {
+      Poco::Net::StreamSocket socket;
+      socket.connect(Poco::Net::SocketAddress(aAddress),
+                     ToTimespan(std::min(aTimeout, kConnectTimeout)));
+      connection = std::make_unique<HttpConnection>(socket);
+    }
+    outcome.sent_ = true;
+    if (!connection->Send(FormatRequest(aAddress, aRequest, true))) {
+      return outcome;
+    }
+    outcome.end_ = connection->ReadAnswer(
+      outcome.answer_, Until(deadline), aRequest.method_ == "HEAD");
+    if (outcome.Answered() && outcome.answer_.Header("connection") != "close") {
+      kept_[aAddress] = std::move(connection);
+    }
+  } catch (const Poco::TimeoutException&) {
+    outcome.end_ = ReadEnd::TimedOut;
+  } catch (const Poco::Exception&) {
+    outcome.end_ = ReadEnd::Closed;
+  }
+  return outcome;
+}
+
 HttpOutcome
 HttpCall(const std::string& aAddress,
          const HttpRequest& aRequest,
@@ -473,23 +530,8 @@
     socket.connect(Poco::Net::SocketAddress(aAddress),
                    ToTimespan(std::min(aTimeout, kConnectTimeout)));
     HttpConnection connection(socket);
-    std::string text = aRequest.method_ + " " + aRequest.path_ +
-                       " HTTP/1.1\r\nHost: " + aAddress + "\r\n";
-    for (const auto& [name, value] : aRequest.headers_) {
-      text += name;
-      text += ": ";
-      text += value;
-      text += "\r\n";
-    }
-    if (!aRequest.body_.empty() || aRequest.method_ == "POST" ||
-        aRequest.method_ == "PUT" || aRequest.method_ == "PATCH") {
-      text +=
-        "Content-Length: " + std::to_string(aRequest.body_.size()) + "\r\n";
-    }
-    text += "Connection: close\r\n\r\n" + aRequest.body_;
     outcome.sent_ = true;
-    if (!connection.Send(text)) {
-      outcome.end_ = ReadEnd::Closed;
+    if (!connection.Send(FormatRequest(aAddress, aRequest, false))) {
       return outcome;
     }
     outcome.end_ = connection.ReadAnswer(
--- a/tests/support/http_func.h
+++ b/tests/support/http_func.h
@@ -154,6 +154,29 @@
   bool Answered() const { return sent_ && end_ == ReadEnd::Whole; }
 };
 
+/// A request ready to send; the server is told whether to keep the connection.
+std::string
+FormatRequest(const std::string& aHost,
+              const HttpRequest& aRequest,
+              bool aKeepAlive);
+
+/// A caller that keeps one connection to each server while whole answers come.
+/// Not thread-safe.
+class HttpCaller
+{
+public:
+  HttpOutcome Call(const std::string& aAddress,
+                   const HttpRequest& aRequest,
+                   Millis aTimeout);
+
+  /// Requests sent on a connection that had carried another one before.
+  std::int64_t Reused() const { return reused_; }
+
+private:
+  std::map<std::string, std::unique_ptr<HttpConnection>> kept_;
+  std::int64_t reused_ = 0;
+};
+
 /// Sends one request on a connection of its own and reads the answer.
 HttpOutcome
 HttpCall(const std::string& aAddress,
--- a/tests/support/load_generator.cpp
+++ b/tests/support/load_generator.cpp
@@ -175,16 +175,19 @@
 private:
   void Work()
   {
+    HttpCaller caller;
     while (true) {
       const auto number = next_++;
       if (number >= plan_.size()) {
-        return;
+        break;
       }
-      Carry(plan_[number], number);
+      Carry(plan_[number], number, caller);
     }
+    const std::lock_guard lock(mutex_);
+    report_.reused_ += caller.Reused();
   }
 
-  void Carry(PlannedRequest aRequest, std::size_t aNumber)
+  void Carry(PlannedRequest aRequest, std::size_t aNumber, HttpCaller& aCaller)
   {
     const auto dueNs = startNs_ + aRequest.atNs_;
     const auto now = MonotonicNs();
@@ -201,7 +204,11 @@
       const auto nonce =
         run_ + "-" + std::to_string(aNumber) + "-" + std::to_string(i);
       const auto operation =
-        SendPlanned(aRequest, aRequest.entries_[i], nonce, settings_.deadline_);
+        SendPlanned(aRequest,
+                    aRequest.entries_[i],
+                    nonce,
+                    settings_.deadline_,
+                    settings_.keepAlive_ ? &aCaller : nullptr);
       recorder_.Add(operation);
       Count(operation, i == 0 ? dueNs : operation.beginNs_);
       if (operation.outcome_ != "not-run" && operation.outcome_ != "unknown") {
@@ -248,8 +255,9 @@
   return { { "sent", aReport.sent_ },       { "answered", aReport.answered_ },
            { "refused", aReport.refused_ }, { "unknown", aReport.unknown_ },
            { "late", aReport.late_ },       { "delayed", aReport.delayed_ },
-           { "p50_ms", aReport.p50Ms_ },    { "p90_ms", aReport.p90Ms_ },
-           { "p99_ms", aReport.p99Ms_ },    { "max_ms", aReport.maxMs_ } };
+           { "reused", aReport.reused_ },   { "p50_ms", aReport.p50Ms_ },
+           { "p90_ms", aReport.p90Ms_ },    { "p99_ms", aReport.p99Ms_ },
+           { "max_ms", aReport.maxMs_ } };
 }
 
 std::vector<PlannedRequest>
@@ -275,7 +283,8 @@
 SendPlanned(const PlannedRequest& aRequest,
             const std::string& aEntry,
             const std::string& aNonce,
-            Millis aDeadline)
+            Millis aDeadline,
+            HttpCaller* aCaller)
 {
   Operation operation;
   operation.caller_ = aRequest.caller_;
@@ -298,7 +307,10 @@
     request.headers_.emplace_back("Idempotency-Key", aRequest.key_);
   }
   operation.beginNs_ = MonotonicNs();
-  const auto outcome = HttpCall(aEntry, request, aDeadline + kAnswerMargin);
+  const auto timeout = aDeadline + kAnswerMargin;
+  const auto outcome = aCaller != nullptr
+                         ? aCaller->Call(aEntry, request, timeout)
+                         : HttpCall(aEntry, request, timeout);
   operation.endNs_ = MonotonicNs();
   if (outcome.Answered()) {
     Classify(outcome.answer_, operation);
--- a/tests/support/load_generator.h
+++ b/tests/support/load_generator.h
@@ -38,6 +38,8 @@
   Millis burst_{ 0 };
   /// Requests in flight at most; more start late, which the report counts.
   int threads_ = 128;
+  /// Each thread keeps its connections to the entries for further requests.
+  bool keepAlive_ = false;
 };
 
 /// Sendings by outcome, and the latency of answered ones from their planned
@@ -52,6 +54,8 @@
   std::int64_t late_ = 0;
   /// Started over 50 ms after their time, as all threads were in use.
   std::int64_t delayed_ = 0;
+  /// Sent on a connection that had carried another request.
+  std::int64_t reused_ = 0;
   double p50Ms_ = 0;
   double p90Ms_ = 0;
   double p99Ms_ = 0;
@@ -83,12 +87,14 @@
 std::vector<PlannedRequest>
 PlanLoad(const LoadSettings& aSettings);
 
-/// Sends one request through an entry and returns what its caller saw.
+/// Sends one request through an entry and returns what its caller saw. Without
+/// a caller that keeps connections, it opens one.
 Operation
 SendPlanned(const PlannedRequest& aRequest,
             const std::string& aEntry,
             const std::string& aNonce,
-            Millis aDeadline);
+            Millis aDeadline,
+            HttpCaller* aCaller = nullptr);
 
 /// Carries out a load and records each sending.
 LoadReport
