Fix: tasks that fail everywhere in a small pool fail; short tasks are measured

In a pool of one or two VMs a task was refused on the VMs on which it had failed, but it had to fail on three, so it waited for ever. There it may return to its VMs now, those without a failure first, until it has failed three times. Unit tests in state and planner failed before (pools of 1 and 2 VMs).

Sizes were not learned for tasks of less than 20 s on VMs that announce themselves to a follower every 2 s: nodes pass on an unchanged report after 10 s, and with its usage lag of 0.3 s it lay before the end of the warm-up of 10 s. The warm-up is 8 s now.

--- a/packages/planner/placement_choice.cpp
+++ b/packages/planner/placement_choice.cpp
@@ -150,18 +150,27 @@
   return true;
 }
 
+bool
+PlacementPlanner::HasFailedOn(const TaskRecord& aTask,
+                              const std::string& aVm) const
+{
+  const auto failure = failures_.find(aTask.id_);
+  const bool failedLast =
+    failure != failures_.end() && failure->second.lastVm_ == aVm;
+  return failedLast ||
+         std::find(aTask.failedOn_.begin(), aTask.failedOn_.end(), aVm) !=
+           aTask.failedOn_.end();
+}
+
 bool
 PlacementPlanner::MayRunOn(const Round& aRound,
+                           const PoolRound& aPool,
                            const TaskRecord& aTask,
                            const VmRound& aVm) const
 {
   const auto& id = aVm.vm_->identity_.id_;
-  const auto failure = failures_.find(aTask.id_);
-  const bool failedLast =
-    failure != failures_.end() && failure->second.lastVm_ == id;
-  return !failedLast && aVm.tasks_ < health_.TaskLimit(id, aRound.now_) &&
-         std::find(aTask.failedOn_.begin(), aTask.failedOn_.end(), id) ==
-           aTask.failedOn_.end();
+  return aVm.tasks_ < health_.TaskLimit(id, aRound.now_) &&
+         (aPool.isSmall_ || !HasFailedOn(aTask, id));
 }
 
 bool
@@ -187,10 +196,12 @@
   }
   const auto& size = aJob.size_;
   VmRound* best = nullptr;
-  std::tuple<bool, std::int64_t, std::int64_t, std::int64_t, double> bestScore;
+  std::tuple<bool, bool, std::int64_t, std::int64_t, std::int64_t, double>
+    bestScore;
   for (auto* vm : pool->second.vms_) {
     const auto capped = CappedTo(size, *vm->vm_);
-    if (!Fits(capped, vm->free_) || !MayRunOn(aRound, aTask, *vm) ||
+    if (!Fits(capped, vm->free_) ||
+        !MayRunOn(aRound, pool->second, aTask, *vm) ||
         (!aJob.job_->urgent_ &&
          (vm->throttled_ > 0 || !KeepsUrgentShare(pool->second, capped)))) {
       continue;
@@ -200,6 +211,7 @@
     const auto left = Less(vm->free_, capped);
     const auto& identity = vm->vm_->identity_;
     const std::tuple score{
+      HasFailedOn(aTask, identity.id_),
       health_.IsSuspect(identity.id_),
       CountOf(aJob.byZone_, vm->zone_),
       CountOf(aJob.byRack_, vm->rack_),
@@ -263,7 +275,9 @@
   std::copy_if(pool->second.vms_.begin(),
                pool->second.vms_.end(),
                std::back_inserter(candidates),
-               [&](const auto* aVm) { return MayRunOn(aRound, aTask, *aVm); });
+               [&](const auto* aVm) {
+                 return MayRunOn(aRound, pool->second, aTask, *aVm);
+               });
   for (auto* vm : candidates) {
     if (ThrottleFor(aRound, *vm, CappedTo(size, *vm->vm_))) {
       return { vm, false };
--- a/packages/planner/placement_planner.cpp
+++ b/packages/planner/placement_planner.cpp
@@ -1,5 +1,7 @@
 #include "planner/placement_planner_base.h"
 
+#include "state/task_use_func.h"
+
 #include <algorithm>
 
 namespace acaciahill {
@@ -140,12 +142,14 @@
 {
   std::map<std::string, int> zones;
   std::map<RackKey, int> racks;
+  std::map<std::string_view, std::size_t> members;
   EvidenceCursor evidence(aRound.view_);
   for (const auto& [id, vm] : aRound.view_.fleet_->Vms()) {
     auto& vmRound =
       aRound.vms_.emplace_hint(aRound.vms_.end(), id, VmRound{})->second;
     aRound.vmById_.emplace(id, &vmRound);
     vmRound.vm_ = &vm;
+    ++members[vm.pool_];
     vmRound.usable_ =
       AvailabilityOf(
         vm, evidence.Find(id), aRound.view_, aRound.now_, limits_) ==
@@ -168,6 +172,7 @@
   }
   for (auto& [name, pool] : aRound.pools_) {
     pool.free_ = pool.total_;
+    pool.isSmall_ = members.at(name) < detail::kFailuresOfTask;
   }
 }
 
--- a/packages/planner/placement_planner_base.h
+++ b/packages/planner/placement_planner_base.h
@@ -35,7 +35,10 @@
   /// Time between two usage samples of one task.
   Millis sampleInterval_{ 5000 };
   /// Time that a task gets to begin its work before its usage is believed.
-  Millis warmUp_{ 10000 };
+  /// Nodes pass on an unchanged report after 10 s; that one must count in spite
+  /// of a usage lag of up to 2 s, or tasks of less than 20 s are never
+  /// measured.
+  Millis warmUp_{ 8000 };
   /// Wait of a task after its first failure; doubles with each further one.
   Millis firstBackOff_{ 5000 };
   Millis longestBackOff_{ 300000 };
@@ -134,6 +137,8 @@
     std::vector<VmRound*> vms_;
     TaskSize total_;
     TaskSize free_;
+    /// Tasks may return to VMs on which they failed.
+    bool isSmall_ = false;
   };
 
   struct JobRound
@@ -233,8 +238,10 @@
                   const JobRound& aJob,
                   const TaskRecord& aTask) const;
   bool MayRunOn(const Round& aRound,
+                const PoolRound& aPool,
                 const TaskRecord& aTask,
                 const VmRound& aVm) const;
+  bool HasFailedOn(const TaskRecord& aTask, const std::string& aVm) const;
   bool KeepsUrgentShare(const PoolRound& aPool, const TaskSize& aSize) const;
 
   /// What MakeRoom() did.
--- a/packages/planner/test/placement_test.cpp
+++ b/packages/planner/test/placement_test.cpp
@@ -202,6 +202,25 @@
   CHECK(CountTasks(world, "more", TaskPhase::Running) == 40);
 }
 
+// Guards against a task that waits for ever in a pool that has fewer VMs than a
+// task must fail on.
+TEST_CASE("a task that fails on every VM of a small pool is failed")
+{
+  const auto vms = GENERATE(1, 2);
+  INFO(vms << " VMs");
+  World world(9);
+  world.AddPool(MakeRow("a", vms, 0, 1));
+  world.Run(3s);
+  world.Apply(PutJob{ MakeJob("good", 4) });
+  world.Run(40s);
+  world.badTasks_.insert("bad");
+  world.Apply(PutJob{ MakeJob("bad", 1) });
+  CHECK(world.RunUntil(
+    [&] { return CountTasks(world, "bad", TaskPhase::Failed) == 1; }, 120s));
+  CHECK(world.RunningTasks("good") == 4);
+  CHECK(world.refused_ == 0);
+}
+
 // Guards against packing by a declared size that is off by ten times either
 // way.
 TEST_CASE("real sizes are learned from usage")
--- a/packages/state/job_cmd.cpp
+++ b/packages/state/job_cmd.cpp
@@ -14,8 +14,6 @@
 constexpr std::int64_t kLargestSlots = 10'000;
 constexpr std::int64_t kLargestQuota = 1'000'000'000'000;
 constexpr std::uint64_t kLongestLeaseMs = 24ULL * 3600 * 1000;
-// A task that failed on this many different VMs is itself at fault.
-constexpr std::size_t kFailuresOfTask = 3;
 constexpr std::int64_t kMilliCoresPerCore = 1000;
 
 // Checks a number of a command against its range.
@@ -109,6 +107,18 @@
                 " slots");
 }
 
+// Only in such a pool may a task return to a VM on which it failed; it would
+// wait for ever otherwise.
+bool
+IsSmallPool(const Fleet& aFleet, const std::string& aPool)
+{
+  const auto vms = std::count_if(
+    aFleet.Vms().begin(), aFleet.Vms().end(), [&aPool](const auto& aItem) {
+      return aItem.second.pool_ == aPool;
+    });
+  return static_cast<std::size_t>(vms) < detail::kFailuresOfTask;
+}
+
 Error
 UnknownJobError(std::string_view aWhat, const std::string& aId)
 {
@@ -158,7 +168,10 @@
 }
 
 Refusal
-CheckTarget(const TaskRecord& aTask, const JobRecord& aJob, const VmRecord& aVm)
+CheckTarget(const Fleet& aFleet,
+            const TaskRecord& aTask,
+            const JobRecord& aJob,
+            const VmRecord& aVm)
 {
   const auto& id = aVm.identity_.id_;
   if (aVm.pool_ != aJob.pool_) {
@@ -178,7 +191,7 @@
                   WordOf(aVm.phase_),
                   ", not active");
   }
-  if (detail::Holds(aTask.failedOn_, id)) {
+  if (detail::Holds(aTask.failedOn_, id) && !IsSmallPool(aFleet, aJob.pool_)) {
     return Refuse(ErrorKind::InvalidState,
                   "task ",
                   aTask.id_,
@@ -385,7 +398,7 @@
   }
   const auto& job = aFleet.Jobs().at(task.job_);
   return FirstOf(CheckLease(aCommand.leaseMs_),
-                 CheckTarget(task, job, vm->second),
+                 CheckTarget(aFleet, task, job, vm->second),
                  CheckQuota(aFleet, job));
 }
 
@@ -435,8 +448,9 @@
   auto phase = aCommand.phase_;
   if (aCommand.failedOnVm_) {
     task.failedOn_.push_back(vm);
-    phase = task.failedOn_.size() >= kFailuresOfTask ? TaskPhase::Failed
-                                                     : TaskPhase::Waiting;
+    phase = task.failedOn_.size() >= detail::kFailuresOfTask
+              ? TaskPhase::Failed
+              : TaskPhase::Waiting;
   }
   if (aCommand.leaseMs_ != 0) {
     task.leaseUntilMs_ = fleet_.logicalMs_ + aCommand.leaseMs_;
@@ -445,18 +459,20 @@
   if (task.phase_ == before) {
     return Concat("task ", task.id_, " is ", WordOf(task.phase_), " as before");
   }
-  auto text = Concat(
-    "task ",
-    task.id_,
-    aCommand.failedOnVm_ ? " failed on VM " : " on VM ",
-    vm,
-    aCommand.failedOnVm_
-      ? Concat(" (", task.failedOn_.size(), " of ", kFailuresOfTask, " VMs)")
-      : std::string(),
-    " and is ",
-    WordOf(task.phase_),
-    aCommand.reason_.empty() ? "" : ": ",
-    aCommand.reason_);
+  auto text = Concat("task ",
+                     task.id_,
+                     aCommand.failedOnVm_ ? " failed on VM " : " on VM ",
+                     vm,
+                     aCommand.failedOnVm_ ? Concat(" (",
+                                                   task.failedOn_.size(),
+                                                   " of ",
+                                                   detail::kFailuresOfTask,
+                                                   " times)")
+                                          : std::string(),
+                     " and is ",
+                     WordOf(task.phase_),
+                     aCommand.reason_.empty() ? "" : ": ",
+                     aCommand.reason_);
   Decide(Concat("job:", task.job_), text);
   if (task.phase_ == TaskPhase::Failed) {
     Decide(Concat("vm:", vm), text);
--- a/packages/state/test/job_test.cpp
+++ b/packages/state/test/job_test.cpp
@@ -250,6 +250,22 @@
         ErrorKind::InvalidState);
 }
 
+// Guards against a task for which no VM is left before it has failed.
+TEST_CASE("a task may return to a VM of a small pool until it has failed")
+{
+  const auto vms = GENERATE(1, 2);
+  FleetDriver driver;
+  driver.Apply(ApplyTable{ { MakeRow("gifts", 0), MakeRow("rota", vms) }, 0 });
+  test::AnnounceMany(driver, vms);
+  driver.Apply(PutJob{ MakeJob("j", 1) });
+  for (std::uint64_t i = 1; i <= 3; ++i) {
+    CHECK(TaskOf(driver, "j/0").phase_ == TaskPhase::Waiting);
+    CHECK(driver.KindOf(PlaceTask{ "j/0", "vm-1", kLeaseMs }) == kNone);
+    driver.Apply(UpdateTask{ "j/0", i, TaskPhase::Running, true, "exit 1", 0 });
+  }
+  CHECK(TaskOf(driver, "j/0").phase_ == TaskPhase::Failed);
+}
+
 TEST_CASE("cancelling ends waiting tasks and stops placed ones")
 {
   auto driver = MakeDriver();
--- a/tests/proof/data_support.h
+++ b/tests/proof/data_support.h
@@ -26,9 +26,13 @@
 }
 
 /// Starts vm-1, vm-2, ... in the zones z1 to z3 in turn, each in a rack of its
-/// own.
+/// own, announcing to these nodes or, with none, to those of its zone.
 inline void
-StartTargets(Cluster& aCluster, int aCount, bool aProxy, int aServiceMs)
+StartTargets(Cluster& aCluster,
+             int aCount,
+             bool aProxy,
+             int aServiceMs,
+             const std::vector<std::string>& aAnnounceTo = {})
 {
   for (int i = 1; i <= aCount; ++i) {
     ClusterTarget target;
@@ -36,6 +40,7 @@
     target.zone_ = "z" + std::to_string((i - 1) % 3 + 1);
     target.rack_ = "r" + std::to_string(i);
     target.proxy_ = aProxy;
+    target.announceTo_ = aAnnounceTo;
     target.arguments_ = {
       "--seed", std::to_string(i), "--service-ms", std::to_string(aServiceMs)
     };
@@ -45,13 +50,15 @@
 
 /// Starts the nodes, applies a table with these rows (pool, weight, size,
 /// min_available, max_unavailable), starts the targets and waits until every
-/// node may use all of them.
+/// node may use all of them. With aAvoidLeader all targets announce themselves
+/// to one node that does not lead at the start.
 inline void
 StartSystem(Cluster& aCluster,
             const std::string& aRows,
             int aTargets,
             bool aProxy,
-            int aServiceMs)
+            int aServiceMs,
+            bool aAvoidLeader = false)
 {
   aCluster.StartAll();
   aCluster.WaitReady(kStartLimit);
@@ -62,7 +69,13 @@
   const auto applied = aCluster.RunClient({ "apply", path, "--wait" });
   INFO(applied.output_);
   REQUIRE(applied.exitCode_ == 0);
-  StartTargets(aCluster, aTargets, aProxy, aServiceMs);
+  std::vector<std::string> announceTo;
+  if (aAvoidLeader) {
+    announceTo = aCluster.NodeIds();
+    std::erase(announceTo, aCluster.Leader());
+    announceTo.resize(1);
+  }
+  StartTargets(aCluster, aTargets, aProxy, aServiceMs, announceTo);
   for (const auto& node : aCluster.NodeIds()) {
     aCluster.WaitUsable(node, static_cast<std::size_t>(aTargets), kStartLimit);
   }
--- a/tests/support/fake_target.cpp
+++ b/tests/support/fake_target.cpp
@@ -155,6 +155,8 @@
       aSwitches.value("check_epoch", switches_.checkEpoch_);
     switches_.announce_ = aSwitches.value("announce", switches_.announce_);
     switches_.taskMode_ = aSwitches.value("task_mode", switches_.taskMode_);
+    switches_.sizeFactor_ =
+      aSwitches.value("size_factor", switches_.sizeFactor_);
     if (aSwitches.value("silence_open", false)) {
       switches_.silentUpTo_ = server_->LastNumber();
     }
@@ -505,9 +507,8 @@
   json reports = json::array();
   const bool wrongSize = switches_.taskMode_ == "wrong_size";
   for (const auto& [id, task] : tasks_) {
-    // A task of the wrong size uses three times what was declared; a
-    // throttled one half of its processors.
-    const std::int64_t factor = wrongSize ? 3 : 1;
+    // A throttled task uses half of its processors.
+    const std::int64_t factor = wrongSize ? switches_.sizeFactor_ : 1;
     const auto milliCores =
       task.milliCores_ * factor / (task.throttled_ ? 2 : 1);
     reports.push_back({ { "id", id },
--- a/tests/support/fake_target.h
+++ b/tests/support/fake_target.h
@@ -69,6 +69,8 @@
 /// - check_epoch: false accepts requests with an older epoch;
 /// - announce: false stops announcing;
 /// - task_mode ("ok", "fail" or "wrong_size"), task_ms, task_lag_ms;
+/// - size_factor: what a task of the wrong size uses, in times of what was
+///   declared, 3 at first;
 /// - reboot_ms: drops all connections and requests, stays away for this time
 ///   and returns with the next incarnation and no assignment; the answer has
 ///   "in_flight", the number of requests that this interrupted;
@@ -103,6 +105,7 @@
     bool checkEpoch_ = true;
     bool announce_ = true;
     std::string taskMode_ = "ok";
+    std::int64_t sizeFactor_ = 3;
     Millis taskTime_{ 2000 };
     Millis taskLag_{ 300 };
   };
