--- a/packages/daemon/relay_service.cpp
+++ b/packages/daemon/relay_service.cpp
@@ -1,6 +1,6 @@
 #include "daemon/relay_service_base.h"
 
-#include "daemon/random_func.h"
+#include "daemon/claim_committer_base.h"
 #include "kernel/error_func.h"
 #include "kernel/log_func.h"
 #include "kernel/os_clock_func.h"
@@ -21,10 +21,6 @@
 // Probes in one round; a round that finds many silent targets goes on in the
 // next one.
 constexpr std::size_t kProbesPerRound = 8;
-constexpr Millis kClaimEndTimeout{ 5000 };
-constexpr Millis kClaimEndPause{ 500 };
-// Time kept of a request's deadline for sending it after its claim.
-constexpr Millis kClaimReserve{ 50 };
 
 } // namespace
 
@@ -36,7 +32,6 @@
   , registry_(aRegistry)
   , traces_(aTraces)
   , metrics_(aMetrics)
-  , ownerPrefix_(aSettings.node_ + "-" + RandomId() + "-")
 {
 }
 
@@ -50,15 +45,21 @@
 {
   replica_ = &registry_.Find<ReplicaService>(kReplicaServiceName);
   directory_ = &registry_.Find<DirectoryService>(kDirectoryServiceName);
-  relay_ =
-    std::make_unique<Relay>(settings_.relay_, *this, *this, traces_, metrics_);
+  claims_ = std::make_unique<ClaimCommitter>(
+    settings_.node_,
+    [this](const Command& aCommand, const std::string& aId, Millis aTimeout) {
+      return replica_->Propose(aCommand, aId, aTimeout);
+    },
+    [this] { return replica_->Control().stale_; });
+  relay_ = std::make_unique<Relay>(
+    settings_.relay_, *claims_, *this, traces_, metrics_);
   auto started = relay_->Start();
   if (!IsOk(started)) {
     return started;
   }
   threads_.emplace_back([this] { RunRefresh(); });
   threads_.emplace_back([this] { RunProbes(); });
-  threads_.emplace_back([this] { RunClaimEnds(); });
+  threads_.emplace_back([this] { claims_->Run(); });
   return Done{};
 }
 
@@ -78,7 +79,9 @@
   if (stopping_.exchange(true)) {
     return;
   }
-  claimReady_.notify_all();
+  if (claims_) {
+    claims_->Stop();
+  }
   for (auto& thread : threads_) {
     thread.join();
   }
@@ -286,94 +289,6 @@
                              aEcho.sentAt_ });
 }
 
-ClaimReply
-RelayService::Begin(const std::string& aKey,
-                    std::uint64_t aFingerprint,
-                    MonotonicTime aDeadline)
-{
-  const auto timeout = aDeadline - MonotonicNow() - kClaimReserve;
-  if (timeout <= Millis(0)) {
-    return Error{ ErrorKind::DeadlineTooShort, "" };
-  }
-  if (replica_->Control().stale_) {
-    return Error{ ErrorKind::ControlUnreachable,
-                  "an Idempotency-Key cannot be claimed while this node has no "
-                  "contact with the control group; the request did not run" };
-  }
-  const auto owner = ownerPrefix_ + std::to_string(nextOwner_++);
-  const BeginClaim begin{ aKey, aFingerprint, settings_.node_, owner };
-  const auto result = replica_->Propose(begin, owner, timeout);
-  if (!result.error_) {
-    return ClaimGranted{ owner };
-  }
-  if (result.claim_) {
-    return *result.claim_;
-  }
-  if (result.error_->kind_ == ErrorKind::ProposalLost) {
-    // The claim may have been committed without an answer. It was not used, so
-    // it is released: the request did not run.
-    AddEnd({ begin, { aKey, owner, ClaimEnd::NotRun, 0, "", "", false } });
-    return Error{ ErrorKind::ControlUnreachable,
-                  "the claim was not confirmed in time; the request did not "
-                  "run" };
-  }
-  return *result.error_;
-}
-
-void
-RelayService::End(const EndClaim& aEnd)
-{
-  AddEnd({ std::nullopt, aEnd });
-}
-
-void
-RelayService::AddEnd(PendingEnd aEnd)
-{
-  const std::lock_guard lock(claimMutex_);
-  claimEnds_.push_back(std::move(aEnd));
-  claimReady_.notify_one();
-}
-
-bool
-RelayService::TryEnd(const PendingEnd& aEnd)
-{
-  const auto isDecided = [](const CommandResult& aResult) {
-    return !aResult.error_ ||
-           (aResult.error_->kind_ != ErrorKind::ProposalLost &&
-            aResult.error_->kind_ != ErrorKind::ControlUnreachable);
-  };
-  const auto& owner = aEnd.end_.owner_;
-  if (aEnd.begin_ &&
-      !isDecided(replica_->Propose(*aEnd.begin_, owner, kClaimEndTimeout))) {
-    return false;
-  }
-  return isDecided(
-    replica_->Propose(aEnd.end_, "end-" + owner, kClaimEndTimeout));
-}
-
-void
-RelayService::RunClaimEnds()
-{
-  while (true) {
-    PendingEnd end;
-    {
-      std::unique_lock lock(claimMutex_);
-      claimReady_.wait(lock,
-                       [this] { return stopping_ || !claimEnds_.empty(); });
-      if (claimEnds_.empty()) {
-        return;
-      }
-      end = claimEnds_.front();
-    }
-    if (!TryEnd(end) && !stopping_) {
-      std::this_thread::sleep_for(kClaimEndPause);
-      continue;
-    }
-    const std::lock_guard lock(claimMutex_);
-    claimEnds_.pop_front();
-  }
-}
-
 std::map<std::string, RelayPoolLoad>
 RelayService::Loads() const
 {
