Add: proof that a wave is held while a drain exceeds its limit

proof_data_wave printed "not held" and did not require it: its requests of 5 s ended 4 s after the drain limit, and a wave is held 5 s after it (WaveLimits::holdAfter_). The requests take 12 s now, and held is required.

--- a/tests/proof/data_wave_test.cpp
+++ b/tests/proof/data_wave_test.cpp
@@ -25,12 +25,14 @@
 /// "After a few seconds": routing lease of 5 s and margin of 1 s.
 constexpr Millis kNoNewWorkLimit{ 6000 };
 constexpr Millis kDrainLimit{ 1000 };
-constexpr Millis kLongRequest{ 5000 };
+/// A wave is held when a drain has been over its limit for 5 s (WaveLimits);
+/// the rest is for the start of the wave and a command that is proposed again.
+constexpr Millis kLongRequest = kDrainLimit + 5000ms + 6000ms;
 /// Enough that each VM of the pool holds at least one.
 constexpr int kLongRequests = 20;
 /// The size of the pool after the move.
 constexpr std::size_t kRotaSize = 5;
-constexpr Millis kLongDeadline{ 15000 };
+constexpr Millis kLongDeadline{ 20000 };
 
 void
 RequireClient(const Cluster& aCluster, const std::vector<std::string>& aWords)
@@ -216,6 +218,7 @@
   const auto waited = RunLongRequests(aCluster, aRecorder, "limit-wait");
   CHECK(waited.Count("answered") == kLongRequests);
   CHECK(waited.cutting_ == 0);
+  CHECK(waited.held_);
   CHECK(waited.stops_ == kRotaSize);
 
   RequireClient(aCluster, { "set", "rota", "drain_action", "stop", "--wait" });
