--- a/tests/proof/data_support.h
+++ b/tests/proof/data_support.h
@@ -59,14 +59,16 @@
 
 /// Starts the nodes, applies a table with these rows (pool, weight, size,
 /// min_available, max_unavailable), starts the targets and waits until every
-/// node may use all of them.
+/// node may use all of them. With aAvoidLeader all targets announce themselves
+/// to one node that does not lead at the start.
 inline void
 StartSystem(Cluster& aCluster,
             const std::string& aRows,
             int aTargets,
             bool aProxy,
             int aServiceMs,
-            const std::vector<std::string>& aAnnounceTo = {})
+            const std::vector<std::string>& aAnnounceTo = {},
+            bool aAvoidLeader = false)
 {
   aCluster.StartAll();
   aCluster.WaitReady(kStartLimit);
@@ -77,7 +79,13 @@
   const auto applied = aCluster.RunClient({ "apply", path, "--wait" });
   INFO(applied.output_);
   REQUIRE(applied.exitCode_ == 0);
-  StartTargets(aCluster, aTargets, aProxy, aServiceMs, aAnnounceTo);
+  auto announceTo = aAnnounceTo;
+  if (aAvoidLeader) {
+    announceTo = aCluster.NodeIds();
+    std::erase(announceTo, aCluster.Leader());
+    announceTo.resize(1);
+  }
+  StartTargets(aCluster, aTargets, aProxy, aServiceMs, announceTo);
   for (const auto& node : aCluster.NodeIds()) {
     aCluster.WaitUsable(node, static_cast<std::size_t>(aTargets), kStartLimit);
   }
