--- /dev/null
+++ b/packages/relay/relay_impl_base.h
@@ -0,0 +1,168 @@
+#pragma once
+
+#include "relay/buffer_budget_base.h"
+#include "relay/call_spec_type.h"
+#include "relay/caller_server_base.h"
+#include "relay/relay_base.h"
+#include "relay/target_client_base.h"
+#include "routing/router_base.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <thread>
+#include <unordered_map>
+
+// Not for use outside the relay: its inside, which relay.cpp (start, stop and
+// upkeep) and relay_call.cpp (the life of a request) share.
+
+namespace acaciahill {
+
+namespace detail {
+
+/// What a target said of itself in an answer; nothing when it said nothing.
+std::optional<TargetEcho>
+ReadEcho(const std::string& aVm,
+         const HttpHeaders& aHeaders,
+         MonotonicTime aSentAt);
+
+} // namespace detail
+
+struct Relay::Impl : public CallerHandler
+{
+  /// Where the thread of a request waits for the router's decisions.
+  struct Waiter
+  {
+    std::condition_variable changed_;
+    std::deque<RouterAction> actions_;
+  };
+
+  /// One request of a caller, from its arrival to its answer.
+  struct Call
+  {
+    HttpRequest request_;
+    CallerLink link_;
+    CallSpec spec_;
+    RequestId id_ = 0;
+    std::string requestId_;
+    MonotonicTime arrived_{};
+    MonotonicTime deadline_{};
+    std::optional<TraceContext> parent_;
+    TraceContext context_;
+    Waiter waiter_;
+    bool cancelled_ = false;
+    bool queueTraced_ = false;
+    /// How the last sending ended that may have reached a target.
+    std::optional<AttemptEnd> delivered_;
+    bool refusedByTarget_ = false;
+    std::string lastDetail_;
+    HttpAnswer answer_;
+    std::shared_ptr<BufferLease> answerLease_;
+    std::string claimOwner_;
+    /// VM of an attempt whose end the router has not been told yet.
+    std::string openAttempt_;
+  };
+
+  /// Counts the requests that a stop waits for: those that came before it.
+  struct Served
+  {
+    explicit Served(Impl& aImpl)
+      : impl_(aImpl)
+    {
+      const std::lock_guard lock(impl_.mutex_);
+      counted_ = !impl_.stopping_;
+      impl_.served_ += counted_ ? 1 : 0;
+    }
+    Served(const Served&) = delete;
+    Served& operator=(const Served&) = delete;
+    ~Served()
+    {
+      lease_.reset();
+      const std::lock_guard lock(impl_.mutex_);
+      impl_.served_ -= counted_ ? 1 : 0;
+      impl_.servedChanged_.notify_all();
+    }
+
+    Impl& impl_;
+    bool counted_ = false;
+    std::shared_ptr<BufferLease> lease_;
+  };
+
+  Impl(RelaySettings aSettings,
+       ClaimGate& aClaims,
+       TargetEchoSink& aEchoes,
+       TraceSink& aTraces,
+       Metrics& aMetrics);
+
+  std::optional<Error> CheckHead(const HttpRequest& aRequest) override;
+  CallerReply Handle(HttpRequest aRequest, const CallerLink& aLink) override;
+  void OnRefused(ErrorKind aKind) override;
+
+  /// Passes an input to the router and its actions to their requests.
+  void Apply(const RouterInput& aInput);
+  std::optional<ErrorKind> Precheck(const CallSpec& aSpec);
+  HttpAnswer Serve(Call& aCall);
+  HttpAnswer Route(Call& aCall);
+  std::optional<HttpAnswer> BeginClaim(Call& aCall);
+  void FinishClaim(const Call& aCall);
+  std::optional<HttpAnswer> AnswerOfClaim(const Claim& aClaim,
+                                          std::uint64_t aFingerprint) const;
+  RouterAction NextAction(Call& aCall);
+  void Cancel(Call& aCall);
+  void Attempt(Call& aCall, const DispatchRequest& aDispatch);
+  TargetOutcome SendTo(Call& aCall,
+                       const DispatchRequest& aDispatch,
+                       const TraceContext& aContext);
+  HttpRequest RequestFor(const Call& aCall,
+                         const DispatchRequest& aDispatch,
+                         const TraceContext& aContext,
+                         MonotonicTime aNow) const;
+  HttpAnswer Refuse(const Call& aCall, ErrorKind aKind, Millis aRetryAfter);
+  void Trace(const std::string& aName,
+             const TraceContext& aContext,
+             const std::string& aParentSpan,
+             MonotonicTime aStart,
+             bool aOk,
+             std::vector<std::pair<std::string, std::string>> aAttributes);
+  void CountAnswer(const Call& aCall, const HttpAnswer& aAnswer);
+  void RunTicker();
+  void RunMaintenance();
+  void Stop(Millis aGrace);
+
+  RelaySettings settings_;
+  ClaimGate& claims_;
+  TargetEchoSink& echoes_;
+  TraceSink& traces_;
+  Metrics& metrics_;
+  BufferBudget budget_;
+  StickyEvent stop_;
+  StickyEvent abort_;
+  std::string requestIdPrefix_;
+  std::atomic<RequestId> nextId_{ 1 };
+
+  /// Guards the router, the waiters and the counts below.
+  mutable std::mutex mutex_;
+  RouterCore router_;
+  std::unordered_map<RequestId, Waiter*> waiters_;
+  std::map<std::string, PoolRow> rows_;
+  std::map<std::string, std::int64_t> refused_;
+  std::int64_t served_ = 0;
+  bool stopping_ = false;
+  bool stopped_ = false;
+  std::condition_variable servedChanged_;
+  std::condition_variable tickerChanged_;
+
+  /// Held while a request's first bytes are written, which does not block, so
+  /// that a change of the targets is complete when it returns.
+  std::mutex sendGate_;
+  std::map<std::string, TargetView> allowed_;
+
+  TargetClient targets_;
+  CallerServer server_;
+  std::thread ticker_;
+};
+
+} // namespace acaciahill
