Fix: the router hears of a node that moved to another zone

Cause: the router was told of the nodes only when the table's version or the number of all nodes changed, so that a node registered anew in another zone left the number of nodes in the own zone, and with it the slot shares, as they were. Found by reading; there is no run that shows it. Now the whole value decides, and it is made only when the state has changed: the table's rows were copied every 200 ms before.

--- a/packages/daemon/relay_service.cpp
+++ b/packages/daemon/relay_service.cpp
@@ -22,6 +22,25 @@
 // next one.
 constexpr std::size_t kProbesPerRound = 8;
 
+/// The table's rows, and the numbers of nodes that share the targets.
+PoolsChanged
+PoolsOf(const Fleet& aFleet, const std::string& aZone)
+{
+  PoolsChanged pools;
+  for (const auto& [name, row] : aFleet.Table().rows_) {
+    pools.rows_.push_back(row);
+  }
+  const auto& nodes = aFleet.Nodes();
+  const auto inZone =
+    std::count_if(nodes.begin(), nodes.end(), [&aZone](const auto& aItem) {
+      return aItem.second.zone_ == aZone;
+    });
+  pools.entryNodes_ =
+    std::max<std::int64_t>(1, static_cast<std::int64_t>(nodes.size()));
+  pools.entryNodesInZone_ = std::max<std::int64_t>(1, inZone);
+  return pools;
+}
+
 } // namespace
 
 RelayService::RelayService(const DaemonSettings& aSettings,
@@ -106,25 +125,16 @@
   status.node_ = settings_.node_;
   status.madeAt_ = now;
   TargetsChanged targets;
-  PoolsChanged pools;
+  std::optional<PoolsChanged> pools;
   std::map<std::string, std::uint32_t> leaving;
 
   const auto evidence = directory_->Targets();
   replica_->Read([&](const Fleet& aFleet) {
     status.appliedIndex_ = aFleet.AppliedIndex();
     status.tableVersion_ = aFleet.Table().version_;
-    for (const auto& [name, row] : aFleet.Table().rows_) {
-      pools.rows_.push_back(row);
+    if (refreshedIndex_ != aFleet.AppliedIndex()) {
+      pools = PoolsOf(aFleet, settings_.zone_);
     }
-    pools.entryNodes_ = std::max<std::int64_t>(
-      1, static_cast<std::int64_t>(aFleet.Nodes().size()));
-    pools.entryNodesInZone_ = std::max<std::int64_t>(
-      1,
-      std::count_if(aFleet.Nodes().begin(),
-                    aFleet.Nodes().end(),
-                    [this](const auto& aItem) {
-                      return aItem.second.zone_ == settings_.zone_;
-                    }));
     for (const auto& [id, vm] : aFleet.Vms()) {
       const auto heard = FindEvidence(evidence, vm.number_);
       if (vm.phase_ == VmPhase::Draining) {
@@ -146,14 +156,10 @@
     directory_->Retain(aFleet.Vms(), aFleet.Nodes());
   });
 
-  const bool poolsChanged = !hasRefreshedTable_ ||
-                            refreshedTable_ != status.tableVersion_ ||
-                            refreshedNodes_ != pools.entryNodes_;
-  if (poolsChanged) {
-    relay_->SetPools(pools);
-    hasRefreshedTable_ = true;
-    refreshedTable_ = status.tableVersion_;
-    refreshedNodes_ = pools.entryNodes_;
+  refreshedIndex_ = status.appliedIndex_;
+  if (pools && pools_ != pools) {
+    pools_ = pools;
+    relay_->SetPools(*pools);
   }
   relay_->SetTargets(targets);
   // The order matters: the index is reported as in force only after the relay
--- a/packages/daemon/relay_service_base.h
+++ b/packages/daemon/relay_service_base.h
@@ -8,7 +8,9 @@
 #include "relay/relay_base.h"
 
 #include <atomic>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -65,9 +67,9 @@
   /// Epochs and leases of urgent tasks of which targets were notified, and
   /// when; used by the probing thread only.
   std::map<std::string, MonotonicTime> notified_;
-  std::uint64_t refreshedTable_ = 0;
-  bool hasRefreshedTable_ = false;
-  std::int64_t refreshedNodes_ = 0;
+  /// The index of the last refresh, and what the relay was told then.
+  std::optional<std::uint64_t> refreshedIndex_;
+  std::optional<PoolsChanged> pools_;
   std::vector<std::thread> threads_;
 };
 
