--- a/packages/membership/test/membership_steps_test.cpp
+++ b/packages/membership/test/membership_steps_test.cpp
@@ -217,7 +217,8 @@
 
   void CheckNode(Node& aNode)
   {
-    for (const auto& [number, evidence] : aNode.directory_.Targets()) {
+    for (const auto& [number, heard] : aNode.directory_.Targets()) {
+      const auto& evidence = heard;
       const std::pair version{ evidence.incarnation_, evidence.epoch_ };
       auto& newest = aNode.newest_[number];
       if (version < newest) {
