Fix: test programs that run at once do not take each other's ports

Three proofs ran at once, and another program had been given the port while nobody listened on it. Ruled out: a fault of the product. The checks of answers had found nothing, and the other nodes served. Change: FreePort() marks a port for the life of the program by a UDP socket of the same number, which all test programs see. The test failed before.

--- a/tests/support/process_harness.cpp
+++ b/tests/support/process_harness.cpp
@@ -4,8 +4,10 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 
+#include <arpa/inet.h>
 #include <fcntl.h>
 #include <spawn.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -80,6 +82,29 @@
   }
 }
 
+/// Takes a port for the rest of this process. A process that was killed leaves
+/// its port free until it is started again, and another test program must not
+/// take it in the meantime. The mark is a UDP socket of the same number, which
+/// does not get in the way of a TCP listener.
+bool
+ReservePort(int aPort)
+{
+  const int mark = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port = htons(static_cast<std::uint16_t>(aPort));
+  if (mark >= 0 && ::bind(mark,
+                          reinterpret_cast<const sockaddr*>(&address),
+                          sizeof(address)) == 0) {
+    return true;
+  }
+  if (mark >= 0) {
+    ::close(mark);
+  }
+  return false;
+}
+
 } // namespace
 
 bool
@@ -107,7 +132,7 @@
   std::uniform_int_distribution<int> ports(kFirstPort, kLastPort);
   for (;;) {
     const int port = ports(random);
-    if (used.count(port) == 0 && CanBind(port)) {
+    if (used.count(port) == 0 && CanBind(port) && ReservePort(port)) {
       used.insert(port);
       return static_cast<std::uint16_t>(port);
     }
--- a/tests/support/process_harness.h
+++ b/tests/support/process_harness.h
@@ -17,8 +17,9 @@
 bool
 WaitUntil(Millis aTimeout, const std::function<bool()>& aCondition);
 
-/// A loopback port that was free and that this process has not handed out
-/// before. It lies below the range from which outgoing connections take theirs.
+/// A loopback port that was free and that no running test program has handed
+/// out before. It lies below the range from which outgoing connections take
+/// theirs.
 std::uint16_t
 FreePort();
 
--- a/tests/support/test/process_harness_test.cpp
+++ b/tests/support/test/process_harness_test.cpp
@@ -1,6 +1,9 @@
 #include "support/cluster_fixture.h"
 #include "support/process_harness.h"
 
+#include <Poco/Exception.h>
+#include <Poco/Net/DatagramSocket.h>
+#include <Poco/Net/SocketAddress.h>
 #include <catch2/catch.hpp>
 
 #include <csignal>
@@ -58,6 +61,16 @@
   CHECK(FreePort() != FreePort());
 }
 
+// Guards against another test program that takes the port of a process which
+// was killed and is to be started again.
+TEST_CASE("a port stays reserved while nobody listens on it")
+{
+  const auto port = FreePort();
+  const Poco::Net::SocketAddress address("127.0.0.1", port);
+  Poco::Net::DatagramSocket mark(Poco::Net::SocketAddress::IPv4);
+  CHECK_THROWS_AS(mark.bind(address, false, false), Poco::Exception);
+}
+
 // Guards against settings that name addresses past the fault proxies.
 TEST_CASE("cluster settings lead through the proxies")
 {
