Change: one job request for the proofs, and no look into the state for its form

Found in a read of the whole change: two proofs had a PutJob() of their own, two idle tests the same start, and a comment in vm_watcher.h had lost the function it refers to in a merge. Whether a node holds claims follows from its settings; each pull took the state's lock for it. No behaviour, bound or check changed.

--- a/packages/daemon/replica_service.cpp
+++ b/packages/daemon/replica_service.cpp
@@ -492,12 +492,6 @@
   commandAppliedAt_ = MonotonicNow();
 }
 
-bool
-ReplicaService::HoldsClaims() const
-{
-  return Read([](const Fleet& aFleet) { return aFleet.HoldsClaims(); });
-}
-
 void
 ReplicaService::NotifyApplied()
 {
--- a/packages/daemon/replica_service_base.h
+++ b/packages/daemon/replica_service_base.h
@@ -200,7 +200,8 @@
   void ApplyCommitted(const std::vector<LogEntry>& aEntries);
   CommandResult ApplyOne(const LogEntry& aEntry);
   void ApplyRun(const ClaimRun& aRun);
-  bool HoldsClaims() const;
+  /// The constructor, the log and each snapshot keep the state in this form.
+  bool HoldsClaims() const { return settings_.voter_; }
   void CompactWhenDue();
   void RepairVoters();
   void PublishControl();
--- a/tests/integration/idle_cost_test.cpp
+++ b/tests/integration/idle_cost_test.cpp
@@ -73,6 +73,18 @@
   }
 }
 
+/// Starts the nodes and waits until nothing is left to do.
+void
+StartIdle(Cluster& aCluster)
+{
+  aCluster.StartAll();
+  aCluster.WaitReady(kStartLimit);
+  aCluster.Require(
+    "a leader", kElectionLimit, [&] { return !aCluster.Leader().empty(); });
+  // Nodes register themselves within their first seconds.
+  std::this_thread::sleep_for(3s);
+}
+
 } // namespace
 
 // Guards against loops that spin while nothing happens, before and after an
@@ -81,12 +93,7 @@
 TEST_CASE("an idle node stays under its processor target")
 {
   Cluster cluster({});
-  cluster.StartAll();
-  cluster.WaitReady(kStartLimit);
-  cluster.Require(
-    "a leader", kElectionLimit, [&] { return !cluster.Leader().empty(); });
-  // Nodes register themselves within their first seconds.
-  std::this_thread::sleep_for(3s);
+  StartIdle(cluster);
   CheckIdleCost(cluster, cluster.NodeIds());
 
   const auto old = cluster.Leader();
@@ -109,11 +116,7 @@
 TEST_CASE("an idle node counts its control bytes and stays under their target")
 {
   Cluster cluster({});
-  cluster.StartAll();
-  cluster.WaitReady(kStartLimit);
-  cluster.Require(
-    "a leader", kElectionLimit, [&] { return !cluster.Leader().empty(); });
-  std::this_thread::sleep_for(3s);
+  StartIdle(cluster);
   const std::string name = "acaciahill_control_bytes_total";
   auto& leader = cluster.Node(cluster.Leader());
   for (const char* series : { "{rpc=\"raft\",direction=\"sent\"}",
--- a/tests/proof/data_jobs_test.cpp
+++ b/tests/proof/data_jobs_test.cpp
@@ -42,34 +42,13 @@
 constexpr Millis kJobLimit{ 60000 };
 constexpr Millis kCancelLimit{ 20000 };
 
-HttpOutcome
-PutJob(Cluster& aCluster,
-       const std::string& aJob,
-       int aTasks,
-       std::int64_t aMilliCores,
-       const std::string& aTeam = "kesar")
-{
-  return aCluster.AdminPost("n1",
-                            "/v1/commands",
-                            { { "request_id", "put-" + aJob },
-                              { "type", "put_job" },
-                              { "job",
-                                { { "id", aJob },
-                                  { "pool", "rota" },
-                                  { "team", aTeam },
-                                  { "tasks", aTasks },
-                                  { "milli_cores", aMilliCores },
-                                  { "memory_mb", 512 },
-                                  { "slots", 1 } } } });
-}
-
 void
 RequireJob(Cluster& aCluster,
            const std::string& aJob,
            int aTasks,
            const std::string& aTeam = "kesar")
 {
-  const auto put = PutJob(aCluster, aJob, aTasks, 1000, aTeam);
+  const auto put = PutJob(aCluster, aJob, aTasks, { { "team", aTeam } });
   INFO(put.answer_.body_);
   REQUIRE(put.answer_.status_ == 200);
 }
@@ -126,7 +105,10 @@
                              { "size_factor", kSizeError },
                              { "task_ms", kLongTask.count() } });
   }
-  REQUIRE(PutJob(aCluster, "small", 200, kRealCores * 1000 / kSizeError)
+  REQUIRE(PutJob(aCluster,
+                 "small",
+                 200,
+                 { { "milli_cores", kRealCores * 1000 / kSizeError } })
             .answer_.status_ == 200);
   const auto begin = MonotonicNs();
   Millis age{ 0 };
@@ -189,7 +171,7 @@
   for (int i = 1; i <= kTargets; ++i) {
     cluster.ControlTarget(TargetName(i), { { "task_ms", kTaskMs } });
   }
-  const auto large = PutJob(cluster, "large", 1, 64000);
+  const auto large = PutJob(cluster, "large", 1, { { "milli_cores", 64000 } });
   INFO(large.answer_.body_);
   CHECK(large.answer_.status_ == 422);
   CHECK(large.answer_.body_.find("never_fits") != std::string::npos);
--- a/tests/proof/data_support.h
+++ b/tests/proof/data_support.h
@@ -57,6 +57,24 @@
   REQUIRE(run.exitCode_ == 0);
 }
 
+/// Submits a job of the pool rota. The fields replace those of the default job.
+inline HttpOutcome
+PutJob(const Cluster& aCluster,
+       const std::string& aJob,
+       int aTasks,
+       const nlohmann::json& aFields = nlohmann::json::object())
+{
+  nlohmann::json job = { { "id", aJob },          { "pool", "rota" },
+                         { "team", "kesar" },     { "tasks", aTasks },
+                         { "milli_cores", 1000 }, { "memory_mb", 512 },
+                         { "slots", 1 } };
+  job.update(aFields);
+  return aCluster.AdminPost(
+    "n1",
+    "/v1/commands",
+    { { "request_id", "put-" + aJob }, { "type", "put_job" }, { "job", job } });
+}
+
 /// Starts the nodes, applies a table with these rows (pool, weight, size,
 /// min_available, max_unavailable), starts the targets and waits until every
 /// node may use all of them. With aAvoidLeader all targets announce themselves
--- a/tests/proof/data_urgent_test.cpp
+++ b/tests/proof/data_urgent_test.cpp
@@ -39,24 +39,6 @@
   return false;
 }
 
-HttpOutcome
-PutJob(Cluster& aCluster, const std::string& aJob, int aTasks, bool aUrgent)
-{
-  return aCluster.AdminPost("n1",
-                            "/v1/commands",
-                            { { "request_id", "put-" + aJob },
-                              { "type", "put_job" },
-                              { "job",
-                                { { "id", aJob },
-                                  { "pool", "rota" },
-                                  { "team", "kesar" },
-                                  { "tasks", aTasks },
-                                  { "milli_cores", 1000 },
-                                  { "memory_mb", 512 },
-                                  { "slots", 1 },
-                                  { "urgent", aUrgent } } } });
-}
-
 HttpOutcome
 EndJob(Cluster& aCluster, const std::string& aJob)
 {
@@ -84,7 +66,7 @@
 std::uint64_t
 BeginTimeMs(Cluster& aCluster, const std::string& aJob)
 {
-  const auto put = PutJob(aCluster, aJob, 1, true);
+  const auto put = PutJob(aCluster, aJob, 1, { { "urgent", true } });
   INFO(put.answer_.body_);
   REQUIRE(put.answer_.status_ == 200);
   const auto begin = MonotonicNs();
@@ -124,7 +106,7 @@
   for (int i = 1; i <= kTargets; ++i) {
     cluster.ControlTarget(TargetName(i), { { "task_ms", taskMs } });
   }
-  REQUIRE(PutJob(cluster, "fill", kQueue, false).answer_.status_ == 200);
+  REQUIRE(PutJob(cluster, "fill", kQueue).answer_.status_ == 200);
   std::this_thread::sleep_for(kIdleTime);
   for (int i = 0; i < kUrgentBeside; ++i) {
     const auto job = "urgent-" + std::to_string(i);
--- a/tests/support/vm_watcher.h
+++ b/tests/support/vm_watcher.h
@@ -149,6 +149,19 @@
   return periods;
 }
 
+/// The same, and a moment for each confirmed stop, as the budget is checked
+/// again before the platform is asked.
+inline std::vector<UnavailablePeriod>
+PeriodsWithStops(const VmWatcher& aWatcher)
+{
+  auto periods = PeriodsOf(aWatcher);
+  for (const auto& stop : aWatcher.Stops()) {
+    periods.push_back(
+      { stop.vm_, stop.pool_, stop.seenNs_, stop.seenNs_ + 1, true });
+  }
+  return periods;
+}
+
 /// What each node process shows of the assignments. Nodes are to be killed and
 /// started again through it.
 class ProcessWatchers
@@ -200,17 +213,4 @@
   std::map<std::string, std::vector<std::unique_ptr<VmWatcher>>> watchers_;
 };
 
-/// The same, and a moment for each confirmed stop, as the budget is checked
-/// again before the platform is asked.
-inline std::vector<UnavailablePeriod>
-PeriodsWithStops(const VmWatcher& aWatcher)
-{
-  auto periods = PeriodsOf(aWatcher);
-  for (const auto& stop : aWatcher.Stops()) {
-    periods.push_back(
-      { stop.vm_, stop.pool_, stop.seenNs_, stop.seenNs_ + 1, true });
-  }
-  return periods;
-}
-
 } // namespace acaciahill::testing
