--- a/packages/consensus/raft_base.h
+++ b/packages/consensus/raft_base.h
@@ -45,6 +45,10 @@
   /// sending time of the latest requests that a quorum answered, elsewhere the
   /// arrival of the leader's last request. Nothing while no leader is known.
   std::optional<MonotonicTime> LastContact(MonotonicTime aNow) const;
+  /// On the leader, the other voters that have answered nothing that was sent
+  /// within this time; voters that were never heard count from the beginning of
+  /// the leadership. Empty on other members.
+  std::vector<VoterId> SilentVoters(MonotonicTime aNow, Millis aFor) const;
   /// On the leader, the identities of nodes that are voters under another disk
   /// id than the one they answer with: they lost their disk. The shell removes
   /// the old identity and then adds this one. Empty on other members.
--- a/packages/consensus/raft_leader.cpp
+++ b/packages/consensus/raft_leader.cpp
@@ -58,6 +58,28 @@
                          : std::optional(quietUntil_ - timing_.electionMin_);
 }
 
+std::vector<VoterId>
+RaftCore::SilentVoters(MonotonicTime aNow, Millis aFor) const
+{
+  std::vector<VoterId> silent;
+  if (role_ != RaftRole::Leader) {
+    return silent;
+  }
+  for (const auto& voter : Voters().voters_) {
+    if (voter.node_ == self_.node_) {
+      continue;
+    }
+    const auto* progress = ProgressOf(voter);
+    const auto heard = progress == nullptr
+                         ? leaderSince_
+                         : std::max(leaderSince_, progress->contact_);
+    if (aNow - heard > aFor) {
+      silent.push_back(voter);
+    }
+  }
+  return silent;
+}
+
 std::vector<VoterId>
 RaftCore::UnrecognizedVoters() const
 {
--- a/packages/daemon/daemon_settings_type.h
+++ b/packages/daemon/daemon_settings_type.h
@@ -7,10 +7,24 @@
 #include "relay/relay_type.h"
 
 #include <map>
+#include <optional>
 #include <string>
 
 namespace acaciahill {
 
+/// A control group that forms itself among nodes that know a few addresses
+/// only. Its members are named by their IP addresses, and all use one port.
+struct SeededGroup
+{
+  std::string peerPort_;
+  /// The whole group starts for the first time, with empty disks.
+  bool isFirstStart_ = false;
+  /// Voters that may be lost at once; there are twice as many and one more.
+  int toleratedLosses_ = 1;
+
+  bool operator==(const SeededGroup&) const = default;
+};
+
 /// The settings of acaciahilld, checked and typed.
 struct DaemonSettings
 {
@@ -27,6 +41,8 @@
   std::string advertiseAdmin_;
   /// Peer addresses of all voters by node id.
   std::map<std::string, std::string> voters_;
+  /// Set where the voters are not listed but found.
+  std::optional<SeededGroup> seeded_;
 
   RaftTiming raft_;
   Millis announceInterval_{ 2000 };
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -9,6 +9,7 @@
 #include "daemon/relay_service_base.h"
 #include "daemon/replica_service_base.h"
 #include "daemon/trace_service_base.h"
+#include "daemon/workload_service_base.h"
 #include "kernel/error_func.h"
 #include "kernel/log_func.h"
 #include "kernel/metrics_base.h"
@@ -16,6 +17,7 @@
 #include <cxxopts.hpp>
 
 #include <csignal>
+#include <functional>
 #include <iostream>
 
 namespace acaciahill {
@@ -24,6 +26,8 @@
 
 // How long --init waits for each of the other voters.
 constexpr Millis kStatusTimeout{ 1000 };
+// The settings file may change without a signal; it is read again this often.
+constexpr std::chrono::seconds kReloadInterval{ 2 };
 
 int
 Fail(const Error& aError)
@@ -106,25 +110,43 @@
   return 0;
 }
 
-/// Waits for SIGTERM or SIGINT, which must be blocked in all threads.
-void
-WaitForStop(const sigset_t& aSignals)
+/// Blocks the signals that WaitForStop takes. Threads inherit the mask, so that
+/// no other thread takes them.
+sigset_t
+BlockSignals()
 {
-  int signal = 0;
-  ::sigwait(&aSignals, &signal);
-  LogInfo("stopping", { { "signal", signal } });
-}
-
-int
-Serve(const DaemonSettings& aSettings)
-{
-  // Threads inherit the mask, so that only WaitForStop takes these signals.
   sigset_t signals;
   ::sigemptyset(&signals);
   ::sigaddset(&signals, SIGTERM);
   ::sigaddset(&signals, SIGINT);
+  ::sigaddset(&signals, SIGHUP);
   ::pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
+  return signals;
+}
+
+/// Waits for SIGTERM or SIGINT. Calls the function at each SIGHUP, and at each
+/// end of the interval.
+void
+WaitForStop(const sigset_t& aSignals,
+            std::chrono::seconds aInterval,
+            const std::function<void()>& aReload)
+{
+  const timespec interval{ aInterval.count(), 0 };
+  while (true) {
+    const int signal = ::sigtimedwait(&aSignals, nullptr, &interval);
+    if (signal == SIGTERM || signal == SIGINT) {
+      LogInfo("stopping", { { "signal", signal } });
+      return;
+    }
+    aReload();
+  }
+}
+
+int
+Serve(const DaemonSettings& aSettings)
+{
+  const auto signals = BlockSignals();
 
   if (const auto logging = StartLog(aSettings.log_); !IsOk(logging)) {
     return Fail(ErrorOf(logging));
@@ -164,7 +186,7 @@
             { "announce", aSettings.listenAnnounce_ },
             { "admin", aSettings.listenAdmin_ },
             { "peers", aSettings.listenPeers_ } });
-  WaitForStop(signals);
+  WaitForStop(signals, kReloadInterval, [] {});
   // Readiness goes first, so that the load balancer sends no new callers while
   // requests in flight are finished; the admin port answers until the end.
   registry.Find<AdminService>(kAdminServiceName).SetStopping();
@@ -175,6 +197,87 @@
   return 0;
 }
 
+/// Creates the data folder at the first start of a group that forms itself. A
+/// node that is no seed, or comes later, has no vote and is admitted.
+int
+InitSeededFolder(const DaemonSettings& aSettings)
+{
+  const bool isFounder =
+    aSettings.seeded_->isFirstStart_ &&
+    aSettings.voters_.contains(aSettings.node_) &&
+    !OsFileSystem().Exists(aSettings.dataDir_ + "/disk_id");
+  return isFounder ? InitFolder(aSettings) : 0;
+}
+
+int
+ServeWorkload(const WorkloadSettings& aSettings, const std::string& aPath)
+{
+  const auto signals = BlockSignals();
+  if (const auto logging = StartLog(aSettings.control_.log_); !IsOk(logging)) {
+    return Fail(ErrorOf(logging));
+  }
+  if (aSettings.isControl_) {
+    if (const auto code = InitSeededFolder(aSettings.control_); code != 0) {
+      return code;
+    }
+  }
+  Metrics metrics;
+  ServiceRegistry registry;
+  if (aSettings.isControl_) {
+    registry.Add(kDirectoryServiceName,
+                 std::make_unique<DirectoryService>(
+                   aSettings.control_.node_, RandomNumber(), Millis(10000)));
+    registry.Add(
+      kReplicaServiceName,
+      std::make_unique<ReplicaService>(aSettings.control_, registry, metrics));
+  }
+  auto added = std::make_unique<WorkloadService>(aSettings, registry, metrics);
+  auto& workload = *added;
+  registry.Add(kWorkloadServiceName, std::move(added));
+  const auto started = registry.StartAll();
+  if (!IsOk(started)) {
+    LogError("cannot start", { { "error", Describe(ErrorOf(started)) } });
+    FlushLog();
+    return Fail(ErrorOf(started));
+  }
+  LogInfo("serving jobs",
+          { { "role", aSettings.isControl_ ? "control" : "entry" },
+            { "callers", aSettings.listenCallers_ },
+            { "control", aSettings.listenControl_ },
+            { "seeds", aSettings.seeds_.size() } });
+  auto current = aSettings;
+  WaitForStop(signals, kReloadInterval, [&] {
+    const auto loaded = LoadWorkloadSettings(aPath);
+    if (!IsOk(loaded)) {
+      LogWarning("the changed settings file is refused; the former settings "
+                 "stay in force",
+                 { { "error", Describe(ErrorOf(loaded)) } });
+    } else if (ValueOf(loaded) != current) {
+      LogInfo("settings changed; the seeds are taken over");
+      current = ValueOf(loaded);
+      workload.Reload(current);
+    }
+  });
+  registry.StopAll();
+  LogInfo("stopped");
+  FlushLog();
+  return 0;
+}
+
+int
+RunWorkload(const std::string& aPath, bool aCheckOnly)
+{
+  const auto settings = LoadWorkloadSettings(aPath);
+  if (!IsOk(settings)) {
+    return Fail(ErrorOf(settings));
+  }
+  if (aCheckOnly) {
+    std::cout << aPath << ": no faults\n";
+    return 0;
+  }
+  return ServeWorkload(ValueOf(settings), aPath);
+}
+
 int
 Run(int aCount, char** aArguments)
 {
@@ -185,6 +288,7 @@
     "check-config",
     "check a settings file and exit",
     cxxopts::value<std::string>())(
+    "workload", "carry jobs: the settings are those of docs/workload.md")(
     "init", "create the data folder of a voter of a new cluster and exit")(
     "help", "print this text");
   const auto parsed = options.parse(aCount, aArguments);
@@ -193,7 +297,9 @@
               << "\nExamples:\n"
                  "  acaciahilld --check-config /etc/acaciahill/entry.ini\n"
                  "  acaciahilld --init --config /etc/acaciahill/voter.ini\n"
-                 "  acaciahilld --config /etc/acaciahill/entry.ini\n";
+                 "  acaciahilld --config /etc/acaciahill/entry.ini\n"
+                 "  acaciahilld --workload --config "
+                 "/etc/acaciahill/settings.conf\n";
     return 0;
   }
   const bool checkOnly = parsed.count("check-config") > 0;
@@ -202,6 +308,9 @@
   }
   const auto path =
     parsed[checkOnly ? "check-config" : "config"].as<std::string>();
+  if (parsed.count("workload") > 0) {
+    return RunWorkload(path, checkOnly);
+  }
   const auto settings = LoadDaemonSettings(path);
   if (!IsOk(settings)) {
     return Fail(ErrorOf(settings));
--- a/packages/daemon/replica_follower.cpp
+++ b/packages/daemon/replica_follower.cpp
@@ -49,6 +49,17 @@
       sources.push_back({ isInOwnZone(node) ? 0 : 1, node, address });
     }
   }
+  if (settings_.seeded_) {
+    // The seeds may be gone; the voters in force are not.
+    for (const auto& voter : Control().voters_) {
+      if (voter.node_ != settings_.node_ &&
+          !settings_.voters_.contains(voter.node_)) {
+        sources.push_back({ isInOwnZone(voter.node_) ? 0 : 1,
+                            voter.node_,
+                            AddressOf(voter.node_).value_or("") });
+      }
+    }
+  }
   for (const auto& [node, record] : nodes) {
     if (node != settings_.node_ && !settings_.voters_.contains(node) &&
         isInOwnZone(node)) {
--- a/packages/daemon/replica_requests.cpp
+++ b/packages/daemon/replica_requests.cpp
@@ -100,13 +100,35 @@
   return ValueOf(std::move(reply));
 }
 
-CommandResult
-ReplicaService::ProposeHere(const CommandEnvelope& aEnvelope, Millis aTimeout)
+std::future<CommandResult>
+ReplicaService::EnqueueForResult(const CommandEnvelope& aEnvelope)
 {
+  auto promise = std::make_shared<std::promise<CommandResult>>();
   auto waiting = std::make_shared<WaitingCommand>();
   waiting->envelope_ = aEnvelope;
-  auto result = waiting->result_.get_future();
+  waiting->onResult_ = [promise](CommandResult aResult) {
+    promise->set_value(std::move(aResult));
+  };
+  Enqueue(waiting);
+  return promise->get_future();
+}
+
+void
+ReplicaService::ProposeAsync(const Command& aCommand,
+                             std::function<void(CommandResult)> aOnResult)
+{
+  auto waiting = std::make_shared<WaitingCommand>();
+  waiting->envelope_ = { requestPrefix_ + std::to_string(nextRequest_++),
+                         0,
+                         aCommand };
+  waiting->onResult_ = std::move(aOnResult);
   Enqueue(waiting);
+}
+
+CommandResult
+ReplicaService::ProposeHere(const CommandEnvelope& aEnvelope, Millis aTimeout)
+{
+  auto result = EnqueueForResult(aEnvelope);
   if (result.wait_for(aTimeout) != std::future_status::ready) {
     return Failed(ErrorKind::ProposalLost, "no quorum confirmed it in time");
   }
@@ -120,12 +142,8 @@
   std::vector<std::future<CommandResult>> futures;
   futures.reserve(aCommands.size());
   for (const auto& command : aCommands) {
-    auto waiting = std::make_shared<WaitingCommand>();
-    waiting->envelope_ = { requestPrefix_ + std::to_string(nextRequest_++),
-                           0,
-                           command };
-    futures.push_back(waiting->result_.get_future());
-    Enqueue(waiting);
+    futures.push_back(EnqueueForResult(
+      { requestPrefix_ + std::to_string(nextRequest_++), 0, command }));
   }
   const auto deadline = std::chrono::steady_clock::now() + aTimeout;
   std::vector<CommandResult> results;
--- a/packages/daemon/replica_service.cpp
+++ b/packages/daemon/replica_service.cpp
@@ -341,7 +341,7 @@
   } else if (const auto* refused = std::get_if<ProposalRefused>(&aAction)) {
     const auto found = proposed_.find(refused->proposal_);
     if (found != proposed_.end()) {
-      found->second->result_.set_value(
+      found->second->onResult_(
         Failed(ErrorKind::NotLeader, "this node does not lead"));
       proposed_.erase(found);
     }
@@ -425,7 +425,7 @@
     }
     const auto proposal = waiting->second;
     pending_.erase(waiting);
-    proposal.command_->result_.set_value(
+    proposal.command_->onResult_(
       proposal.term_ == entry.term_
         ? result
         : Failed(ErrorKind::ProposalLost, "another leader took over"));
@@ -537,7 +537,8 @@
   }
   for (const auto& [name, unrecognizedDisk] : unrecognized) {
     const auto& node = name;
-    const bool isSetUp = settings_.voters_.contains(node);
+    const bool isSetUp =
+      settings_.seeded_.has_value() || settings_.voters_.contains(node);
     if (!isSetUp || now - unrecognizedDisk.heardAt_ > kUnrecognizedMaxAge) {
       continue;
     }
@@ -546,6 +547,9 @@
       std::find_if(voters.begin(), voters.end(), [&](const VoterId& aVoter) {
         return aVoter.node_ == node;
       });
+    if (known == voters.end() && settings_.seeded_) {
+      continue;
+    }
     if (known == voters.end()) {
       LogInfo("admitting a voter with a new disk",
               { { "voter", node }, { "disk", unrecognizedDisk.disk_ } });
@@ -556,6 +560,9 @@
       Enqueue(ChangeVoters{ *known, false });
     }
   }
+  if (settings_.seeded_) {
+    GrowSeededGroup(unrecognized);
+  }
 }
 
 void
@@ -584,10 +591,10 @@
 ReplicaService::FailWaiting()
 {
   for (auto& [proposal, command] : proposed_) {
-    command->result_.set_value(Failed(ErrorKind::NodeStopping, ""));
+    command->onResult_(Failed(ErrorKind::NodeStopping, ""));
   }
   for (auto& [index, proposal] : pending_) {
-    proposal.command_->result_.set_value(Failed(ErrorKind::ProposalLost, ""));
+    proposal.command_->onResult_(Failed(ErrorKind::ProposalLost, ""));
   }
   proposed_.clear();
   pending_.clear();
@@ -597,7 +604,7 @@
       (*message)->reply_.set_value(std::nullopt);
     } else if (auto* command =
                  std::get_if<std::shared_ptr<WaitingCommand>>(&item)) {
-      (*command)->result_.set_value(Failed(ErrorKind::NodeStopping, ""));
+      (*command)->onResult_(Failed(ErrorKind::NodeStopping, ""));
     }
   }
   work_.clear();
@@ -617,6 +624,10 @@
 std::optional<std::string>
 ReplicaService::AddressOf(const std::string& aNode) const
 {
+  // Members of a seeded group are named by their IP addresses.
+  if (settings_.seeded_) {
+    return aNode + ":" + settings_.seeded_->peerPort_;
+  }
   // The settings come first: they are where the operator puts a voter's
   // address, and they hold before any node is registered.
   const auto voter = settings_.voters_.find(aNode);
--- a/packages/daemon/replica_service_base.h
+++ b/packages/daemon/replica_service_base.h
@@ -15,6 +15,7 @@
 #include <atomic>
 #include <condition_variable>
 #include <deque>
+#include <functional>
 #include <future>
 #include <map>
 #include <memory>
@@ -94,6 +95,13 @@
   std::vector<CommandResult> ProposeHere(const std::vector<Command>& aCommands,
                                          Millis aTimeout);
 
+  /// Gives a command to this node as the leader without waiting. The function
+  /// is called once, on another thread, when the command is applied (after all
+  /// before it in the log) or is known not to have been accepted; errors as in
+  /// Propose.
+  void ProposeAsync(const Command& aCommand,
+                    std::function<void(CommandResult)> aOnResult);
+
   /// The state's logical time, continued by this node's monotonic clock since
   /// the last command that it applied.
   std::uint64_t LogicalNowMs() const;
@@ -124,7 +132,8 @@
   struct WaitingCommand
   {
     CommandEnvelope envelope_;
-    std::promise<CommandResult> result_;
+    /// Called once, on the voter thread.
+    std::function<void(CommandResult)> onResult_;
   };
 
   struct ChangeVoters
@@ -204,12 +213,15 @@
   bool HoldsClaims() const { return settings_.voter_; }
   void CompactWhenDue();
   void RepairVoters();
+  /// Admits control nodes that found the group, up to the wanted number.
+  void GrowSeededGroup(const std::map<std::string, UnrecognizedDisk>& aHeard);
   void PublishControl();
   void FailWaiting();
   void NotifyApplied();
   void Enqueue(Work aWork);
 
   CommandResult ProposeHere(const CommandEnvelope& aEnvelope, Millis aTimeout);
+  std::future<CommandResult> EnqueueForResult(const CommandEnvelope& aEnvelope);
   std::optional<std::string> AddressOf(const std::string& aNode) const;
 
   const DaemonSettings settings_;
--- /dev/null
+++ b/packages/daemon/workload_service.cpp
@@ -0,0 +1,243 @@
+#include "daemon/workload_service_base.h"
+
+#include "kernel/log_func.h"
+#include "kernel/os_clock_func.h"
+#include "platform/platform_requests_func.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <future>
+
+namespace acaciahill {
+
+namespace {
+
+// An entry node that heard nothing of a leader for this time asks for no new
+// connections: customers are better served elsewhere.
+constexpr Millis kReadyFor{ 2500 };
+// The platform asks for readiness every second and acts on the second refusal;
+// until then new connections arrive.
+constexpr Millis kNoticeStop{ 2500 };
+constexpr Millis kDrainPoll{ 20 };
+// Customers' bodies hold a payload of 4,000 bytes and the steps.
+constexpr std::size_t kCallerBody = std::size_t{ 512 } * 1024;
+// Configurations grow by hundreds of queues of about 250 bytes.
+constexpr std::size_t kControlBody = std::size_t{ 4 } * 1024 * 1024;
+constexpr std::int64_t kOk = 200;
+constexpr std::int64_t kUnavailable = 503;
+
+std::string
+HostOf(const std::string& aAddress)
+{
+  return aAddress.substr(0, aAddress.rfind(':'));
+}
+
+std::vector<std::string>
+NodesOf(const std::vector<std::string>& aSeeds)
+{
+  std::vector<std::string> nodes;
+  nodes.reserve(aSeeds.size());
+  std::transform(
+    aSeeds.begin(), aSeeds.end(), std::back_inserter(nodes), HostOf);
+  return nodes;
+}
+
+HttpAnswer
+Plain(std::int64_t aStatus, std::string aBody = {})
+{
+  HttpAnswer answer;
+  answer.status_ = aStatus;
+  answer.headers_ = { { "Content-Type", "text/plain" } };
+  answer.body_ = std::move(aBody);
+  return answer;
+}
+
+} // namespace
+
+WorkloadService::WorkloadService(const WorkloadSettings& aSettings,
+                                 const ServiceRegistry& aRegistry,
+                                 Metrics& aMetrics)
+  : settings_(aSettings)
+  , registry_(aRegistry)
+  , metrics_(aMetrics)
+  , context_(1)
+  , client_(context_)
+{
+}
+
+WorkloadService::~WorkloadService()
+{
+  Stop();
+}
+
+template<typename F>
+auto
+WorkloadService::OnThread(F aFunction)
+{
+  std::packaged_task<decltype(aFunction())()> task(std::move(aFunction));
+  auto result = task.get_future();
+  boost::asio::post(context_, std::move(task));
+  return result.get();
+}
+
+Result<Done>
+WorkloadService::Start()
+{
+  std::function<std::string()> leader;
+  std::function<void()> onDoubt = [] {};
+  if (settings_.isControl_) {
+    replica_ = &registry_.Find<ReplicaService>(kReplicaServiceName);
+    host_.emplace(settings_, *replica_, metrics_, context_, client_);
+    leader = [this] { return replica_->Control().leader_; };
+  } else {
+    finder_.emplace(
+      context_, client_, NodesOf(settings_.seeds_), settings_.internalPort_);
+    leader = [this] { return finder_->Leader(); };
+    onDoubt = [this] { finder_->Doubt(); };
+  }
+  gateway_.emplace(context_,
+                   client_,
+                   settings_.control_.node_,
+                   settings_.internalPort_,
+                   host_ ? &*host_ : nullptr,
+                   leader,
+                   onDoubt);
+  for (auto& port : PortsToServe()) {
+    const bool isCallers = port.address_ == settings_.listenCallers_;
+    auto listener = std::make_unique<AsyncListener>(
+      context_,
+      std::move(port.handler_),
+      HttpLimits{ std::size_t{ 16 } * 1024,
+                  isCallers ? kCallerBody : kControlBody });
+    if (auto started = listener->Start(port.address_); !IsOk(started)) {
+      return started;
+    }
+    listeners_.push_back(std::move(listener));
+  }
+  work_.emplace(context_.get_executor());
+  if (host_) {
+    host_->Start();
+  }
+  if (finder_) {
+    finder_->Start();
+  }
+  thread_ = std::thread([this] { context_.run(); });
+  return Done{};
+}
+
+std::vector<WorkloadService::Port>
+WorkloadService::PortsToServe()
+{
+  const auto onPlane = [this](Plane aPlane) {
+    return [this, aPlane](HttpRequest aRequest, AsyncListener::Answer aAnswer) {
+      gateway_->Handle(aPlane, std::move(aRequest), std::move(aAnswer));
+    };
+  };
+  std::vector<Port> ports{
+    { settings_.listenCallers_, onPlane(Plane::Callers) },
+    { settings_.listenControl_, onPlane(Plane::Control) },
+    { settings_.listenReadiness_,
+      [this](const HttpRequest& aRequest, AsyncListener::Answer aAnswer) {
+        const bool isOk = platform::IsReadinessCall(aRequest) && IsReady();
+        aAnswer(Plain(isOk ? kOk : kUnavailable));
+      } },
+    { settings_.listenInternal_,
+      [this](const HttpRequest& aRequest, AsyncListener::Answer aAnswer) {
+        AnswerInternal(aRequest, std::move(aAnswer));
+      } },
+    { settings_.listenMetrics_,
+      [this](const HttpRequest&, AsyncListener::Answer aAnswer) {
+        aAnswer(Plain(kOk, metrics_.PrometheusText()));
+      } }
+  };
+  std::erase_if(ports,
+                [](const Port& aPort) { return aPort.address_.empty(); });
+  return ports;
+}
+
+bool
+WorkloadService::IsReady() const
+{
+  if (stopping_) {
+    return false;
+  }
+  return !finder_ || MonotonicNow() - finder_->ConfirmedAt() <= kReadyFor;
+}
+
+void
+WorkloadService::AnswerInternal(const HttpRequest& aRequest,
+                                AsyncListener::Answer aAnswer)
+{
+  if (aRequest.target_ != kGroupPath) {
+    gateway_->HandleForwarded(aRequest, std::move(aAnswer));
+    return;
+  }
+  GroupInfo info;
+  if (replica_ != nullptr) {
+    const auto control = replica_->Control();
+    // Another node asks the leader itself next, which must be able to serve.
+    const bool leads = control.leader_ == settings_.control_.node_;
+    info.leader_ = leads && !host_->IsActive() ? "" : control.leader_;
+    for (const auto& voter : control.voters_) {
+      info.nodes_.push_back(voter.node_);
+    }
+  }
+  HttpAnswer answer;
+  answer.status_ = kOk;
+  answer.body_ = EncodeGroupInfo(info);
+  aAnswer(std::move(answer));
+}
+
+std::size_t
+WorkloadService::InWork() const
+{
+  std::size_t inWork = 0;
+  for (const auto& listener : listeners_) {
+    inWork += listener->InWork();
+  }
+  return inWork;
+}
+
+void
+WorkloadService::Reload(const WorkloadSettings& aSettings)
+{
+  boost::asio::post(context_, [this, seeds = NodesOf(aSettings.seeds_)] {
+    if (finder_) {
+      finder_->SetSeeds(seeds);
+    }
+  });
+}
+
+void
+WorkloadService::Stop()
+{
+  if (!thread_.joinable() || stopping_.exchange(true)) {
+    return;
+  }
+  if (!settings_.listenCallers_.empty()) {
+    std::this_thread::sleep_for(kNoticeStop);
+  }
+  OnThread([this] {
+    for (auto& listener : listeners_) {
+      listener->Drain();
+    }
+  });
+  const auto until = MonotonicNow() + settings_.stopGrace_ - kNoticeStop;
+  while (MonotonicNow() < until && OnThread([this] { return InWork(); }) > 0) {
+    std::this_thread::sleep_for(kDrainPoll);
+  }
+  OnThread([this] {
+    if (host_) {
+      host_->Stop();
+    }
+    if (finder_) {
+      finder_->Stop();
+    }
+  });
+  work_.reset();
+  context_.stop();
+  thread_.join();
+}
+
+} // namespace acaciahill
--- /dev/null
+++ b/packages/daemon/workload_settings.cpp
@@ -0,0 +1,157 @@
+#include "daemon/workload_settings_type.h"
+
+#include "daemon/table/workload_setting_table.h"
+
+#include <algorithm>
+
+namespace acaciahill {
+
+namespace {
+
+std::vector<std::string>
+SplitList(std::string_view aText)
+{
+  std::vector<std::string> items;
+  while (!aText.empty()) {
+    const auto comma = aText.find(',');
+    if (const auto item = aText.substr(0, comma); !item.empty()) {
+      items.emplace_back(item);
+    }
+    if (comma == std::string_view::npos) {
+      break;
+    }
+    aText.remove_prefix(comma + 1);
+  }
+  return items;
+}
+
+std::string
+HostOf(const std::string& aAddress)
+{
+  return aAddress.substr(0, aAddress.rfind(':'));
+}
+
+std::string
+PortOf(const std::string& aAddress)
+{
+  const auto colon = aAddress.rfind(':');
+  return colon == std::string::npos ? "" : aAddress.substr(colon + 1);
+}
+
+/// Faults that no single key shows; empty when there are none.
+std::string
+FaultOf(const WorkloadSettings& aSettings)
+{
+  const auto& control = aSettings.control_;
+  if (aSettings.isControl_ && control.dataDir_.empty()) {
+    return "node.data_dir: missing; a control node keeps its log there";
+  }
+  if (aSettings.isControl_ && control.listenPeers_.empty()) {
+    return "listen.peers: missing; control nodes replicate over it";
+  }
+  if (aSettings.seeds_.empty()) {
+    return "cluster.seeds: names no address";
+  }
+  const auto isBad = [](const auto& aSeed) { return !IsNumericAddress(aSeed); };
+  if (std::any_of(aSettings.seeds_.begin(), aSettings.seeds_.end(), isBad)) {
+    return "cluster.seeds: must be numeric addresses with ports";
+  }
+  if (control.raft_.electionMin_ < 3 * control.raft_.heartbeat_) {
+    // One lost heartbeat must not start an election.
+    return "timing.election_min_ms: must be at least 3 times "
+           "timing.heartbeat_ms";
+  }
+  if (control.raft_.electionMax_ <= control.raft_.electionMin_) {
+    return "timing.election_max_ms: must be over timing.election_min_ms";
+  }
+  return "";
+}
+
+LogLevel
+LevelOf(const std::string& aText)
+{
+  if (aText == "debug") {
+    return LogLevel::Debug;
+  }
+  if (aText == "warning") {
+    return LogLevel::Warning;
+  }
+  return aText == "error" ? LogLevel::Error : LogLevel::Info;
+}
+
+} // namespace
+
+Result<WorkloadSettings>
+LoadWorkloadSettings(const std::string& aPath)
+{
+  const auto loaded = Settings::Load(aPath, detail::kWorkloadSettingTable);
+  if (!IsOk(loaded)) {
+    return ErrorOf(loaded);
+  }
+  const auto& settings = ValueOf(loaded);
+  const auto time = [&settings](std::string_view aSection,
+                                std::string_view aKey) {
+    return Millis(settings.Integer(aSection, aKey));
+  };
+
+  WorkloadSettings made;
+  made.isControl_ = settings.Text("node", "role") == "control";
+  made.listenCallers_ = settings.Text("listen", "callers");
+  made.listenReadiness_ = settings.Text("listen", "readiness");
+  made.listenControl_ = settings.Text("listen", "control");
+  made.listenInternal_ = settings.Text("listen", "internal");
+  made.listenMetrics_ = settings.Text("listen", "metrics");
+  made.internalPort_ = PortOf(made.listenInternal_);
+  made.seeds_ = SplitList(settings.Text("cluster", "seeds"));
+  made.vmApi_ = settings.Text("platform", "vm_api");
+  made.adviceApi_ = settings.Text("platform", "advice_api");
+  made.stopGrace_ = time("node", "stop_grace_ms");
+
+  auto& control = made.control_;
+  control.node_ = settings.Text("node", "id");
+  control.zone_ = settings.Text("node", "zone");
+  control.cluster_ = settings.Text("cluster", "name");
+  control.voter_ = made.isControl_;
+  control.dataDir_ = settings.Text("node", "data_dir");
+  control.listenPeers_ = settings.Text("listen", "peers");
+  control.advertisePeers_ = control.listenPeers_;
+  control.advertiseAdmin_ = made.listenInternal_;
+  control.raft_ = { time("timing", "heartbeat_ms"),
+                    time("timing", "election_min_ms"),
+                    time("timing", "election_max_ms") };
+  control.snapshotEntries_ =
+    static_cast<std::uint64_t>(settings.Integer("cluster", "snapshot_entries"));
+  const auto peerPort = PortOf(control.listenPeers_);
+  for (const auto& seed : made.seeds_) {
+    control.voters_.emplace(HostOf(seed), HostOf(seed) + ":" + peerPort);
+  }
+  control.seeded_ = SeededGroup{
+    peerPort,
+    settings.Text("cluster", "bootstrap") == "true",
+    static_cast<int>(settings.Integer("cluster", "tolerated_losses"))
+  };
+  const auto& name = settings.Text("node", "name");
+  control.log_ = { LevelOf(settings.Text("log", "level")),
+                   settings.Text("log", "format") == "json" ? LogFormat::Json
+                                                            : LogFormat::Text,
+                   settings.Text("log", "file").empty()
+                     ? std::string(kLogToStdout)
+                     : settings.Text("log", "file"),
+                   name.empty() ? control.node_ : name };
+
+  auto& scheduler = made.scheduler_;
+  scheduler.lease_ = time("workload", "lease_ms");
+  scheduler.stopLimit_ = time("workload", "stop_limit_ms");
+  scheduler.gangWait_ = time("workload", "gang_wait_ms");
+  scheduler.paceDelay_ = time("workload", "pace_delay_ms");
+  scheduler.notice_ = time("workload", "notice_ms");
+  scheduler.keepEnded_ =
+    std::chrono::seconds(settings.Integer("workload", "keep_ended_s"));
+
+  if (const auto fault = FaultOf(made); !fault.empty()) {
+    return Error{ ErrorKind::BadSetting, aPath + ": " + fault };
+  }
+  return made;
+}
+
+} // namespace acaciahill
--- /dev/null
+++ b/packages/http/async_client_base.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "http/async_http_type.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace acaciahill {
+
+/// Limits of the connections that a client keeps.
+struct ClientLimits
+{
+  /// An answer with a longer body fails as AnswerLost.
+  std::size_t maxAnswerBytes_ = std::size_t{ 8 } * 1024 * 1024;
+  /// Idle connections kept to each address.
+  std::size_t idlePerAddress_ = 4;
+  /// Idle connections older than this are not used again: the peer may be
+  /// about to close them.
+  Millis idleAge_{ 10000 };
+  Millis connectTimeout_{ 1000 };
+
+  bool operator==(const ClientLimits&) const = default;
+};
+
+/// Makes HTTP/1.1 calls from the thread that runs the context and keeps
+/// connections for later ones. A connection that failed or timed out is never
+/// used again. No call is sent twice.
+class AsyncClient
+{
+public:
+  using OnResult = std::function<void(CallResult)>;
+
+  AsyncClient(boost::asio::io_context& aContext, ClientLimits aLimits = {});
+  AsyncClient(const AsyncClient&) = delete;
+  AsyncClient& operator=(const AsyncClient&) = delete;
+  ~AsyncClient();
+
+  /// Calls a numeric address. The function is called exactly once, from the
+  /// context's thread, unless the client is destroyed before.
+  void Call(const std::string& aAddress,
+            HttpRequest aRequest,
+            Millis aTimeout,
+            OnResult aOnResult);
+
+  /// Closes idle connections to an address, for example as it has a new owner.
+  void Forget(const std::string& aAddress);
+
+private:
+  struct Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+} // namespace acaciahill
--- /dev/null
+++ b/packages/http/async_listener.cpp
@@ -0,0 +1,296 @@
+#include "http/async_listener_base.h"
+
+#include "http/beast_func.h"
+#include "kernel/log_func.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <deque>
+#include <optional>
+#include <set>
+
+namespace acaciahill {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+// Pause after accept() failed, for example as no descriptor was free.
+constexpr Millis kAcceptPause{ 100 };
+
+} // namespace
+
+struct AsyncListener::Impl : std::enable_shared_from_this<AsyncListener::Impl>
+{
+  class Session;
+
+  Impl(asio::io_context& aContext,
+       Handler aHandler,
+       HttpLimits aLimits,
+       ListenerTiming aTiming)
+    : context_(aContext)
+    , handler_(std::move(aHandler))
+    , limits_(aLimits)
+    , timing_(aTiming)
+    , acceptor_(aContext)
+    , acceptTimer_(aContext)
+  {
+  }
+
+  void Accept();
+
+  asio::io_context& context_;
+  Handler handler_;
+  HttpLimits limits_;
+  ListenerTiming timing_;
+  asio::ip::tcp::acceptor acceptor_;
+  asio::steady_timer acceptTimer_;
+  std::set<Session*> sessions_;
+  std::size_t inWork_ = 0;
+  bool draining_ = false;
+};
+
+/// One accepted connection. It lives as long as an operation on it is open.
+class AsyncListener::Impl::Session
+  : public std::enable_shared_from_this<AsyncListener::Impl::Session>
+{
+public:
+  Session(std::shared_ptr<Impl> aOwner, asio::ip::tcp::socket aSocket)
+    : owner_(std::move(aOwner))
+    , stream_(std::move(aSocket))
+  {
+    owner_->sessions_.insert(this);
+  }
+
+  Session(const Session&) = delete;
+  Session& operator=(const Session&) = delete;
+
+  ~Session()
+  {
+    owner_->sessions_.erase(this);
+    if (working_) {
+      --owner_->inWork_;
+    }
+  }
+
+  void ReadNext()
+  {
+    parser_.emplace();
+    parser_->header_limit(
+      static_cast<std::uint32_t>(owner_->limits_.maxHeaderBytes_));
+    parser_->body_limit(owner_->limits_.maxBodyBytes_);
+    stream_.expires_after(owner_->timing_.idle_);
+    idle_ = true;
+    http::async_read_header(
+      stream_,
+      buffer_,
+      *parser_,
+      [self = shared_from_this()](beast::error_code aError, std::size_t) {
+        self->idle_ = false;
+        if (aError) {
+          self->Refuse(aError);
+          return;
+        }
+        self->ReadBody();
+      });
+  }
+
+  /// Closes the connection unless a request is in work.
+  void CloseIfIdle()
+  {
+    closeAfterAnswer_ = true;
+    if (idle_ && buffer_.size() == 0) {
+      stream_.cancel();
+    }
+  }
+
+private:
+  void ReadBody()
+  {
+    stream_.expires_after(owner_->timing_.read_);
+    http::async_read(
+      stream_,
+      buffer_,
+      *parser_,
+      [self = shared_from_this()](beast::error_code aError, std::size_t) {
+        if (aError) {
+          self->Refuse(aError);
+          return;
+        }
+        self->Handle();
+      });
+  }
+
+  void Handle()
+  {
+    stream_.expires_never();
+    keepAlive_ = parser_->get().keep_alive();
+    version_ = parser_->get().version();
+    auto request = detail::ToRequest(parser_->release());
+    working_ = true;
+    ++owner_->inWork_;
+    owner_->handler_(std::move(request),
+                     [self = shared_from_this()](HttpAnswer aAnswer) {
+                       self->Write(std::move(aAnswer));
+                     });
+  }
+
+  void Write(HttpAnswer aAnswer)
+  {
+    if (!working_) {
+      LogError("an HTTP request was answered twice; the second one is dropped");
+      return;
+    }
+    const bool keepAlive =
+      keepAlive_ && aAnswer.keepAlive_ && !closeAfterAnswer_;
+    response_.emplace(detail::ToResponse(std::move(aAnswer), version_));
+    response_->keep_alive(keepAlive);
+    stream_.expires_after(owner_->timing_.read_);
+    http::async_write(stream_,
+                      *response_,
+                      [self = shared_from_this(),
+                       keepAlive](beast::error_code aError, std::size_t) {
+                        self->working_ = false;
+                        --self->owner_->inWork_;
+                        self->response_.reset();
+                        if (!aError && keepAlive && !self->closeAfterAnswer_) {
+                          self->ReadNext();
+                        } else {
+                          self->Close();
+                        }
+                      });
+  }
+
+  /// Answers what cannot be read, where there is an answer for it.
+  void Refuse(beast::error_code aError)
+  {
+    const bool tooLarge = aError == http::error::body_limit;
+    const bool headerTooLarge = aError == http::error::header_limit;
+    const bool malformed =
+      aError.category() ==
+        http::make_error_code(http::error::bad_method).category() &&
+      aError != http::error::end_of_stream &&
+      aError != http::error::partial_message;
+    if (!malformed) {
+      Close();
+      return;
+    }
+    HttpAnswer answer;
+    answer.status_ = tooLarge ? 413 : (headerTooLarge ? 431 : 400);
+    answer.keepAlive_ = false;
+    working_ = true;
+    ++owner_->inWork_;
+    Write(std::move(answer));
+  }
+
+  void Close()
+  {
+    beast::error_code ignored;
+    stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    stream_.close();
+  }
+
+  std::shared_ptr<Impl> owner_;
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+  std::optional<http::request_parser<http::string_body>> parser_;
+  std::optional<http::response<http::string_body>> response_;
+  unsigned version_ = 11;
+  bool keepAlive_ = true;
+  bool idle_ = false;
+  bool working_ = false;
+  bool closeAfterAnswer_ = false;
+};
+
+void
+AsyncListener::Impl::Accept()
+{
+  acceptor_.async_accept(
+    [self = shared_from_this()](beast::error_code aError,
+                                asio::ip::tcp::socket aSocket) {
+      if (self->draining_) {
+        return;
+      }
+      if (aError) {
+        LogWarning("cannot accept a connection",
+                   { { "error", aError.message() } });
+        self->acceptTimer_.expires_after(kAcceptPause);
+        self->acceptTimer_.async_wait([self](beast::error_code aCancelled) {
+          if (!aCancelled) {
+            self->Accept();
+          }
+        });
+        return;
+      }
+      beast::error_code ignored;
+      aSocket.set_option(asio::ip::tcp::no_delay(true), ignored);
+      std::make_shared<Session>(self, std::move(aSocket))->ReadNext();
+      self->Accept();
+    });
+}
+
+AsyncListener::AsyncListener(asio::io_context& aContext,
+                             Handler aHandler,
+                             HttpLimits aLimits,
+                             ListenerTiming aTiming)
+  : impl_(
+      std::make_shared<Impl>(aContext, std::move(aHandler), aLimits, aTiming))
+{
+}
+
+AsyncListener::~AsyncListener()
+{
+  Drain();
+}
+
+Result<Done>
+AsyncListener::Start(const std::string& aAddress)
+{
+  const auto endpoint = detail::ParseEndpoint(aAddress);
+  if (!endpoint) {
+    return Error{ ErrorKind::BadSetting,
+                  aAddress + " is not a numeric address with a port" };
+  }
+  beast::error_code error;
+  auto& acceptor = impl_->acceptor_;
+  acceptor.open(endpoint->protocol(), error);
+  if (!error) {
+    acceptor.set_option(asio::socket_base::reuse_address(true), error);
+  }
+  if (!error) {
+    acceptor.bind(*endpoint, error);
+  }
+  if (!error) {
+    acceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return Error{ ErrorKind::IoError,
+                  "cannot listen on " + aAddress + ": " + error.message() };
+  }
+  impl_->Accept();
+  return Done{};
+}
+
+void
+AsyncListener::Drain()
+{
+  impl_->draining_ = true;
+  beast::error_code ignored;
+  impl_->acceptor_.close(ignored);
+  impl_->acceptTimer_.cancel();
+  for (auto* session : impl_->sessions_) {
+    session->CloseIfIdle();
+  }
+}
+
+std::size_t
+AsyncListener::InWork() const
+{
+  return impl_->inWork_;
+}
+
+} // namespace acaciahill
--- /dev/null
+++ b/packages/http/beast_func.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "http/http_message_type.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http.hpp>
+
+#include <optional>
+#include <string>
+
+/// Translations between the product's messages and those of Boost.Beast.
+namespace acaciahill::detail {
+
+/// An endpoint from "10.0.0.1:80"; nothing when it is no numeric address.
+std::optional<boost::asio::ip::tcp::endpoint>
+ParseEndpoint(const std::string& aAddress);
+
+HttpRequest
+ToRequest(boost::beast::http::request<boost::beast::http::string_body> aFrom);
+
+HttpAnswer
+ToAnswer(boost::beast::http::response<boost::beast::http::string_body> aFrom);
+
+/// Content-Length is set from the body.
+boost::beast::http::request<boost::beast::http::string_body>
+ToBeastRequest(HttpRequest aFrom);
+
+/// Content-Length is set from the body.
+boost::beast::http::response<boost::beast::http::string_body>
+ToResponse(HttpAnswer aFrom, unsigned aVersion);
+
+} // namespace acaciahill::detail
--- a/packages/kernel/log.cpp
+++ b/packages/kernel/log.cpp
@@ -114,7 +114,9 @@
   gNode = aSettings.node_;
   try {
     std::shared_ptr<spdlog::logger> logger;
-    if (aSettings.file_.empty()) {
+    if (aSettings.file_ == kLogToStdout) {
+      logger = spdlog::stdout_logger_mt("acaciahill");
+    } else if (aSettings.file_.empty()) {
       logger = spdlog::stderr_logger_mt("acaciahill");
     } else {
       logger = spdlog::basic_logger_mt("acaciahill", aSettings.file_);
--- a/packages/kernel/log_func.h
+++ b/packages/kernel/log_func.h
@@ -23,6 +23,9 @@
   Json,
 };
 
+/// The file name that stands for standard output.
+inline constexpr std::string_view kLogToStdout = "-";
+
 /// Where and how the process logs. An empty file means standard error.
 struct LogSettings
 {
--- a/packages/kernel/os_clock_func.cpp
+++ b/packages/kernel/os_clock_func.cpp
@@ -13,6 +13,19 @@
   return std::chrono::time_point_cast<Millis>(std::chrono::steady_clock::now());
 }
 
+Millis
+SleepTime()
+{
+  const auto read = [](clockid_t aClock) {
+    timespec time{};
+    ::clock_gettime(aClock, &time);
+    return std::chrono::seconds(time.tv_sec) +
+           std::chrono::nanoseconds(time.tv_nsec);
+  };
+  return std::chrono::duration_cast<Millis>(read(CLOCK_BOOTTIME) -
+                                            read(CLOCK_MONOTONIC));
+}
+
 std::chrono::microseconds
 ThreadCpuTime()
 {
--- a/packages/kernel/os_clock_func.h
+++ b/packages/kernel/os_clock_func.h
@@ -10,6 +10,11 @@
 MonotonicTime
 MonotonicNow();
 
+/// Time for which the machine was suspended since its start; the monotonic
+/// clock leaves it out.
+Millis
+SleepTime();
+
 /// Processor time that the calling thread has used.
 std::chrono::microseconds
 ThreadCpuTime();
--- a/packages/relay/call_spec_type.h
+++ b/packages/relay/call_spec_type.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "http/http_message_type.h"
 #include "kernel/error_type.h"
 #include "kernel/time_type.h"
-#include "relay/http_message_type.h"
 
 #include <cstdint>
 #include <string>
--- a/packages/state/command_type.h
+++ b/packages/state/command_type.h
@@ -256,6 +256,15 @@
   bool operator==(const UpdateTask&) const = default;
 };
 
+/// Changes jobs, workers and upkeep by a batch of events, in the form of
+/// EncodeBatch. Only the leader's scheduler makes them.
+struct ChangeWorkload
+{
+  std::string batch_;
+
+  bool operator==(const ChangeWorkload&) const = default;
+};
+
 /// Every change of shared state is one of these.
 using Command = std::variant<SetCell,
                              ApplyTable,
@@ -279,7 +288,8 @@
                              CancelJob,
                              SetQuota,
                              PlaceTask,
-                             UpdateTask>;
+                             UpdateTask,
+                             ChangeWorkload>;
 
 /// A command on its way through the log.
 struct CommandEnvelope
--- a/packages/state/fields_func.h
+++ b/packages/state/fields_func.h
@@ -72,7 +72,7 @@
   "remove_vm",     "start_wave",    "set_wave_phase", "grant_permit",
   "confirm_stop",  "revoke_permit", "begin_claim",    "end_claim",
   "register_node", "remove_node",   "put_job",        "cancel_job",
-  "set_quota",     "place_task",    "update_task",
+  "set_quota",     "place_task",    "update_task",    "change_workload",
 });
 static_assert(kCommandNames.size() == std::variant_size_v<Command>);
 
@@ -434,6 +434,13 @@
   aIo("detail", aValue.detail_);
 }
 
+template<typename Io, Either<ChangeWorkload> T>
+void
+Fields(Io& aIo, T& aValue)
+{
+  aIo("batch", aValue.batch_);
+}
+
 template<typename Io, Either<CommandResult> T>
 void
 Fields(Io& aIo, T& aValue)
--- a/packages/state/fleet.cpp
+++ b/packages/state/fleet.cpp
@@ -105,6 +105,9 @@
   // again.
   Advance(aEnvelope.elapsedMs_);
   const bool isClaim = IsClaimCommand(aEnvelope.command_);
+  // Its events change nothing when they come again, and it is never resent.
+  const bool isWorkload =
+    std::holds_alternative<ChangeWorkload>(aEnvelope.command_);
   if (isClaim && !fleet_.holdsClaims_) {
     CommandResult passed;
     passed.error_ =
@@ -127,7 +130,7 @@
   }
   result.tableVersion_ = fleet_.table_.version_;
   result.index_ = aIndex;
-  if (isIdUsable) {
+  if (isIdUsable && !isWorkload) {
     Keep(isClaim ? fleet_.claimResults_ : fleet_.results_,
          aEnvelope.requestId_,
          result);
--- a/packages/state/fleet_base.h
+++ b/packages/state/fleet_base.h
@@ -2,6 +2,7 @@
 
 #include "state/command_type.h"
 #include "state/fleet_type.h"
+#include "workload/workload_base.h"
 
 #include <deque>
 #include <map>
@@ -101,6 +102,8 @@
   const std::map<std::string, TeamQuota>& Quotas() const { return quotas_; }
   /// Tasks of a job that neither completed nor failed; 0 for an unknown job.
   std::int64_t OpenTasks(const std::string& aJob) const;
+  /// Jobs, workers and upkeep as the scheduler knows them.
+  const Workload& GetWorkload() const { return workload_; }
   /// Ids of the tasks that a VM holds under a lease.
   const std::set<std::string>& TasksOn(const std::string& aVm) const;
   /// What a team holds now, to compare with its quota.
@@ -140,6 +143,7 @@
   std::map<std::string, JobRecord> jobs_;
   std::map<std::string, TaskRecord> tasks_;
   std::map<std::string, TeamQuota> quotas_;
+  Workload workload_;
   KeptResults results_;
   KeptResults claimResults_;
   std::map<std::string, std::deque<DecisionRecord>> decisions_;
--- a/packages/state/fleet_codec.cpp
+++ b/packages/state/fleet_codec.cpp
@@ -71,6 +71,8 @@
   std::vector<DecisionRecord> decisions_;
   std::vector<std::string> endedWaves_;
   std::vector<std::string> endedJobs_;
+  /// Workload::Encode's form; absent while there is no workload.
+  std::optional<std::string> workload_;
 };
 
 template<typename Io, detail::Either<Snapshot> T>
@@ -98,6 +100,7 @@
   aIo("decisions", aValue.decisions_);
   aIo("ended_waves", aValue.endedWaves_);
   aIo("ended_jobs", aValue.endedJobs_);
+  aIo("workload", aValue.workload_);
 }
 
 template<typename T>
@@ -160,7 +163,9 @@
       !withClaims,
       {},
       { aFleet.endedWaves_.begin(), aFleet.endedWaves_.end() },
-      { aFleet.endedJobs_.begin(), aFleet.endedJobs_.end() }
+      { aFleet.endedJobs_.begin(), aFleet.endedJobs_.end() },
+      aFleet.workload_ == Workload{} ? std::nullopt
+                                     : std::optional(aFleet.workload_.Encode())
     };
     for (const auto& [subject, records] : aFleet.decisions_) {
       snapshot.decisions_.insert(
@@ -200,6 +205,13 @@
     if (areClaimsListed && !aFleet.holdsClaims_) {
       return false;
     }
+    if (aSnapshot.workload_) {
+      auto workload = Workload::Decode(*aSnapshot.workload_);
+      if (!IsOk(workload)) {
+        return false;
+      }
+      aFleet.workload_ = ValueOf(std::move(workload));
+    }
     for (auto& decision : aSnapshot.decisions_) {
       aFleet.decisions_[decision.subject_].push_back(std::move(decision));
     }
--- a/packages/state/fleet_editor_base.h
+++ b/packages/state/fleet_editor_base.h
@@ -47,6 +47,7 @@
   static Refusal Check(const Fleet& aFleet, const SetQuota& aCommand);
   static Refusal Check(const Fleet& aFleet, const PlaceTask& aCommand);
   static Refusal Check(const Fleet& aFleet, const UpdateTask& aCommand);
+  static Refusal Check(const Fleet& aFleet, const ChangeWorkload& aCommand);
 
   std::string Apply(const SetCell& aCommand);
   std::string Apply(const ApplyTable& aCommand);
@@ -71,6 +72,7 @@
   std::string Apply(const SetQuota& aCommand);
   std::string Apply(const PlaceTask& aCommand);
   std::string Apply(const UpdateTask& aCommand);
+  std::string Apply(const ChangeWorkload& aCommand);
 
 private:
   // Clock, results and decisions (fleet.cpp).
--- a/packages/state/test/codec_test.cpp
+++ b/packages/state/test/codec_test.cpp
@@ -47,6 +47,7 @@
     SetQuota{ { "team", 1000, 2000 } },
     PlaceTask{ "j/0", "vm-1", 5000 },
     UpdateTask{ "j/0", 2, TaskPhase::Throttled, true, "slow", 100 },
+    ChangeWorkload{ EncodeBatch({ 5, { JobCancelled{ 3 } } }) },
   };
 }
 
--- a/packages/state/test/random_test.cpp
+++ b/packages/state/test/random_test.cpp
@@ -170,8 +170,32 @@
     return { identity };
   }
 
+  // Events that change nothing when they come again. Jobs of the workload are
+  // named by a few numbers.
+  ChangeWorkload MakeWorkloadCommand()
+  {
+    const auto job = static_cast<JobId>(1 + Below(20));
+    const TaskKey task{ job, 0, 0, static_cast<std::uint32_t>(Below(3)) };
+    const auto run = static_cast<std::uint32_t>(1 + Below(4));
+    JobSpec spec;
+    spec.id_ = job;
+    spec.steps_.emplace_back().tasks_ = 3;
+    WorkloadBatch batch;
+    batch.atMs_ = Below(100000);
+    batch.events_ = { JobAccepted{ spec },
+                      RunAssigned{ task, run, 1 },
+                      RunClosed{ task, run, RunEnd::Failed, "c", false } };
+    if (Below(4) == 0) {
+      batch.events_.emplace_back(JobCancelled{ job });
+    }
+    return { EncodeBatch(batch) };
+  }
+
   Command MakeCommand(const Fleet& aFleet)
   {
+    if (Below(30) == 0) {
+      return MakeWorkloadCommand();
+    }
     switch (Below(9)) {
       case 0:
         return MakeTableCommand(aFleet);
--- /dev/null
+++ b/packages/workload/scheduler.cpp
@@ -0,0 +1,279 @@
+#include "workload/scheduler_base.h"
+
+#include "kernel/log_func.h"
+#include "workload/workload_text_func.h"
+
+#include <algorithm>
+
+// Requests, batches of events and time.
+
+namespace acaciahill {
+
+namespace {
+
+// Batches on their way to the log at once. Two keep the log busy while the
+// events of a third are gathered, so that syncs of the disk are shared.
+constexpr std::size_t kOpenBatches = 2;
+constexpr Millis kForgetInterval{ 1000 };
+
+} // namespace
+
+Scheduler::Scheduler(Workload aState,
+                     SchedulerSettings aSettings,
+                     std::uint64_t aTerm,
+                     MonotonicTime aNow)
+  : settings_(aSettings)
+  , term_(aTerm)
+  , state_(std::move(aState))
+  , baseMs_(state_.LogicalMs())
+  , startedAt_(aNow)
+{
+  for (const auto& [number, worker] : state_.Workers()) {
+    AddView(worker, aNow);
+  }
+  for (const auto& [id, job] : state_.Jobs()) {
+    for (const auto& [number, occurrence] : job.occurrences_) {
+      for (std::uint32_t step = 0; step < occurrence.steps_.size(); ++step) {
+        const auto& tasks = occurrence.steps_[step];
+        for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+          const auto& task = tasks[index];
+          auto* view = FindView(task.worker_);
+          if (task.state_ != TaskState::Assigned || view == nullptr) {
+            continue;
+          }
+          const auto& spec = job.spec_.steps_[step];
+          RunView run;
+          run.run_ = task.run_;
+          run.phase_ = RunPhase::Unsure;
+          run.since_ = aNow;
+          run.need_ = spec.need_;
+          run.lasts_ = spec.lasts_;
+          run.fills_ = spec.fills_;
+          run.targetMs_ = spec.targetMs_;
+          run.stopWanted_ = IsOver(job.phase_);
+          view->used_ = Sum(view->used_, ReservedBy(run));
+          view->runs_.emplace(TaskKey{ id, number, step, index }, run);
+        }
+      }
+    }
+  }
+}
+
+std::uint64_t
+Scheduler::LogicalNow(MonotonicTime aNow) const
+{
+  return baseMs_ + static_cast<std::uint64_t>((aNow - startedAt_).count());
+}
+
+void
+Scheduler::UseConfig(const WorkloadConfig& aConfig, MonotonicTime /*aNow*/)
+{
+  config_ = aConfig;
+  QueueAll();
+  placementDue_ = true;
+}
+
+void
+Scheduler::Decide(WorkloadEvent aEvent, MonotonicTime aNow)
+{
+  state_.Apply({ LogicalNow(aNow), { aEvent } });
+  events_.push_back(std::move(aEvent));
+}
+
+void
+Scheduler::Answer(RequestToken aToken,
+                  RequestOutcome aOutcome,
+                  Millis aRetryAfter)
+{
+  actions_.emplace_back(AnswerRequest{ aToken, aOutcome, aRetryAfter });
+}
+
+void
+Scheduler::AnswerOnCommit(RequestToken aToken, RequestOutcome aOutcome)
+{
+  heldNow_.answers_.push_back({ aToken, aOutcome, Millis(0) });
+}
+
+void
+Scheduler::SubmitJob(RequestToken aToken,
+                     const JobSpec& aSpec,
+                     MonotonicTime aNow)
+{
+  if (const auto* known = state_.FindJob(aSpec.id_)) {
+    // The first answer may have been lost. The job may not be committed yet,
+    // so that this answer waits for the log as well.
+    AnswerOnCommit(aToken,
+                   known->spec_.queue_ == aSpec.queue_
+                     ? RequestOutcome::Accepted
+                     : RequestOutcome::Unclear);
+    return;
+  }
+  if (config_.version_ == 0) {
+    Answer(aToken, RequestOutcome::RefusedForNow, kTick);
+    return;
+  }
+  if (!config_.queues_.contains(aSpec.queue_)) {
+    Answer(aToken, RequestOutcome::UnknownQueue);
+    return;
+  }
+  Decide(JobAccepted{ aSpec }, aNow);
+  AnswerOnCommit(aToken, RequestOutcome::Accepted);
+  QueueJob(*state_.FindJob(aSpec.id_));
+  placementDue_ = true;
+}
+
+void
+Scheduler::CancelJob(RequestToken aToken, JobId aJob, MonotonicTime aNow)
+{
+  const auto* job = state_.FindJob(aJob);
+  if (job == nullptr) {
+    Answer(aToken, RequestOutcome::UnknownJob);
+    return;
+  }
+  if (!IsOver(job->phase_)) {
+    Decide(JobCancelled{ aJob }, aNow);
+    StopRunsOf(aJob);
+    LogInfo("job cancelled", { { "job", JobText(aJob) } });
+  }
+  AnswerOnCommit(aToken, RequestOutcome::Accepted);
+  placementDue_ = true;
+}
+
+void
+Scheduler::AcceptConfig(RequestToken aToken,
+                        const ConfigDocument& aDocument,
+                        MonotonicTime aNow)
+{
+  if (aDocument.version_ > state_.Config().version_) {
+    Decide(ConfigAccepted{ aDocument }, aNow);
+  }
+  AnswerOnCommit(aToken, RequestOutcome::Accepted);
+}
+
+void
+Scheduler::StartWave(RequestToken aToken,
+                     const UpkeepWave& aWave,
+                     MonotonicTime aNow)
+{
+  if (!state_.Waves().contains(aWave.id_)) {
+    auto wave = aWave;
+    wave.startedAtMs_ = LogicalNow(aNow);
+    wave.dueAtMs_ += wave.startedAtMs_;
+    LogInfo("wave of upkeep started",
+            { { "wave", wave.id_ },
+              { "vms", wave.pendingVms_.size() },
+              { "cap", wave.cap_ },
+              { "due_in_ms", wave.dueAtMs_ - wave.startedAtMs_ } });
+    Decide(WaveStarted{ std::move(wave) }, aNow);
+  }
+  AnswerOnCommit(aToken, RequestOutcome::Accepted);
+}
+
+void
+Scheduler::FlushBatch(MonotonicTime aNow)
+{
+  const bool hasEffects = !heldNow_.answers_.empty();
+  if ((events_.empty() && !hasEffects) || held_.size() >= kOpenBatches) {
+    return;
+  }
+  const auto batch = nextBatch_++;
+  held_.emplace(batch, std::move(heldNow_));
+  heldNow_ = {};
+  actions_.emplace_back(
+    LogBatch{ batch, { LogicalNow(aNow), std::move(events_) } });
+  events_.clear();
+}
+
+void
+Scheduler::HandleCommit(std::uint64_t aBatch, MonotonicTime aNow)
+{
+  auto found = held_.extract(aBatch);
+  if (found.empty()) {
+    return;
+  }
+  auto& effects = found.mapped();
+  for (const auto& answer : effects.answers_) {
+    actions_.emplace_back(answer);
+  }
+  for (const auto& start : effects.starts_) {
+    ReleaseStart(start, aNow);
+  }
+  for (const auto& [worker, number] : effects.ends_) {
+    if (auto* view = FindView(worker)) {
+      view->committedEnds_ = std::max(view->committedEnds_, number);
+    }
+  }
+}
+
+void
+Scheduler::Tick(MonotonicTime aNow, std::uint64_t aWallMs)
+{
+  ExpireLeases(aNow);
+  BeginDueOccurrences(aWallMs, aNow);
+  ForgetEndedJobs(aNow);
+  EvacuateLeaving(aNow);
+  AdvanceWaves(aNow);
+  placementDue_ = true;
+}
+
+void
+Scheduler::BeginDueOccurrences(std::uint64_t aWallMs, MonotonicTime aNow)
+{
+  std::vector<OccurrenceBegun> due;
+  for (const auto& [id, job] : state_.Jobs()) {
+    const auto& spec = job.spec_;
+    if (spec.repeatCount_ == 0 || IsOver(job.phase_)) {
+      continue;
+    }
+    for (auto next = job.begunOccurrences_;
+         next < spec.repeatCount_ &&
+         spec.startAtMs_ + next * spec.intervalMs_ <= aWallMs;
+         ++next) {
+      due.push_back({ id, next });
+    }
+  }
+  for (const auto& occurrence : due) {
+    Decide(occurrence, aNow);
+    QueueJob(*state_.FindJob(occurrence.job_));
+  }
+}
+
+void
+Scheduler::ForgetEndedJobs(MonotonicTime aNow)
+{
+  if (aNow - forgottenAt_ < kForgetInterval) {
+    return;
+  }
+  forgottenAt_ = aNow;
+  const auto logicalNow = LogicalNow(aNow);
+  const auto keep = static_cast<std::uint64_t>(settings_.keepEnded_.count());
+  std::vector<JobId> old;
+  for (const auto& [id, job] : state_.Jobs()) {
+    if (IsOver(job.phase_) && job.assigned_ == 0 &&
+        job.endedAtMs_ + keep < logicalNow) {
+      old.push_back(id);
+    }
+  }
+  for (const auto id : old) {
+    Decide(JobForgotten{ id }, aNow);
+  }
+}
+
+std::vector<SchedulerAction>
+Scheduler::TakeActions(MonotonicTime aNow)
+{
+  if (!deposed_) {
+    if (placementDue_) {
+      placementDue_ = false;
+      Place(aNow);
+    }
+    StopWanted(aNow);
+    RenewDue(aNow);
+    FlushBatch(aNow);
+  }
+  auto actions = std::move(actions_);
+  actions_.clear();
+  return actions;
+}
+
+} // namespace acaciahill
--- /dev/null
+++ b/packages/workload/scheduler_base.h
@@ -0,0 +1,276 @@
+#pragma once
+
+#include "workload/scheduler_type.h"
+#include "workload/worker_view_type.h"
+#include "workload/workload_base.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace acaciahill {
+
+/// Decides for one leadership which tasks run where. It holds the state with
+/// everything that it has decided so far, which the log may not have committed
+/// yet; what others see of a decision (answers, orders to start) waits for the
+/// commit. There is no clock and no I/O in it: time comes with each input, and
+/// what is to be done is taken with TakeActions().
+class Scheduler
+{
+public:
+  /// Takes over the committed state of all former leaders. The term makes the
+  /// fence of all orders. Leases that former leaders gave may last for a whole
+  /// one from now.
+  Scheduler(Workload aState,
+            SchedulerSettings aSettings,
+            std::uint64_t aTerm,
+            MonotonicTime aNow);
+
+  /// A configuration that came into force; decisions follow it from now on.
+  void UseConfig(const WorkloadConfig& aConfig, MonotonicTime aNow);
+
+  // Requests. Each token is answered once.
+  void SubmitJob(RequestToken aToken, const JobSpec& aSpec, MonotonicTime aNow);
+  void CancelJob(RequestToken aToken, JobId aJob, MonotonicTime aNow);
+  /// The document must have been checked. A version that is not higher is
+  /// accepted and changes nothing.
+  void AcceptConfig(RequestToken aToken,
+                    const ConfigDocument& aDocument,
+                    MonotonicTime aNow);
+  void ReportWorker(RequestToken aToken,
+                    const WorkerReport& aReport,
+                    MonotonicTime aNow);
+  /// The worker says that it ends now.
+  void RemoveWorker(RequestToken aToken,
+                    const std::string& aId,
+                    std::optional<std::uint64_t> aBornMs,
+                    MonotonicTime aNow);
+  void StartWave(RequestToken aToken,
+                 const UpkeepWave& aWave,
+                 MonotonicTime aNow);
+
+  // Answers of workers and of the platform.
+  void HandleStart(const StartRun& aOrder,
+                   const OrderAnswer& aAnswer,
+                   MonotonicTime aNow);
+  void HandleStop(const StopRun& aOrder,
+                  const OrderAnswer& aAnswer,
+                  MonotonicTime aNow);
+  void HandlePace(const PaceRun& aOrder,
+                  const OrderAnswer& aAnswer,
+                  MonotonicTime aNow);
+  /// The lists are absent when the renewal was not taken.
+  void HandleRenewal(const RenewLease& aOrder,
+                     const OrderAnswer& aAnswer,
+                     const std::optional<WorkerLists>& aLists,
+                     MonotonicTime aNow);
+  /// Nothing when the platform did not answer.
+  void HandleVms(const std::optional<std::vector<VmListing>>& aVms,
+                 MonotonicTime aNow);
+  void HandleUpkeep(const BeginUpkeep& aOrder,
+                    VmOutcome aOutcome,
+                    MonotonicTime aNow);
+
+  /// The log committed a batch of LogBatch.
+  void HandleCommit(std::uint64_t aBatch, MonotonicTime aNow);
+
+  /// Time has passed; the wall clock in Unix ms decides on due occurrences
+  /// only. To be called every kTick at the latest.
+  void Tick(MonotonicTime aNow, std::uint64_t aWallMs);
+
+  /// What is to be done, in order; each action is returned once.
+  std::vector<SchedulerAction> TakeActions(MonotonicTime aNow);
+
+  /// Another leader's orders have reached a worker: this one must give none.
+  bool IsDeposed() const { return deposed_; }
+
+  /// The state with everything decided so far.
+  const Workload& State() const { return state_; }
+  const std::map<std::uint32_t, WorkerView>& Views() const { return views_; }
+
+  /// Longest time between two ticks.
+  static constexpr Millis kTick{ 50 };
+
+private:
+  /// Steps with tasks that wait, in the order in which they are served.
+  struct ReadyStep
+  {
+    std::int64_t priority_ = 0;
+    /// Logical time at which the job should be completed.
+    std::uint64_t objectiveMs_ = 0;
+    JobId job_ = 0;
+    std::uint32_t occurrence_ = 0;
+    std::uint32_t step_ = 0;
+
+    auto operator<=>(const ReadyStep&) const = default;
+  };
+
+  /// An assignment whose order waits for the commit.
+  struct HeldStart
+  {
+    TaskKey task_;
+    std::uint32_t run_ = 0;
+    std::uint32_t worker_ = 0;
+  };
+
+  /// What waits for the commit of a batch.
+  struct HeldEffects
+  {
+    std::vector<AnswerRequest> answers_;
+    std::vector<HeldStart> starts_;
+    std::map<std::uint32_t, std::uint64_t> ends_;
+  };
+
+  /// What is known of a VM of a wave between two lists of the platform.
+  struct VmView
+  {
+    VmListing listing_;
+    bool orderOpen_ = false;
+    MonotonicTime orderedAt_{};
+    /// Taken down by us and not seen up since.
+    bool isDown_ = false;
+    MonotonicTime downSince_{};
+  };
+
+  // scheduler.cpp: events, batches, time.
+  void Decide(WorkloadEvent aEvent, MonotonicTime aNow);
+  void AnswerOnCommit(RequestToken aToken, RequestOutcome aOutcome);
+  void Answer(RequestToken aToken,
+              RequestOutcome aOutcome,
+              Millis aRetryAfter = Millis(0));
+  void FlushBatch(MonotonicTime aNow);
+  std::uint64_t LogicalNow(MonotonicTime aNow) const;
+  void BeginDueOccurrences(std::uint64_t aWallMs, MonotonicTime aNow);
+  void ForgetEndedJobs(MonotonicTime aNow);
+
+  // scheduler_worker.cpp: workers, their leases and lists.
+  WorkerView* FindView(std::uint32_t aWorker);
+  void AddView(const WorkerEntry& aWorker, MonotonicTime aNow);
+  std::uint32_t FindWorkerById(const std::string& aId) const;
+  std::uint64_t FenceOf(const WorkerEntry& aWorker) const;
+  /// Also extends the time by which the worker's leases are over.
+  OrderTarget MakeTarget(std::uint32_t aWorker, MonotonicTime aNow);
+  void ReadClock(WorkerView& aView,
+                 const std::optional<std::int64_t>& aClockMs,
+                 MonotonicTime aNow);
+  void RenewDue(MonotonicTime aNow);
+  void ExpireLeases(MonotonicTime aNow);
+  void LoseWorker(std::uint32_t aWorker,
+                  std::string_view aReason,
+                  MonotonicTime aNow);
+  void LoseRuns(std::uint32_t aWorker, RunEnd aEnd, MonotonicTime aNow);
+  /// True when the answer shows that the worker is gone or this leader is
+  /// deposed; nothing else is to be done with it then.
+  bool IsFinal(std::uint32_t aWorker,
+               const OrderAnswer& aAnswer,
+               MonotonicTime aNow);
+  void TakeEnds(std::uint32_t aWorker,
+                const WorkerLists& aLists,
+                MonotonicTime aNow);
+  void TakeLateEnd(const EndedRun& aEnd, MonotonicTime aNow);
+  void TakeRunning(std::uint32_t aWorker,
+                   const WorkerLists& aLists,
+                   MonotonicTime aNow);
+  void CheckMissing(std::uint32_t aWorker,
+                    const WorkerLists& aLists,
+                    MonotonicTime aSentAt,
+                    MonotonicTime aNow);
+  void StopStray(std::uint32_t aWorker,
+                 const TaskKey& aTask,
+                 std::uint32_t aRun,
+                 MonotonicTime aNow);
+
+  // scheduler_run.cpp: life of a run.
+  RunView* FindRun(std::uint32_t aWorker,
+                   const TaskKey& aTask,
+                   std::uint32_t aRun);
+  void CloseRun(std::uint32_t aWorker,
+                const TaskKey& aTask,
+                std::uint32_t aRun,
+                RunEnd aEnd,
+                const std::string& aCheckpoint,
+                MonotonicTime aNow);
+  /// Queues what an end of a run makes ready.
+  void QueueAfter(const TaskKey& aTask, RunEnd aEnd);
+  void CountEnd(std::uint32_t aWorker, RunEnd aEnd, MonotonicTime aNow);
+  void ReleaseStart(const HeldStart& aStart, MonotonicTime aNow);
+  void WantStop(RunView& aRun);
+  void StopWanted(MonotonicTime aNow);
+  void StopRunsOf(JobId aJob);
+  void EvacuateLeaving(MonotonicTime aNow);
+  bool MayTakeAway(const TaskKey& aTask) const;
+  std::uint32_t AwayOf(const TaskKey& aTask) const;
+  void PaceFilling(std::uint32_t aWorker, MonotonicTime aNow);
+
+  // scheduler_place.cpp: which task runs where.
+  void QueueJob(const JobEntry& aJob);
+  void QueueStep(const JobEntry& aJob,
+                 std::uint32_t aOccurrence,
+                 std::uint32_t aStep);
+  void QueueAll();
+  std::uint64_t ObjectiveOf(const JobEntry& aJob,
+                            const QueueSpec& aQueue) const;
+  bool IsUnlocked(const OccurrenceEntry& aOccurrence,
+                  const StepSpec& aStep) const;
+  void Place(MonotonicTime aNow);
+  void PlacePool(const std::string& aPool,
+                 std::set<ReadyStep>& aReady,
+                 MonotonicTime aNow);
+  /// False when a waiting task of the step found no worker.
+  bool PlaceStep(const ReadyStep& aReady,
+                 const std::vector<std::uint32_t>& aWorkers,
+                 MonotonicTime aNow);
+  bool PlaceGang(const ReadyStep& aReady,
+                 const std::vector<std::uint32_t>& aWorkers,
+                 MonotonicTime aNow);
+  std::uint32_t ChooseWorker(
+    const StepSpec& aStep,
+    const std::vector<std::uint32_t>& aWorkers,
+    const std::map<std::uint32_t, std::uint32_t>& aOfStep) const;
+  bool IsUsable(const WorkerEntry& aWorker,
+                const WorkerView& aView,
+                MonotonicTime aNow) const;
+  std::map<std::uint32_t, std::uint32_t> WorkersOfStep(
+    const std::vector<TaskEntry>& aTasks) const;
+  void Assign(const TaskKey& aTask,
+              std::uint32_t aRun,
+              std::uint32_t aWorker,
+              const StepSpec& aStep,
+              MonotonicTime aNow);
+
+  // scheduler_upkeep.cpp: waves.
+  void AdvanceWaves(MonotonicTime aNow);
+  void AdvanceWave(const UpkeepWave& aWave, MonotonicTime aNow);
+  std::size_t CountDown(const UpkeepWave& aWave) const;
+  std::vector<std::string> CandidatesOf(const UpkeepWave& aWave) const;
+
+  SchedulerSettings settings_;
+  std::uint64_t term_ = 0;
+  bool deposed_ = false;
+  Workload state_;
+  WorkloadConfig config_;
+  /// Logical time at the start of this leadership.
+  std::uint64_t baseMs_ = 0;
+  MonotonicTime startedAt_;
+
+  std::map<std::uint32_t, WorkerView> views_;
+  std::map<std::string, std::set<ReadyStep>> ready_;
+  bool placementDue_ = true;
+
+  std::vector<WorkloadEvent> events_;
+  HeldEffects heldNow_;
+  std::map<std::uint64_t, HeldEffects> held_;
+  std::uint64_t nextBatch_ = 1;
+  std::vector<SchedulerAction> actions_;
+
+  std::map<std::pair<TaskKey, std::uint32_t>, MonotonicTime> straySentAt_;
+  std::map<std::string, VmView> vms_;
+  bool vmListOpen_ = false;
+  bool vmListKnown_ = false;
+  MonotonicTime vmListAt_{};
+  MonotonicTime forgottenAt_{};
+};
+
+} // namespace acaciahill
--- /dev/null
+++ b/packages/workload/scheduler_place.cpp
@@ -0,0 +1,317 @@
+#include "workload/scheduler_base.h"
+
+#include "workload/workload_text_func.h"
+
+#include <algorithm>
+#include <limits>
+#include <numeric>
+
+// Placement: which waiting task runs on which worker.
+
+namespace acaciahill {
+
+namespace {
+
+// Steps in a row that find no worker before a pool is taken to be full.
+constexpr int kMisses = 24;
+// A task away from the rack of its data, or a step over several racks, is
+// chosen only when nothing else is free; the score is in thousandths of a
+// worker's cores.
+constexpr std::int64_t kRackBonus = 2000;
+// Tasks that fill stay away from workers with tasks that have a target.
+constexpr std::int64_t kSharePenalty = 1000;
+
+/// Estimated length of the longest chain of a job's steps in ms.
+std::int64_t
+LongestChain(const JobSpec& aSpec)
+{
+  std::vector<std::int64_t> length(aSpec.steps_.size(), 0);
+  std::int64_t longest = 0;
+  for (std::size_t step = 0; step < aSpec.steps_.size(); ++step) {
+    std::int64_t before = 0;
+    for (const auto after : aSpec.steps_[step].after_) {
+      before = std::max(before, length[after]);
+    }
+    length[step] = before + aSpec.steps_[step].estimatedMs_;
+    longest = std::max(longest, length[step]);
+  }
+  return longest;
+}
+
+} // namespace
+
+std::uint64_t
+Scheduler::ObjectiveOf(const JobEntry& aJob, const QueueSpec& aQueue) const
+{
+  const auto work = static_cast<std::int64_t>(
+    aQueue.stretch_ * static_cast<double>(LongestChain(aJob.spec_)));
+  return aJob.acceptedAtMs_ + static_cast<std::uint64_t>(std::max<std::int64_t>(
+                                0, work + aQueue.latencyMs_));
+}
+
+bool
+Scheduler::IsUnlocked(const OccurrenceEntry& aOccurrence,
+                      const StepSpec& aStep) const
+{
+  return std::all_of(
+    aStep.after_.begin(), aStep.after_.end(), [&](std::uint32_t aBefore) {
+      const auto& tasks = aOccurrence.steps_[aBefore];
+      return std::all_of(tasks.begin(), tasks.end(), [](const auto& aTask) {
+        return aTask.state_ == TaskState::Done;
+      });
+    });
+}
+
+void
+Scheduler::QueueStep(const JobEntry& aJob,
+                     std::uint32_t aOccurrence,
+                     std::uint32_t aStep)
+{
+  const auto queue = config_.queues_.find(aJob.spec_.queue_);
+  const auto occurrence = aJob.occurrences_.find(aOccurrence);
+  if (queue == config_.queues_.end() || IsOver(aJob.phase_) ||
+      occurrence == aJob.occurrences_.end()) {
+    return;
+  }
+  const auto& tasks = occurrence->second.steps_[aStep];
+  const bool hasWaiting =
+    std::any_of(tasks.begin(), tasks.end(), [](const auto& aTask) {
+      return aTask.state_ == TaskState::Waiting;
+    });
+  if (!hasWaiting ||
+      !IsUnlocked(occurrence->second, aJob.spec_.steps_[aStep])) {
+    return;
+  }
+  ready_[queue->second.pool_].insert({ queue->second.priority_,
+                                       ObjectiveOf(aJob, queue->second),
+                                       aJob.spec_.id_,
+                                       aOccurrence,
+                                       aStep });
+}
+
+void
+Scheduler::QueueJob(const JobEntry& aJob)
+{
+  for (const auto& [number, occurrence] : aJob.occurrences_) {
+    for (std::uint32_t step = 0; step < aJob.spec_.steps_.size(); ++step) {
+      QueueStep(aJob, number, step);
+    }
+  }
+}
+
+void
+Scheduler::QueueAll()
+{
+  ready_.clear();
+  for (const auto& [id, job] : state_.Jobs()) {
+    QueueJob(job);
+  }
+}
+
+bool
+Scheduler::IsUsable(const WorkerEntry& aWorker,
+                    const WorkerView& aView,
+                    MonotonicTime aNow) const
+{
+  return aView.confirmed_ && aView.missedRenewals_ == 0 && !aWorker.draining_ &&
+         !aView.evacuating_ && aNow >= aView.avoidUntil_;
+}
+
+void
+Scheduler::Place(MonotonicTime aNow)
+{
+  for (auto& [pool, ready] : ready_) {
+    if (!ready.empty()) {
+      PlacePool(pool, ready, aNow);
+    }
+  }
+}
+
+void
+Scheduler::PlacePool(const std::string& aPool,
+                     std::set<ReadyStep>& aReady,
+                     MonotonicTime aNow)
+{
+  std::vector<std::uint32_t> workers;
+  for (const auto& [number, view] : views_) {
+    const auto& worker = *state_.FindWorker(number);
+    if (worker.pool_ == aPool && IsUsable(worker, view, aNow)) {
+      workers.push_back(number);
+    }
+  }
+  int misses = 0;
+  for (auto step = aReady.begin(); step != aReady.end() && misses < kMisses;) {
+    if (PlaceStep(*step, workers, aNow)) {
+      step = aReady.erase(step);
+    } else {
+      ++misses;
+      ++step;
+    }
+  }
+}
+
+std::map<std::uint32_t, std::uint32_t>
+Scheduler::WorkersOfStep(const std::vector<TaskEntry>& aTasks) const
+{
+  std::map<std::uint32_t, std::uint32_t> count;
+  for (const auto& task : aTasks) {
+    if (task.state_ == TaskState::Assigned) {
+      ++count[task.worker_];
+    }
+  }
+  return count;
+}
+
+bool
+Scheduler::PlaceStep(const ReadyStep& aReady,
+                     const std::vector<std::uint32_t>& aWorkers,
+                     MonotonicTime aNow)
+{
+  const auto* job = state_.FindJob(aReady.job_);
+  if (job == nullptr || IsOver(job->phase_)) {
+    return true;
+  }
+  const auto occurrence = job->occurrences_.find(aReady.occurrence_);
+  if (occurrence == job->occurrences_.end()) {
+    return true;
+  }
+  const auto& step = job->spec_.steps_[aReady.step_];
+  if (step.gang_) {
+    return PlaceGang(aReady, aWorkers, aNow);
+  }
+  const auto& tasks = occurrence->second.steps_[aReady.step_];
+  auto ofStep = WorkersOfStep(tasks);
+  for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+    if (tasks[index].state_ != TaskState::Waiting) {
+      continue;
+    }
+    const auto worker = ChooseWorker(step, aWorkers, ofStep);
+    if (worker == 0) {
+      return false;
+    }
+    ++ofStep[worker];
+    Assign({ aReady.job_, aReady.occurrence_, aReady.step_, index },
+           tasks[index].run_ + 1,
+           worker,
+           step,
+           aNow);
+  }
+  return true;
+}
+
+// All members of a gang begin together under one run number, or none does.
+bool
+Scheduler::PlaceGang(const ReadyStep& aReady,
+                     const std::vector<std::uint32_t>& aWorkers,
+                     MonotonicTime aNow)
+{
+  const auto* job = state_.FindJob(aReady.job_);
+  const auto& step = job->spec_.steps_[aReady.step_];
+  const auto& tasks =
+    job->occurrences_.at(aReady.occurrence_).steps_[aReady.step_];
+  std::uint32_t run = 0;
+  for (const auto& task : tasks) {
+    if (task.state_ != TaskState::Waiting) {
+      // Members of the former run have not ended yet.
+      return false;
+    }
+    run = std::max(run, task.run_ + 1);
+  }
+  const auto used = views_;
+  std::vector<std::uint32_t> chosen;
+  std::map<std::uint32_t, std::uint32_t> ofStep;
+  for (std::size_t member = 0; member < tasks.size(); ++member) {
+    const auto worker = ChooseWorker(step, aWorkers, ofStep);
+    if (worker == 0) {
+      for (const auto taken : chosen) {
+        views_.at(taken).used_ = used.at(taken).used_;
+      }
+      return false;
+    }
+    auto& view = views_.at(worker);
+    view.used_ = Sum(view.used_, ReservedBy(step.need_, step.fills_));
+    ++ofStep[worker];
+    chosen.push_back(worker);
+  }
+  for (const auto taken : chosen) {
+    views_.at(taken).used_ = used.at(taken).used_;
+  }
+  for (std::uint32_t index = 0; index < chosen.size(); ++index) {
+    Assign({ aReady.job_, aReady.occurrence_, aReady.step_, index },
+           run,
+           chosen[index],
+           step,
+           aNow);
+  }
+  return true;
+}
+
+std::uint32_t
+Scheduler::ChooseWorker(
+  const StepSpec& aStep,
+  const std::vector<std::uint32_t>& aWorkers,
+  const std::map<std::uint32_t, std::uint32_t>& aOfStep) const
+{
+  const auto need = ReservedBy(aStep.need_, aStep.fills_);
+  std::uint32_t best = 0;
+  auto bestScore = std::numeric_limits<std::int64_t>::min();
+  for (const auto number : aWorkers) {
+    const auto& worker = *state_.FindWorker(number);
+    const auto& view = views_.at(number);
+    const auto left = Difference(worker.capacity_, view.used_);
+    if (!Fits(need, left)) {
+      continue;
+    }
+    const auto there = aOfStep.find(number);
+    const auto count = there == aOfStep.end() ? 0 : there->second;
+    if (aStep.maxPerWorker_ > 0 && count >= aStep.maxPerWorker_) {
+      continue;
+    }
+    if (!aStep.label_.empty() &&
+        std::find(worker.labels_.begin(), worker.labels_.end(), aStep.label_) ==
+          worker.labels_.end()) {
+      continue;
+    }
+    auto score = left.milliCores_;
+    if (!aStep.dataRack_.empty() && worker.rack_ == aStep.dataRack_) {
+      score += kRackBonus * 100;
+    }
+    if (aStep.sameRack_ && !aOfStep.empty() &&
+        state_.FindWorker(aOfStep.begin()->first)->rack_ == worker.rack_) {
+      score += kRackBonus * 10;
+    }
+    if (aStep.fills_) {
+      for (const auto& [task, run] : view.runs_) {
+        score -= run.targetMs_ > 0 || run.fills_ ? kSharePenalty : 0;
+      }
+    }
+    if (score > bestScore) {
+      bestScore = score;
+      best = number;
+    }
+  }
+  return best;
+}
+
+void
+Scheduler::Assign(const TaskKey& aTask,
+                  std::uint32_t aRun,
+                  std::uint32_t aWorker,
+                  const StepSpec& aStep,
+                  MonotonicTime aNow)
+{
+  RunView run;
+  run.run_ = aRun;
+  run.since_ = aNow;
+  run.need_ = aStep.need_;
+  run.lasts_ = aStep.lasts_;
+  run.fills_ = aStep.fills_;
+  run.targetMs_ = aStep.targetMs_;
+  auto& view = views_.at(aWorker);
+  view.used_ = Sum(view.used_, ReservedBy(run));
+  view.runs_.insert_or_assign(aTask, run);
+  Decide(RunAssigned{ aTask, aRun, aWorker }, aNow);
+  heldNow_.starts_.push_back({ aTask, aRun, aWorker });
+}
+
+} // namespace acaciahill
--- /dev/null
+++ b/packages/workload/scheduler_worker.cpp
@@ -0,0 +1,461 @@
+#include "workload/scheduler_base.h"
+
+#include "kernel/log_func.h"
+#include "workload/workload_text_func.h"
+
+#include <algorithm>
+#include <set>
+
+// Workers: their registration, their leases, and the lists of what they run.
+
+namespace acaciahill {
+
+namespace {
+
+// Wait of a renewal at the worker; it answers earlier when a run ends.
+constexpr Millis kRenewalWait{ 1000 };
+// Pause after a renewal that told of ends, so that the next answer tells of
+// several at once.
+constexpr Millis kRenewalPause{ 15 };
+// Pauses after a renewal without an answer.
+constexpr Millis kFirstRetryPause{ 100 };
+constexpr Millis kLongestRetryPause{ 800 };
+// A worker without runs that was silent for this time is forgotten; it
+// registers again when it comes back.
+constexpr Millis kForgetSilent{ 20000 };
+// A worker's clock may be this much slow.
+constexpr double kClockSlowness = 1.02;
+// Added to the end of a lease for times rounded to milliseconds.
+constexpr Millis kLeaseMargin{ 100 };
+// Lists of ends hold at most this many; more may follow.
+constexpr std::size_t kEndsInList = 500;
+// A run that is not ours is told to stop at most this often.
+constexpr Millis kStrayInterval{ 500 };
+// Room for worker numbers below the term in fences.
+constexpr std::uint64_t kWorkersInTerm = 1ULL << 24U;
+
+} // namespace
+
+WorkerView*
+Scheduler::FindView(std::uint32_t aWorker)
+{
+  const auto found = views_.find(aWorker);
+  return found == views_.end() ? nullptr : &found->second;
+}
+
+void
+Scheduler::AddView(const WorkerEntry& aWorker, MonotonicTime aNow)
+{
+  auto& view = views_[aWorker.number_];
+  view.heardAt_ = aNow;
+  view.nextRenewalAt_ = aNow;
+  view.committedEnds_ = aWorker.notedEnds_;
+  // A former leader may have given a whole lease just now.
+  view.leaseOverAt_ =
+    aNow + kLeaseMargin +
+    Millis(static_cast<std::int64_t>(
+      static_cast<double>(settings_.lease_.count()) * kClockSlowness));
+}
+
+std::uint32_t
+Scheduler::FindWorkerById(const std::string& aId) const
+{
+  // Lives of one worker follow on each other; the last one has the highest
+  // number.
+  const auto& workers = state_.Workers();
+  const auto found =
+    std::find_if(workers.rbegin(), workers.rend(), [&aId](const auto& aEntry) {
+      return aEntry.second.id_ == aId;
+    });
+  return found == workers.rend() ? 0 : found->first;
+}
+
+// Later lives under one id have higher numbers, so that orders to a former life
+// are refused once the new one has seen its own fence.
+std::uint64_t
+Scheduler::FenceOf(const WorkerEntry& aWorker) const
+{
+  return term_ * kWorkersInTerm + aWorker.number_ % kWorkersInTerm;
+}
+
+OrderTarget
+Scheduler::MakeTarget(std::uint32_t aWorker, MonotonicTime aNow)
+{
+  const auto& worker = *state_.FindWorker(aWorker);
+  auto& view = views_.at(aWorker);
+  OrderTarget target{
+    aWorker, worker.id_, worker.address_, FenceOf(worker), 0
+  };
+  // A worker that does not answer gets no longer lease: the time by which its
+  // runs are certainly over must come.
+  if (!view.hasClock_ || view.missedRenewals_ > 0) {
+    return target;
+  }
+  const auto sinceRead = aNow - view.clockAt_;
+  target.leaseEndMs_ =
+    view.clockMs_ + sinceRead.count() + settings_.lease_.count();
+  const auto onWorker =
+    static_cast<double>((sinceRead + settings_.lease_).count());
+  const auto over =
+    view.clockAt_ + kLeaseMargin +
+    Millis(static_cast<std::int64_t>(onWorker * kClockSlowness));
+  view.leaseOverAt_ = std::max(view.leaseOverAt_, over);
+  return target;
+}
+
+void
+Scheduler::ReadClock(WorkerView& aView,
+                     const std::optional<std::int64_t>& aClockMs,
+                     MonotonicTime aNow)
+{
+  if (aClockMs) {
+    aView.clockMs_ = *aClockMs;
+    aView.clockAt_ = aNow;
+    aView.hasClock_ = true;
+  }
+}
+
+void
+Scheduler::ReportWorker(RequestToken aToken,
+                        const WorkerReport& aReport,
+                        MonotonicTime aNow)
+{
+  const auto number = FindWorkerById(aReport.worker_.id_);
+  const auto* known = state_.FindWorker(number);
+  if (known != nullptr && aReport.worker_.bornMs_ < known->bornMs_) {
+    // Sent by a former life and held up on its way.
+    Answer(aToken, RequestOutcome::Accepted);
+    return;
+  }
+  if (known != nullptr && aReport.worker_.bornMs_ > known->bornMs_) {
+    LoseWorker(number, "began a new life", aNow);
+    known = nullptr;
+  }
+  auto entry = aReport.worker_;
+  if (known == nullptr) {
+    entry.number_ = state_.NextWorkerNumber();
+    LogInfo("worker registered",
+            { { "worker", entry.id_ },
+              { "number", entry.number_ },
+              { "pool", entry.pool_ },
+              { "address", entry.address_ },
+              { "rack", entry.rack_ },
+              { "draining", entry.draining_ } });
+    Decide(WorkerJoined{ entry }, aNow);
+    AddView(entry, aNow);
+    AnswerOnCommit(aToken, RequestOutcome::Accepted);
+  } else {
+    auto& view = views_.at(number);
+    if (aReport.sequence_ <= view.sequence_) {
+      Answer(aToken, RequestOutcome::Accepted);
+      return;
+    }
+    entry.number_ = number;
+    entry.notedEnds_ = known->notedEnds_;
+    entry.draining_ = entry.draining_ || known->draining_;
+    if (entry.draining_ && !known->draining_) {
+      LogInfo("worker is draining",
+              { { "worker", entry.id_ },
+                { "runs", view.runs_.size() },
+                { "leaves_in_ms", aReport.leavesInMs_ } });
+    }
+    if (entry == *known) {
+      Answer(aToken, RequestOutcome::Accepted);
+    } else {
+      Decide(WorkerJoined{ entry }, aNow);
+      AnswerOnCommit(aToken, RequestOutcome::Accepted);
+    }
+  }
+  auto& view = views_.at(FindWorkerById(entry.id_));
+  view.sequence_ = aReport.sequence_;
+  view.heardAt_ = aNow;
+  if (!view.hasClock_) {
+    ReadClock(view, aReport.clockMs_, aNow);
+  }
+  if (entry.draining_ && !view.leavesAt_) {
+    view.leavesAt_ = aNow + Millis(aReport.leavesInMs_);
+  }
+  placementDue_ = true;
+}
+
+void
+Scheduler::RemoveWorker(RequestToken aToken,
+                        const std::string& aId,
+                        std::optional<std::uint64_t> aBornMs,
+                        MonotonicTime aNow)
+{
+  const auto number = FindWorkerById(aId);
+  const auto* known = state_.FindWorker(number);
+  if (known != nullptr && (!aBornMs || *aBornMs == known->bornMs_)) {
+    LoseWorker(number, "left", aNow);
+  }
+  AnswerOnCommit(aToken, RequestOutcome::Accepted);
+}
+
+void
+Scheduler::LoseWorker(std::uint32_t aWorker,
+                      std::string_view aReason,
+                      MonotonicTime aNow)
+{
+  const auto* worker = state_.FindWorker(aWorker);
+  if (worker == nullptr) {
+    return;
+  }
+  LogInfo("worker is gone",
+          { { "worker", worker->id_ },
+            { "number", aWorker },
+            { "reason", aReason },
+            { "runs", views_.at(aWorker).runs_.size() } });
+  LoseRuns(aWorker, RunEnd::Lost, aNow);
+  views_.erase(aWorker);
+  Decide(WorkerLeft{ aWorker }, aNow);
+  placementDue_ = true;
+}
+
+void
+Scheduler::LoseRuns(std::uint32_t aWorker, RunEnd aEnd, MonotonicTime aNow)
+{
+  auto& view = views_.at(aWorker);
+  while (!view.runs_.empty()) {
+    const auto& [task, run] = *view.runs_.begin();
+    const auto key = task;
+    const auto checkpoint = run.checkpoint_;
+    CloseRun(aWorker, key, run.run_, aEnd, checkpoint, aNow);
+  }
+}
+
+void
+Scheduler::RenewDue(MonotonicTime aNow)
+{
+  for (auto& [number, view] : views_) {
+    if (view.renewalOpen_ || aNow < view.nextRenewalAt_) {
+      continue;
+    }
+    view.renewalOpen_ = true;
+    view.renewalSentAt_ = aNow;
+    const bool waits = view.confirmed_ && view.missedRenewals_ == 0;
+    actions_.emplace_back(RenewLease{ MakeTarget(number, aNow),
+                                      view.committedEnds_,
+                                      waits ? kRenewalWait : Millis(0) });
+  }
+}
+
+void
+Scheduler::ExpireLeases(MonotonicTime aNow)
+{
+  std::vector<std::uint32_t> silent;
+  for (auto& [number, view] : views_) {
+    if (view.missedRenewals_ > 0 && aNow >= view.leaseOverAt_ &&
+        !view.runs_.empty()) {
+      LogWarning("lease of a silent worker is over",
+                 { { "worker", state_.FindWorker(number)->id_ },
+                   { "silent_ms", (aNow - view.heardAt_).count() },
+                   { "runs", view.runs_.size() } });
+      LoseRuns(number, RunEnd::Lapsed, aNow);
+      placementDue_ = true;
+    }
+    if (view.runs_.empty() && aNow - view.heardAt_ > kForgetSilent) {
+      silent.push_back(number);
+    }
+  }
+  for (const auto number : silent) {
+    LoseWorker(number, "silent", aNow);
+  }
+}
+
+bool
+Scheduler::IsFinal(std::uint32_t aWorker,
+                   const OrderAnswer& aAnswer,
+                   MonotonicTime aNow)
+{
+  auto* view = FindView(aWorker);
+  if (view == nullptr) {
+    return true;
+  }
+  ReadClock(*view, aAnswer.clockMs_, aNow);
+  if (aAnswer.outcome_ == OrderOutcome::OtherLife) {
+    LoseWorker(aWorker, "another worker answers at its address", aNow);
+    return true;
+  }
+  if (aAnswer.outcome_ == OrderOutcome::Fenced) {
+    LogWarning(
+      "a worker has seen a higher fence; giving no more orders",
+      { { "worker", state_.FindWorker(aWorker)->id_ }, { "term", term_ } });
+    deposed_ = true;
+    return true;
+  }
+  if (aAnswer.outcome_ != OrderOutcome::Unknown) {
+    view->heardAt_ = aNow;
+  }
+  return false;
+}
+
+void
+Scheduler::HandleRenewal(const RenewLease& aOrder,
+                         const OrderAnswer& aAnswer,
+                         const std::optional<WorkerLists>& aLists,
+                         MonotonicTime aNow)
+{
+  const auto number = aOrder.target_.worker_;
+  auto* view = FindView(number);
+  if (view == nullptr || !view->renewalOpen_) {
+    return;
+  }
+  view->renewalOpen_ = false;
+  const auto sentAt = view->renewalSentAt_;
+  if (IsFinal(number, aAnswer, aNow)) {
+    return;
+  }
+  if (!aLists) {
+    const auto pause =
+      kFirstRetryPause * (1 << std::min(view->missedRenewals_, 3));
+    view->nextRenewalAt_ = aNow + std::min(pause, kLongestRetryPause);
+    if (view->missedRenewals_++ == 0) {
+      LogWarning("worker does not answer",
+                 { { "worker", aOrder.target_.id_ },
+                   { "runs", view->runs_.size() },
+                   { "lease_left_ms", (view->leaseOverAt_ - aNow).count() } });
+    }
+    return;
+  }
+  if (aLists->bornMs_ &&
+      *aLists->bornMs_ != state_.FindWorker(number)->bornMs_) {
+    LoseWorker(number, "began a new life", aNow);
+    return;
+  }
+  if (view->missedRenewals_ > 0) {
+    LogInfo("worker answers again",
+            { { "worker", aOrder.target_.id_ },
+              { "missed", view->missedRenewals_ } });
+  }
+  if (!view->confirmed_ || view->missedRenewals_ > 0) {
+    placementDue_ = true;
+  }
+  view->confirmed_ = true;
+  view->missedRenewals_ = 0;
+  view->nextRenewalAt_ = aLists->ended_.empty() ? aNow : aNow + kRenewalPause;
+  TakeEnds(number, *aLists, aNow);
+  TakeRunning(number, *aLists, aNow);
+  CheckMissing(number, *aLists, sentAt, aNow);
+  PaceFilling(number, aNow);
+}
+
+void
+Scheduler::TakeEnds(std::uint32_t aWorker,
+                    const WorkerLists& aLists,
+                    MonotonicTime aNow)
+{
+  const auto noted = state_.FindWorker(aWorker)->notedEnds_;
+  auto highest = noted;
+  for (const auto& end : aLists.ended_) {
+    if (end.number_ <= noted) {
+      continue;
+    }
+    highest = std::max(highest, end.number_);
+    if (FindRun(aWorker, end.task_, end.run_) != nullptr) {
+      CountEnd(aWorker, end.end_, aNow);
+      CloseRun(aWorker, end.task_, end.run_, end.end_, end.checkpoint_, aNow);
+    } else if (end.end_ == RunEnd::Done) {
+      TakeLateEnd(end, aNow);
+    }
+  }
+  if (highest > noted) {
+    Decide(EndsNoted{ aWorker, highest }, aNow);
+    heldNow_.ends_[aWorker] = highest;
+    placementDue_ = true;
+  }
+}
+
+// A run that was given up as its worker was silent had ended as done before.
+// Nothing else was started for the task yet, so that its work is not lost.
+void
+Scheduler::TakeLateEnd(const EndedRun& aEnd, MonotonicTime aNow)
+{
+  const auto* task = state_.FindTask(aEnd.task_);
+  const auto* job = state_.FindJob(aEnd.task_.job_);
+  if (task == nullptr || task->state_ != TaskState::Waiting ||
+      task->run_ != aEnd.run_ || IsOver(job->phase_) ||
+      job->spec_.steps_[aEnd.task_.step_].lasts_) {
+    return;
+  }
+  Decide(RunClosed{ aEnd.task_, aEnd.run_, RunEnd::Done, {}, false }, aNow);
+  QueueAfter(aEnd.task_, RunEnd::Done);
+}
+
+void
+Scheduler::TakeRunning(std::uint32_t aWorker,
+                       const WorkerLists& aLists,
+                       MonotonicTime aNow)
+{
+  for (const auto& running : aLists.running_) {
+    auto* run = FindRun(aWorker, running.task_, running.run_);
+    if (run == nullptr) {
+      StopStray(aWorker, running.task_, running.run_, aNow);
+      continue;
+    }
+    if (run->phase_ != RunPhase::Running) {
+      run->phase_ = RunPhase::Running;
+      run->since_ = aNow;
+    }
+    run->percent_ = running.percent_;
+    run->gauge_ = running.gauge_;
+    if (!running.checkpoint_.empty()) {
+      run->checkpoint_ = running.checkpoint_;
+    }
+  }
+}
+
+void
+Scheduler::StopStray(std::uint32_t aWorker,
+                     const TaskKey& aTask,
+                     std::uint32_t aRun,
+                     MonotonicTime aNow)
+{
+  std::erase_if(straySentAt_, [aNow](const auto& aEntry) {
+    return aNow - aEntry.second > kStrayInterval;
+  });
+  if (!straySentAt_.emplace(std::pair(aTask, aRun), aNow).second) {
+    return;
+  }
+  LogInfo("stopping a run that is not expected",
+          { { "task", TaskText(aTask) },
+            { "run", aRun },
+            { "worker", state_.FindWorker(aWorker)->id_ } });
+  actions_.emplace_back(StopRun{ MakeTarget(aWorker, aNow), aTask, aRun });
+}
+
+// A run that stands in neither list is not on the worker. Only lists that were
+// made after the order was answered tell that.
+void
+Scheduler::CheckMissing(std::uint32_t aWorker,
+                        const WorkerLists& aLists,
+                        MonotonicTime aSentAt,
+                        MonotonicTime aNow)
+{
+  if (aLists.ended_.size() >= kEndsInList) {
+    return;
+  }
+  std::set<std::pair<TaskKey, std::uint32_t>> listed;
+  for (const auto& running : aLists.running_) {
+    listed.emplace(running.task_, running.run_);
+  }
+  std::vector<std::pair<TaskKey, std::uint32_t>> never;
+  for (auto& [task, run] : views_.at(aWorker).runs_) {
+    if (listed.contains({ task, run.run_ }) || run.phase_ == RunPhase::Logged ||
+        run.phase_ == RunPhase::Sent || aSentAt <= run.since_) {
+      continue;
+    }
+    if (run.stoppedAt_ && aSentAt > *run.stoppedAt_) {
+      never.emplace_back(task, run.run_);
+    } else {
+      run.phase_ = RunPhase::Unsure;
+      WantStop(run);
+    }
+  }
+  for (const auto& [task, run] : never) {
+    CloseRun(aWorker, task, run, RunEnd::Rejected, {}, aNow);
+    placementDue_ = true;
+  }
+}
+
+} // namespace acaciahill
--- /dev/null
+++ b/packages/workload/test/scheduler_test.cpp
@@ -0,0 +1,184 @@
+#include "workload/test/scheduler_driver.h"
+
+#include "workload/workload_text_func.h"
+
+#include <catch2/catch.hpp>
+
+using namespace acaciahill;
+using acaciahill::test::SchedulerDriver;
+
+namespace {
+
+WorkloadConfig
+OnePool()
+{
+  WorkloadConfig config;
+  config.version_ = 1;
+  config.pools_["p"] = { "p", false, false };
+  config.queues_["h/q/"] = { "h/q/", "q", "p", 0, 50, 1.6, 600, 3000 };
+  return config;
+}
+
+JobSpec
+TwoSteps(JobId aId)
+{
+  JobSpec spec;
+  spec.id_ = aId;
+  spec.queue_ = "h/q/";
+  spec.payload_ = "text";
+  StepSpec first;
+  first.tasks_ = 3;
+  first.need_ = { 1000, 500, 0 };
+  first.estimatedMs_ = 500;
+  auto second = first;
+  second.tasks_ = 2;
+  second.after_ = { 0 };
+  spec.steps_ = { first, second };
+  return spec;
+}
+
+void
+AddWorkers(SchedulerDriver& aDriver, int aCount)
+{
+  for (int i = 0; i < aCount; ++i) {
+    aDriver.AddWorker("w" + std::to_string(i), "p");
+  }
+}
+
+JobPhase
+PhaseOf(const SchedulerDriver& aDriver, JobId aJob)
+{
+  const auto* job = aDriver.Committed().FindJob(aJob);
+  REQUIRE(job != nullptr);
+  return job->phase_;
+}
+
+} // namespace
+
+TEST_CASE(
+  "a job of two steps is completed, and starts soon where there is room")
+{
+  SchedulerDriver driver(1, {});
+  driver.SetConfig(OnePool());
+  AddWorkers(driver, 3);
+  driver.RunFor(Millis(500));
+  const auto handedIn = driver.Now();
+  driver.Submit(TwoSteps(7));
+  driver.RunFor(Millis(4000));
+  CHECK(PhaseOf(driver, 7) == JobPhase::Completed);
+  CHECK(driver.Seen() == test::Violations{});
+  REQUIRE(driver.firstStarts_.contains({ 7, 0, 0, 0 }));
+  // The target of the milestone for an idle pool.
+  CHECK(driver.firstStarts_.at({ 7, 0, 0, 0 }) - handedIn <= Millis(40));
+}
+
+TEST_CASE("a job handed in twice is one job")
+{
+  SchedulerDriver driver(2, {});
+  driver.SetConfig(OnePool());
+  AddWorkers(driver, 2);
+  driver.Submit(TwoSteps(7));
+  driver.RunFor(Millis(30));
+  driver.Submit(TwoSteps(7));
+  driver.RunFor(Millis(5000));
+  driver.Submit(TwoSteps(7));
+  driver.RunFor(Millis(2000));
+  CHECK(driver.Committed().Jobs().size() == 1);
+  CHECK(PhaseOf(driver, 7) == JobPhase::Completed);
+  CHECK(driver.Seen() == test::Violations{});
+}
+
+TEST_CASE("a cancelled job leaves its workers")
+{
+  SchedulerDriver driver(3, {});
+  driver.SetConfig(OnePool());
+  AddWorkers(driver, 2);
+  auto spec = TwoSteps(7);
+  spec.steps_[0].lasts_ = true;
+  spec.steps_.pop_back();
+  driver.Submit(spec);
+  driver.RunFor(Millis(1000));
+  CHECK(PhaseOf(driver, 7) == JobPhase::Running);
+  driver.Cancel(7);
+  driver.RunFor(Millis(500));
+  CHECK(PhaseOf(driver, 7) == JobPhase::Cancelled);
+  for (const auto& [id, worker] : driver.Workers()) {
+    CHECK(worker.runs_.empty());
+  }
+}
+
+TEST_CASE("tasks of a crashed worker run elsewhere at once when it comes back")
+{
+  SchedulerDriver driver(4, {});
+  driver.SetConfig(OnePool());
+  AddWorkers(driver, 2);
+  auto spec = TwoSteps(7);
+  spec.steps_[0].lasts_ = true;
+  spec.steps_.pop_back();
+  driver.Submit(spec);
+  driver.RunFor(Millis(1000));
+  driver.Crash("w0");
+  // Its new life reports itself after 3 s and ends the doubt about its runs.
+  driver.RunFor(Millis(3600));
+  std::size_t running = 0;
+  for (const auto& [id, worker] : driver.Workers()) {
+    running += worker.runs_.size();
+  }
+  CHECK(running == 3);
+  CHECK(driver.Seen() == test::Violations{});
+}
+
+TEST_CASE("rules of jobs hold under trouble, and all jobs end, on 200 seeds")
+{
+  constexpr std::uint32_t kSeeds = 200;
+  constexpr JobId kJobs = 40;
+  for (std::uint32_t seed = 1; seed <= kSeeds; ++seed) {
+    INFO("seed " << seed);
+    // Each seed has its own mix of troubles.
+    const auto share = [seed](std::uint32_t aShift, int aMost) {
+      return ((seed >> aShift) & 1U) != 0 ? aMost : 0;
+    };
+    SchedulerDriver driver(seed,
+                           { share(0, 60),
+                             share(1, 60),
+                             share(2, 4),
+                             share(3, 4),
+                             share(4, 4),
+                             20 });
+    driver.SetConfig(OnePool());
+    AddWorkers(driver, 4);
+    driver.RunFor(Millis(300));
+    for (JobId job = 1; job <= kJobs; ++job) {
+      driver.Submit(TwoSteps(job));
+      if (job % 9 == 0) {
+        driver.Cancel(job - 3);
+      }
+      driver.RunFor(Millis(250));
+    }
+    driver.Calm();
+    driver.RunFor(Millis(40000));
+    INFO((driver.Seen().empty() ? "" : driver.Seen().front()));
+    CHECK(driver.Seen().empty());
+    for (const auto job : driver.Accepted()) {
+      INFO("job " << JobText(job));
+      CHECK(IsOver(PhaseOf(driver, job)));
+    }
+  }
+}
+
+TEST_CASE("the state survives its binary form")
+{
+  SchedulerDriver driver(5, { 30, 30, 2, 2, 0, 50 });
+  driver.SetConfig(OnePool());
+  AddWorkers(driver, 3);
+  for (JobId job = 1; job <= 10; ++job) {
+    driver.Submit(TwoSteps(job));
+    driver.RunFor(Millis(200));
+  }
+  const auto decoded = Workload::Decode(driver.Committed().Encode());
+  REQUIRE(IsOk(decoded));
+  CHECK(ValueOf(decoded) == driver.Committed());
+  const auto bytes = driver.Committed().Encode();
+  CHECK(!IsOk(Workload::Decode(bytes.substr(0, bytes.size() / 2))));
+  CHECK(!IsOk(Workload::Decode(bytes + "x")));
+}
--- /dev/null
+++ b/packages/workload/workload_codec.cpp
@@ -0,0 +1,337 @@
+#include "workload/workload_base.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/map.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+
+#include <sstream>
+
+// The binary forms of the state and its events. cereal finds the functions
+// below by their names; their order of members is the form.
+
+namespace acaciahill {
+
+namespace {
+
+// Raised when the form changes; an older program refuses a newer one.
+constexpr std::uint32_t kFormVersion = 1;
+
+} // namespace
+
+// NOLINTBEGIN(readability-identifier-naming): names that cereal looks up.
+
+template<typename Archive>
+void
+serialize(Archive& aArchive, TaskKey& aValue)
+{
+  aArchive(aValue.job_, aValue.occurrence_, aValue.step_, aValue.index_);
+}
+
+template<typename Archive>
+void
+serialize(Archive& aArchive, TaskNeed& aValue)
+{
+  aArchive(aValue.milliCores_, aValue.memoryMb_, aValue.accelerators_);
+}
+
+template<typename Archive>
+void
+serialize(Archive& aArchive, StepSpec& aValue)
+{
+  aArchive(aValue.tasks_,
+           aValue.need_,
+           aValue.estimatedMs_,
+           aValue.after_,
+           aValue.checkpoints_,
+           aValue.gang_,
+           aValue.sameRack_,
+           aValue.copiesAllowed_,
+           aValue.lasts_,
+           aValue.fills_,
+           aValue.label_,
+           aValue.dataRack_,
+           aValue.maxPerWorker_,
+           aValue.image_,
+           aValue.targetMs_,
+           aValue.absenceBudget_);
+}
+
+template<typename Archive>
+void
+serialize(Archive& aArchive, JobSpec& aValue)
+{
+  aArchive(aValue.id_,
+           aValue.queue_,
+           aValue.payload_,
+           aValue.steps_,
+           aValue.repeatCount_,
+           aValue.startAtMs_,
+           aValue.intervalMs_);
+}
+
+template<typename Archive>
+void
+serialize(Archive& aArchive, ConfigDocument& aValue)
+{
+  aArchive(aValue.version_, aValue.text_);
+}
+
+template<typename Archive>
+void
+serialize(Archive& aArchive, TaskEntry& aValue)
+{
+  aArchive(aValue.state_,
+           aValue.run_,
+           aValue.worker_,
+           aValue.failures_,
+           aValue.checkpoint_);
+}
+
+template<typename Archive>
+void
+serialize(Archive& aArchive, OccurrenceEntry& aValue)
+{
+  aArchive(aValue.steps_, aValue.open_);
+}
+
+template<typename Archive>
+void
+serialize(Archive& aArchive, JobEntry& aValue)
+{
+  aArchive(aValue.spec_,
+           aValue.phase_,
+           aValue.acceptedAtMs_,
+           aValue.endedAtMs_,
+           aValue.occurrences_,
+           aValue.begunOccurrences_,
+           aValue.doneOccurrences_,
+           aValue.assigned_);
+}
+
+template<typename Archive>
+void
+serialize(Archive& aArchive, WorkerEntry& aValue)
+{
+  aArchive(aValue.number_,
+           aValue.id_,
+           aValue.bornMs_,
+           aValue.pool_,
+           aValue.address_,
+           aValue.zone_,
+           aValue.rack_,
+           aValue.labels_,
+           aValue.capacity_,
+           aValue.draining_,
+           aValue.notedEnds_);
+}
+
+template<typename Archive>
+void
+serialize(Archive& aArchive, UpkeepWave& aValue)
+{
+  aArchive(aValue.id_,
+           aValue.pendingVms_,
+           aValue.begunVms_,
+           aValue.cap_,
+           aValue.startedAtMs_,
+           aValue.dueAtMs_,
+           aValue.completed_);
+}
+
+template<typename Archive>
+void
+serialize(Archive& aArchive, ConfigAccepted& aValue)
+{
+  aArchive(aValue.document_);
+}
+
+template<typename Archive>
+void
+serialize(Archive& aArchive, JobAccepted& aValue)
+{
+  aArchive(aValue.spec_);
+}
+
+template<typename Archive>
+void
+serialize(Archive& aArchive, JobCancelled& aValue)
+{
+  aArchive(aValue.job_);
+}
+
+template<typename Archive>
+void
+serialize(Archive& aArchive, JobForgotten& aValue)
+{
+  aArchive(aValue.job_);
+}
+
+template<typename Archive>
+void
+serialize(Archive& aArchive, OccurrenceBegun& aValue)
+{
+  aArchive(aValue.job_, aValue.occurrence_);
+}
+
+template<typename Archive>
+void
+serialize(Archive& aArchive, RunAssigned& aValue)
+{
+  aArchive(aValue.task_, aValue.run_, aValue.worker_);
+}
+
+template<typename Archive>
+void
+serialize(Archive& aArchive, RunClosed& aValue)
+{
+  aArchive(
+    aValue.task_, aValue.run_, aValue.end_, aValue.checkpoint_, aValue.isLast_);
+}
+
+template<typename Archive>
+void
+serialize(Archive& aArchive, EndsNoted& aValue)
+{
+  aArchive(aValue.worker_, aValue.number_);
+}
+
+template<typename Archive>
+void
+serialize(Archive& aArchive, WorkerJoined& aValue)
+{
+  aArchive(aValue.worker_);
+}
+
+template<typename Archive>
+void
+serialize(Archive& aArchive, WorkerDraining& aValue)
+{
+  aArchive(aValue.worker_);
+}
+
+template<typename Archive>
+void
+serialize(Archive& aArchive, WorkerLeft& aValue)
+{
+  aArchive(aValue.worker_);
+}
+
+template<typename Archive>
+void
+serialize(Archive& aArchive, WaveStarted& aValue)
+{
+  aArchive(aValue.wave_);
+}
+
+template<typename Archive>
+void
+serialize(Archive& aArchive, WaveVmBegun& aValue)
+{
+  aArchive(aValue.wave_, aValue.vm_);
+}
+
+template<typename Archive>
+void
+serialize(Archive& aArchive, WorkloadBatch& aValue)
+{
+  aArchive(aValue.atMs_, aValue.events_);
+}
+
+// NOLINTEND(readability-identifier-naming)
+
+/// Reads and writes the members of a Workload.
+struct WorkloadCodec
+{
+  template<typename Archive>
+  static void Run(Archive& aArchive, Workload& aValue)
+  {
+    aArchive(aValue.config_,
+             aValue.jobs_,
+             aValue.workers_,
+             aValue.waves_,
+             aValue.logicalMs_,
+             aValue.nextWorker_);
+  }
+};
+
+namespace {
+
+template<typename F>
+std::string
+EncodeWith(F&& aWrite)
+{
+  std::ostringstream stream;
+  {
+    cereal::PortableBinaryOutputArchive archive(stream);
+    archive(kFormVersion);
+    aWrite(archive);
+  }
+  return std::move(stream).str();
+}
+
+/// Nothing when the bytes were read to their end, else what is wrong.
+template<typename F>
+std::string
+DecodeWith(std::string_view aBytes, F&& aRead)
+{
+  std::istringstream stream{ std::string(aBytes) };
+  try {
+    cereal::PortableBinaryInputArchive archive(stream);
+    std::uint32_t version = 0;
+    archive(version);
+    if (version != kFormVersion) {
+      return "form " + std::to_string(version) + " is not known";
+    }
+    aRead(archive);
+  } catch (const std::exception& error) {
+    return error.what();
+  }
+  return stream.peek() == std::istringstream::traits_type::eof()
+           ? ""
+           : "bytes are left over";
+}
+
+} // namespace
+
+std::string
+Workload::Encode() const
+{
+  return EncodeWith([this](auto& aArchive) {
+    WorkloadCodec::Run(aArchive, const_cast<Workload&>(*this));
+  });
+}
+
+Result<Workload>
+Workload::Decode(std::string_view aBytes)
+{
+  Workload workload;
+  const auto fault = DecodeWith(aBytes, [&workload](auto& aArchive) {
+    WorkloadCodec::Run(aArchive, workload);
+  });
+  if (!fault.empty()) {
+    return Error{ ErrorKind::CorruptSnapshot, "workload: " + fault };
+  }
+  return workload;
+}
+
+std::string
+EncodeBatch(const WorkloadBatch& aBatch)
+{
+  return EncodeWith([&aBatch](auto& aArchive) { aArchive(aBatch); });
+}
+
+Result<WorkloadBatch>
+DecodeBatch(std::string_view aBytes)
+{
+  WorkloadBatch batch;
+  const auto fault =
+    DecodeWith(aBytes, [&batch](auto& aArchive) { aArchive(batch); });
+  if (!fault.empty()) {
+    return Error{ ErrorKind::BadRequest, "workload batch: " + fault };
+  }
+  return batch;
+}
+
+} // namespace acaciahill
