Fix: a leader without a majority gives no orders; pools follow arriving work and learned turns

Ruled out: lost log entries (both others held them), a late order (the worker listed the run all the while). Change 1: orders go out only within the least election time since the last contact with a majority. Test: a leader without a majority gives no orders (failed first). Cause 2: pools were sized by waiting tasks, after they were full, and for all of them at once. Change 2: arriving work times learned run times, a forecast of turns, VMs moved 2.2 s ahead.

--- a/packages/daemon/workload_orders.cpp
+++ b/packages/daemon/workload_orders.cpp
@@ -25,6 +25,10 @@
 void
 WorkloadHost::Run()
 {
+  const auto control = replica_.Control();
+  if (scheduler_ && control.isLeader_ && control.term_ == term_) {
+    scheduler_->ConfirmAuthority(MonotonicNow() - control.age_);
+  }
   while (scheduler_) {
     const auto actions = scheduler_->TakeActions(MonotonicNow());
     if (actions.empty()) {
--- a/packages/daemon/workload_settings.cpp
+++ b/packages/daemon/workload_settings.cpp
@@ -140,6 +140,10 @@
                    name.empty() ? control.node_ : name };
 
   auto& scheduler = made.scheduler_;
+  // No voter takes part in an election within the least election time, by its
+  // own clock and timer ticks.
+  constexpr Millis kElectionMargin{ 150 };
+  scheduler.authority_ = control.raft_.electionMin_ - kElectionMargin;
   scheduler.movesVms_ = !made.vmApi_.empty();
   scheduler.lease_ = time("workload", "lease_ms");
   scheduler.stopLimit_ = time("workload", "stop_limit_ms");
--- /dev/null
+++ b/packages/workload/demand_meter.cpp
@@ -0,0 +1,67 @@
+#include "workload/demand_meter_base.h"
+
+#include <algorithm>
+
+namespace acaciahill {
+
+namespace {
+
+// Arrivals of this time make the present rate: long enough for a handful of
+// large jobs, short against a turn of several seconds.
+constexpr Millis kWindow{ 700 };
+// Weight of a new run in the learned run time, once there are a few.
+constexpr double kRunWeight = 0.02;
+constexpr std::uint64_t kFewRuns = 20;
+
+} // namespace
+
+void
+DemandMeter::CountArrival(const std::string& aQueue,
+                          std::int64_t aMilliCores,
+                          Millis aEstimated,
+                          MonotonicTime aNow)
+{
+  auto& queue = queues_[aQueue];
+  queue.arrivals_.push_back({ aNow, aMilliCores });
+  if (queue.runs_ == 0) {
+    queue.runMs_ = static_cast<double>(aEstimated.count());
+  }
+}
+
+void
+DemandMeter::CountRun(const std::string& aQueue, Millis aTook)
+{
+  auto& queue = queues_[aQueue];
+  ++queue.runs_;
+  const auto weight = queue.runs_ < kFewRuns
+                        ? 1.0 / static_cast<double>(queue.runs_)
+                        : kRunWeight;
+  queue.runMs_ += (static_cast<double>(aTook.count()) - queue.runMs_) * weight;
+}
+
+std::int64_t
+DemandMeter::MilliCores(const std::string& aQueue, MonotonicTime aNow)
+{
+  auto& queue = queues_[aQueue];
+  auto& arrivals = queue.arrivals_;
+  while (!arrivals.empty() && arrivals.front().at_ <= aNow - kWindow) {
+    arrivals.pop_front();
+  }
+  std::int64_t arrived = 0;
+  for (const auto& arrival : arrivals) {
+    arrived += arrival.milliCores_;
+  }
+  return static_cast<std::int64_t>(static_cast<double>(arrived) * queue.runMs_ /
+                                   static_cast<double>(kWindow.count()));
+}
+
+Millis
+DemandMeter::RunTime(const std::string& aQueue) const
+{
+  const auto found = queues_.find(aQueue);
+  return found == queues_.end()
+           ? Millis(0)
+           : Millis(static_cast<std::int64_t>(found->second.runMs_));
+}
+
+} // namespace acaciahill
--- a/packages/workload/pool_balance.cpp
+++ b/packages/workload/pool_balance.cpp
@@ -14,7 +14,7 @@
 constexpr std::size_t kLeastWorkers = 3;
 // A VM is switched off after its pool has had too many for this time. Two moves
 // cost about as much as a VM in a pool for two seconds.
-constexpr Millis kIdleBeforeOff{ 1500 };
+constexpr Millis kIdleBeforeOff{ 800 };
 
 std::size_t
 LackOf(const PoolDemand& aPool)
@@ -84,7 +84,8 @@
     return moves;
   }
   for (auto& pool : aPools) {
-    while (pool.surplusFor_ >= kIdleBeforeOff && ExcessOf(pool) > 0) {
+    while (!pool.keepsWorkers_ && pool.surplusFor_ >= kIdleBeforeOff &&
+           ExcessOf(pool) > 0) {
       moves.push_back({ TakeIdle(pool), aSparePool });
     }
   }
--- a/packages/workload/pool_balance_func.h
+++ b/packages/workload/pool_balance_func.h
@@ -12,8 +12,15 @@
 struct PoolDemand
 {
   std::string pool_;
-  /// Cores that its running tasks hold and its waiting ones would take.
+  /// Cores that keep up with its arriving work and its backlog, and those of
+  /// its tasks that last.
   std::int64_t demandMilliCores_ = 0;
+  /// Cores that its tasks hold now.
+  std::int64_t heldMilliCores_ = 0;
+  /// The part of them that tasks which last hold.
+  std::int64_t lastingMilliCores_ = 0;
+  /// Its VMs are not switched off, as its next turn cannot be foreseen.
+  bool keepsWorkers_ = false;
   /// Cores of a typical worker; 0 when the pool never had one.
   std::int64_t workerMilliCores_ = 0;
   /// Workers that take tasks, and VMs that are on their way to the pool.
--- a/packages/workload/scheduler.cpp
+++ b/packages/workload/scheduler.cpp
@@ -27,6 +27,7 @@
   , state_(std::move(aState))
   , baseMs_(state_.LogicalMs())
   , startedAt_(aNow)
+  , authorityAt_(aNow)
 {
   for (const auto& [number, worker] : state_.Workers()) {
     AddView(worker, aNow);
@@ -119,6 +120,7 @@
   Decide(JobAccepted{ aSpec }, aNow);
   AnswerOnCommit(aToken, RequestOutcome::Accepted);
   QueueJob(*state_.FindJob(aSpec.id_));
+  CountArrival(aSpec, aNow);
   placementDue_ = true;
 }
 
@@ -260,9 +262,26 @@
   }
 }
 
+void
+Scheduler::ConfirmAuthority(MonotonicTime aAt)
+{
+  authorityAt_ = std::max(authorityAt_, aAt);
+}
+
+bool
+Scheduler::HasAuthority(MonotonicTime aNow) const
+{
+  return aNow - authorityAt_ <= settings_.authority_;
+}
+
 std::vector<SchedulerAction>
 Scheduler::TakeActions(MonotonicTime aNow)
 {
+  // Another leader may be elected from now on. It counts on leases given
+  // before.
+  if (!HasAuthority(aNow)) {
+    return {};
+  }
   if (!deposed_) {
     if (placementDue_) {
       placementDue_ = false;
--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "workload/demand_meter_base.h"
 #include "workload/pool_balance_func.h"
 #include "workload/scheduler_type.h"
+#include "workload/turn_forecast_base.h"
 #include "workload/worker_view_type.h"
 #include "workload/workload_base.h"
 
@@ -86,6 +88,9 @@
   /// What is to be done, in order; each action is returned once.
   std::vector<SchedulerAction> TakeActions(MonotonicTime aNow);
 
+  /// A majority of the voters was behind this leader at that time.
+  void ConfirmAuthority(MonotonicTime aAt);
+
   /// Another leader's orders have reached a worker: this one must give none.
   bool IsDeposed() const { return deposed_; }
 
@@ -155,6 +160,7 @@
               Millis aRetryAfter = Millis(0));
   void FlushBatch(MonotonicTime aNow);
   std::uint64_t LogicalNow(MonotonicTime aNow) const;
+  bool HasAuthority(MonotonicTime aNow) const;
   void BeginDueOccurrences(std::uint64_t aWallMs, MonotonicTime aNow);
   void ForgetEndedJobs(MonotonicTime aNow);
 
@@ -208,7 +214,9 @@
                 MonotonicTime aNow);
   /// Queues what an end of a run makes ready.
   void QueueAfter(const TaskKey& aTask, RunEnd aEnd);
-  void CountEnd(std::uint32_t aWorker, RunEnd aEnd, MonotonicTime aNow);
+  void CountEnd(std::uint32_t aWorker,
+                const EndedRun& aEnd,
+                MonotonicTime aNow);
   void ReleaseStart(const HeldStart& aStart, MonotonicTime aNow);
   void WantStop(RunView& aRun);
   void StopWanted(MonotonicTime aNow);
@@ -256,6 +264,10 @@
 
   // scheduler_pools.cpp: moves of VMs between pools.
   std::int64_t WaitingMilliCores(const std::string& aPool) const;
+  void CountArrival(const JobSpec& aSpec, MonotonicTime aNow);
+  void ObserveDemand(MonotonicTime aNow);
+  std::int64_t ArrivingMilliCores(const std::string& aPool, MonotonicTime aNow);
+  Millis RunTimeOf(const std::string& aPool) const;
   std::vector<PoolDemand> PoolDemands(MonotonicTime aNow);
   bool HasWorker(const std::string& aVm, const std::string& aPool) const;
   void BalancePools(MonotonicTime aNow);
@@ -276,6 +288,7 @@
   /// Logical time at the start of this leadership.
   std::uint64_t baseMs_ = 0;
   MonotonicTime startedAt_;
+  MonotonicTime authorityAt_;
 
   std::map<std::uint32_t, WorkerView> views_;
   std::map<std::string, std::set<ReadyStep>> ready_;
@@ -290,6 +303,9 @@
   std::map<std::pair<TaskKey, std::uint32_t>, MonotonicTime> straySentAt_;
   std::map<std::string, VmView> vms_;
   std::map<std::string, OpenMove> moves_;
+  DemandMeter demand_;
+  TurnForecast forecast_;
+  MonotonicTime observedAt_{};
   std::map<std::string, MonotonicTime> surplusSince_;
   bool vmListOpen_ = false;
   bool vmListKnown_ = false;
--- a/packages/workload/scheduler_pools.cpp
+++ b/packages/workload/scheduler_pools.cpp
@@ -16,6 +16,12 @@
 constexpr Millis kSpareListInterval{ 10000 };
 // A move that got no answer is asked for again after this time.
 constexpr Millis kMoveRetry{ 1000 };
+constexpr Millis kObserveInterval{ 100 };
+// Objectives leave about this much beyond the run times of a short chain.
+constexpr Millis kBacklogTime{ 1000 };
+// VMs are moved this long before a turn that is expected: the platform takes
+// 1.5 s, and the worker has to register and answer.
+constexpr Millis kMoveAhead{ 2200 };
 // A VM that does not report itself after a move counts for its new pool for
 // this time; the platform takes 1.5 s for a move.
 constexpr Millis kMoveTime{ 4000 };
@@ -52,6 +58,63 @@
   return waiting;
 }
 
+void
+Scheduler::CountArrival(const JobSpec& aSpec, MonotonicTime aNow)
+{
+  std::int64_t milliCores = 0;
+  std::int64_t tasks = 0;
+  std::int64_t estimated = 0;
+  for (const auto& step : aSpec.steps_) {
+    if (!step.lasts_) {
+      milliCores += step.tasks_ * step.need_.milliCores_;
+      estimated += step.tasks_ * step.estimatedMs_;
+      tasks += step.tasks_;
+    }
+  }
+  if (tasks > 0) {
+    demand_.CountArrival(
+      aSpec.queue_, milliCores, Millis(estimated / tasks), aNow);
+  }
+}
+
+std::int64_t
+Scheduler::ArrivingMilliCores(const std::string& aPool, MonotonicTime aNow)
+{
+  std::int64_t arriving = 0;
+  for (const auto& [key, queue] : config_.queues_) {
+    if (queue.pool_ == aPool) {
+      arriving += demand_.MilliCores(key, aNow);
+    }
+  }
+  return arriving;
+}
+
+Millis
+Scheduler::RunTimeOf(const std::string& aPool) const
+{
+  Millis longest{ 0 };
+  for (const auto& [key, queue] : config_.queues_) {
+    if (queue.pool_ == aPool) {
+      longest = std::max(longest, demand_.RunTime(key));
+    }
+  }
+  return longest;
+}
+
+void
+Scheduler::ObserveDemand(MonotonicTime aNow)
+{
+  if (aNow - observedAt_ < kObserveInterval) {
+    return;
+  }
+  observedAt_ = aNow;
+  for (const auto& [name, pool] : config_.pools_) {
+    if (!pool.spare_) {
+      forecast_.Observe(name, ArrivingMilliCores(name, aNow), aNow);
+    }
+  }
+}
+
 std::vector<PoolDemand>
 Scheduler::PoolDemands(MonotonicTime aNow)
 {
@@ -59,7 +122,17 @@
   for (const auto& [name, pool] : config_.pools_) {
     if (!pool.spare_) {
       loads[name].pool_ = name;
-      loads[name].demandMilliCores_ = WaitingMilliCores(name);
+      auto& load = loads[name];
+      // Tasks that wait are to be begun within the time that objectives leave.
+      const auto backlog = WaitingMilliCores(name) * RunTimeOf(name).count() /
+                           kBacklogTime.count();
+      load.demandMilliCores_ = backlog + ArrivingMilliCores(name, aNow);
+      load.keepsWorkers_ = !forecast_.Knows(name);
+      const auto turn = forecast_.Next(aNow);
+      if (turn && turn->pool_ == name && turn->startsAt_ - aNow <= kMoveAhead) {
+        load.demandMilliCores_ =
+          std::max(load.demandMilliCores_, turn->milliCores_);
+      }
     }
   }
   for (const auto& [number, view] : views_) {
@@ -69,7 +142,10 @@
       continue;
     }
     auto& pool = load->second;
-    pool.demandMilliCores_ += view.used_.milliCores_;
+    for (const auto& [task, run] : view.runs_) {
+      pool.heldMilliCores_ += ReservedBy(run).milliCores_;
+      pool.lastingMilliCores_ += run.lasts_ ? ReservedBy(run).milliCores_ : 0;
+    }
     pool.workerMilliCores_ =
       std::max(pool.workerMilliCores_, worker.capacity_.milliCores_);
     if (worker.draining_ || view.evacuating_ || view.missedRenewals_ > 0) {
@@ -100,6 +176,7 @@
   for (auto& [name, load] : loads) {
     load.workerMilliCores_ =
       load.workerMilliCores_ == 0 ? typical : load.workerMilliCores_;
+    load.demandMilliCores_ += load.lastingMilliCores_;
     auto& since = surplusSince_[name];
     if (load.supply_ <= WantedWorkers(load)) {
       since = aNow;
@@ -145,6 +222,7 @@
                              aNow - move.askedAt_ > kMoveTime);
   });
   AskMovesAgain(aNow);
+  ObserveDemand(aNow);
   if (!vmListKnown_ || moves_.size() >= kOpenMoves) {
     return;
   }
--- a/packages/workload/scheduler_run.cpp
+++ b/packages/workload/scheduler_run.cpp
@@ -117,12 +117,19 @@
 }
 
 void
-Scheduler::CountEnd(std::uint32_t aWorker, RunEnd aEnd, MonotonicTime aNow)
+Scheduler::CountEnd(std::uint32_t aWorker,
+                    const EndedRun& aEnd,
+                    MonotonicTime aNow)
 {
   auto& view = views_.at(aWorker);
-  if (aEnd == RunEnd::Done) {
+  if (aEnd.end_ == RunEnd::Done) {
     view.failuresInRow_ = 0;
-  } else if (aEnd == RunEnd::Failed) {
+    const auto& run = view.runs_.at(aEnd.task_);
+    if (!run.lasts_) {
+      demand_.CountRun(state_.FindJob(aEnd.task_.job_)->spec_.queue_,
+                       aNow - run.since_);
+    }
+  } else if (aEnd.end_ == RunEnd::Failed) {
     if (++view.failuresInRow_ >= kFailuresToAvoid) {
       LogWarning("avoiding a worker whose tasks fail",
                  { { "worker", state_.FindWorker(aWorker)->id_ },
--- a/packages/workload/scheduler_type.h
+++ b/packages/workload/scheduler_type.h
@@ -26,6 +26,11 @@
   Millis notice_{ 4500 };
   /// Ended jobs are shown for this time.
   Millis keepEnded_{ 120000 };
+  /// Orders are given for this time after the leader last knew a majority of
+  /// the voters behind it. It must be under the least time without a leader
+  /// after which another one can be elected, so that every lease was given
+  /// before.
+  Millis authority_{ 900 };
   /// VMs are moved between pools; it needs an interface of the platform.
   bool movesVms_ = false;
 
--- a/packages/workload/scheduler_worker.cpp
+++ b/packages/workload/scheduler_worker.cpp
@@ -364,7 +364,7 @@
     }
     highest = std::max(highest, end.number_);
     if (FindRun(aWorker, end.task_, end.run_) != nullptr) {
-      CountEnd(aWorker, end.end_, aNow);
+      CountEnd(aWorker, end, aNow);
       CloseRun(aWorker, end.task_, end.run_, end.end_, end.checkpoint_, aNow);
     } else if (end.end_ == RunEnd::Done) {
       TakeLateEnd(end, aNow);
--- a/packages/workload/test/scheduler_driver.cpp
+++ b/packages/workload/test/scheduler_driver.cpp
@@ -131,6 +131,9 @@
 SchedulerDriver::Step()
 {
   now_ += kStep;
+  if (hasMajority_) {
+    scheduler_->ConfirmAuthority(now_);
+  }
   while (!late_.empty() && late_.front().at_ <= now_) {
     const auto late = late_.front();
     late_.pop_front();
@@ -381,6 +384,7 @@
 void
 SchedulerDriver::Do(const StartRun& aAction)
 {
+  ++orders_;
   auto* worker = Reach(aAction.target_);
   OrderAnswer answer;
   if (worker != nullptr) {
@@ -404,6 +408,7 @@
 void
 SchedulerDriver::Do(const StopRun& aAction)
 {
+  ++orders_;
   auto* worker = Reach(aAction.target_);
   OrderAnswer answer;
   if (worker != nullptr) {
@@ -427,6 +432,7 @@
 void
 SchedulerDriver::Do(const RenewLease& aAction)
 {
+  ++orders_;
   renewals_.emplace_back(term_, aAction);
   renewalDue_[aAction.target_.worker_] = now_ + std::max(aAction.wait_, kStep);
 }
--- a/packages/workload/test/scheduler_driver.h
+++ b/packages/workload/test/scheduler_driver.h
@@ -79,6 +79,10 @@
   /// When a task was first begun on a worker; nothing when it never was.
   std::map<TaskKey, MonotonicTime> firstStarts_;
   MonotonicTime Now() const { return now_; }
+  /// Whether the leader hears a majority of the voters; true at first.
+  bool hasMajority_ = true;
+  /// Orders to workers so far.
+  std::size_t orders_ = 0;
   std::map<std::string, FakeWorker>& Workers() { return workers_; }
   void SetConfig(const WorkloadConfig& aConfig);
   void ChangeLeader();
--- a/packages/workload/test/scheduler_test.cpp
+++ b/packages/workload/test/scheduler_test.cpp
@@ -128,6 +128,26 @@
   CHECK(driver.Seen().empty());
 }
 
+// Seen on a zone cut with the leader in it: it renewed leases of workers in its
+// zone after another leader was elected, which counted on them being over.
+TEST_CASE("a leader without a majority gives no orders")
+{
+  SchedulerDriver driver(6, {});
+  driver.SetConfig(OnePool());
+  AddWorkers(driver, 2);
+  driver.Submit(TwoSteps(7));
+  driver.RunFor(Millis(300));
+  driver.hasMajority_ = false;
+  driver.RunFor(SchedulerSettings{}.authority_ + Millis(10));
+  const auto orders = driver.orders_;
+  CHECK(orders > 0);
+  driver.RunFor(Millis(3000));
+  CHECK(driver.orders_ == orders);
+  driver.hasMajority_ = true;
+  driver.RunFor(Millis(5000));
+  CHECK(PhaseOf(driver, 7) == JobPhase::Completed);
+}
+
 TEST_CASE("rules of jobs hold under trouble, and all jobs end, on 200 seeds")
 {
   constexpr std::uint32_t kSeeds = 200;
--- /dev/null
+++ b/packages/workload/turn_forecast.cpp
@@ -0,0 +1,116 @@
+#include "workload/turn_forecast_base.h"
+
+#include <algorithm>
+
+namespace acaciahill {
+
+namespace {
+
+// Weight of a new sample in the long mean of a pool's demand; with a sample
+// each 100 ms it follows over about 20 s.
+constexpr double kMeanWeight = 0.005;
+// A turn begins when the demand is this many times the long mean, and at least
+// the least level, and ends when it falls below a share of the turn's mean.
+constexpr double kBeginFactor = 2.0;
+constexpr double kLeastTurnMilliCores = 30000;
+constexpr double kEndShare = 0.4;
+// Starts that are kept: two rounds of a handful of pools.
+constexpr std::size_t kKeptStarts = 16;
+// A start that is this much overdue is no longer expected.
+constexpr Millis kOverdue{ 1500 };
+
+} // namespace
+
+void
+TurnForecast::Observe(const std::string& aPool,
+                      std::int64_t aMilliCores,
+                      MonotonicTime aNow)
+{
+  auto& pool = pools_[aPool];
+  const auto demand = static_cast<double>(aMilliCores);
+  if (!pool.isObserved_) {
+    pool.isObserved_ = true;
+    pool.mean_ = demand;
+  }
+  if (pool.inTurn_) {
+    ++pool.turnSamples_;
+    pool.turnLevel_ +=
+      (demand - pool.turnLevel_) / static_cast<double>(pool.turnSamples_);
+    pool.inTurn_ = demand >= kEndShare * pool.turnLevel_;
+  } else if (demand >= kLeastTurnMilliCores &&
+             demand >= kBeginFactor * pool.mean_) {
+    pool.inTurn_ = true;
+    pool.hadTurn_ = true;
+    pool.turnLevel_ = demand;
+    pool.turnSamples_ = 1;
+    // A turn that pauses for a moment is one turn.
+    if (starts_.empty() || starts_.back().pool_ != aPool) {
+      starts_.push_back({ aPool, aNow });
+      if (starts_.size() > kKeptStarts) {
+        starts_.erase(starts_.begin());
+      }
+    }
+  }
+  pool.mean_ += (demand - pool.mean_) * kMeanWeight;
+}
+
+// The one that followed the present one last time. In the first round it is the
+// one whose turn is longest ago, once every pool has had one.
+std::optional<std::string>
+TurnForecast::NextPool() const
+{
+  if (starts_.size() < 2) {
+    return std::nullopt;
+  }
+  const auto& current = starts_.back().pool_;
+  for (auto start = std::next(starts_.rbegin()); start != starts_.rend();
+       ++start) {
+    if (start->pool_ == current) {
+      return std::prev(start)->pool_;
+    }
+  }
+  const bool allSeen =
+    std::all_of(pools_.begin(), pools_.end(), [](const auto& aEntry) {
+      return aEntry.second.hadTurn_;
+    });
+  return allSeen ? std::optional(starts_.front().pool_) : std::nullopt;
+}
+
+Millis
+TurnForecast::MeanInterval() const
+{
+  const auto count = static_cast<std::int64_t>(starts_.size()) - 1;
+  return (starts_.back().at_ - starts_.front().at_) / count;
+}
+
+std::optional<TurnForecast::Turn>
+TurnForecast::Next(MonotonicTime aNow) const
+{
+  const auto next = NextPool();
+  if (!next) {
+    return std::nullopt;
+  }
+  const auto startsAt = starts_.back().at_ + MeanInterval();
+  if (aNow > startsAt + kOverdue) {
+    return std::nullopt;
+  }
+  return Turn{ *next,
+               startsAt,
+               static_cast<std::int64_t>(pools_.at(*next).turnLevel_) };
+}
+
+bool
+TurnForecast::Knows(const std::string& aPool) const
+{
+  const auto pool = pools_.find(aPool);
+  return pool != pools_.end() && pool->second.hadTurn_ && NextPool();
+}
+
+bool
+TurnForecast::IsInTurn(const std::string& aPool) const
+{
+  const auto pool = pools_.find(aPool);
+  return pool != pools_.end() && pool->second.inTurn_;
+}
+
+} // namespace acaciahill
