Change: pools that had their turn are switched off; moves to the spare pool hold no places

Moves to the spare pool waited 4 s for a worker that never comes and held the places of other moves: the third turn began with 5 VMs in place of 15.

--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -136,6 +136,8 @@
   struct VmView
   {
     VmListing listing_;
+    /// Not to be moved before that time.
+    MonotonicTime restUntil_{};
     bool orderOpen_ = false;
     MonotonicTime orderedAt_{};
     /// Taken down by us and not seen up since.
@@ -150,6 +152,8 @@
     MonotonicTime askedAt_{};
     bool isOpen_ = false;
     bool isBegun_ = false;
+    /// The VM is switched off there, so that no worker reports itself.
+    bool toSpare_ = false;
   };
 
   // scheduler.cpp: events, batches, time.
--- a/packages/workload/scheduler_pools.cpp
+++ b/packages/workload/scheduler_pools.cpp
@@ -26,7 +26,11 @@
 // this time; the platform takes 1.5 s for a move.
 constexpr Millis kMoveTime{ 4000 };
 // Moves that are asked for at once; the platform takes 64 calls a second.
-constexpr std::size_t kOpenMoves = 12;
+constexpr std::size_t kOpenMoves = 32;
+// A VM takes this long to arrive in a pool, and cannot be moved meanwhile.
+constexpr Millis kArrival{ 1700 };
+// A VM that could not be moved is tried again after this time.
+constexpr Millis kBusyPause{ 600 };
 
 } // namespace
 
@@ -127,7 +131,7 @@
       const auto backlog = WaitingMilliCores(name) * RunTimeOf(name).count() /
                            kBacklogTime.count();
       load.demandMilliCores_ = backlog + ArrivingMilliCores(name, aNow);
-      load.keepsWorkers_ = !forecast_.Knows(name);
+      load.keepsWorkers_ = !forecast_.HadTurn(name);
       const auto turn = forecast_.Next(aNow);
       if (turn && turn->pool_ == name && turn->startsAt_ - aNow <= kMoveAhead) {
         load.demandMilliCores_ =
@@ -218,8 +222,9 @@
   }
   std::erase_if(moves_, [&](const auto& aEntry) {
     const auto& move = aEntry.second;
-    return move.isBegun_ && (HasWorker(aEntry.first, move.pool_) ||
-                             aNow - move.askedAt_ > kMoveTime);
+    return move.isBegun_ &&
+           (move.toSpare_ || HasWorker(aEntry.first, move.pool_) ||
+            aNow - move.askedAt_ > kMoveTime);
   });
   AskMovesAgain(aNow);
   ObserveDemand(aNow);
@@ -230,7 +235,7 @@
   for (const auto& [vm, view] : vms_) {
     if (view.listing_.pool_ == sparePool &&
         view.listing_.state_ == VmState::Up && !view.isDown_ &&
-        !view.orderOpen_ && !moves_.contains(vm)) {
+        !view.orderOpen_ && !moves_.contains(vm) && aNow >= view.restUntil_) {
       spares.push_back(vm);
     }
   }
@@ -253,7 +258,9 @@
   }
   LogInfo("moving a VM to another pool",
           { { "vm", aMove.vm_ }, { "pool", aMove.pool_ } });
-  moves_[aMove.vm_] = { aMove.pool_, aNow, true, false };
+  const auto pool = config_.pools_.find(aMove.pool_);
+  const bool toSpare = pool != config_.pools_.end() && pool->second.spare_;
+  moves_[aMove.vm_] = { aMove.pool_, aNow, true, false, toSpare };
   actions_.emplace_back(MoveVm{ aMove.vm_, aMove.pool_, term_ });
 }
 
@@ -292,6 +299,7 @@
       move.isBegun_ = true;
       if (auto listed = vms_.find(aOrder.vm_); listed != vms_.end()) {
         listed->second.listing_.pool_ = aOrder.pool_;
+        listed->second.restUntil_ = aNow + kArrival;
       }
       LoseWorker(number, "moved to another pool", aNow);
       return;
@@ -314,7 +322,7 @@
         view->evacuating_ = false;
       }
       if (auto listed = vms_.find(aOrder.vm_); listed != vms_.end()) {
-        listed->second.listing_.state_ = VmState::Down;
+        listed->second.restUntil_ = aNow + kBusyPause;
       }
       return;
   }
--- /dev/null
+++ b/packages/workload/test/pools_test.cpp
@@ -0,0 +1,123 @@
+#include "workload/demand_meter_base.h"
+#include "workload/pool_balance_func.h"
+#include "workload/turn_forecast_base.h"
+
+#include <catch2/catch.hpp>
+
+using namespace acaciahill;
+
+namespace {
+
+constexpr MonotonicTime kStart{ Millis(100000) };
+
+PoolDemand
+Demand(const std::string& aPool,
+       std::int64_t aCores,
+       std::size_t aSupply,
+       std::vector<std::string> aIdle)
+{
+  PoolDemand demand;
+  demand.pool_ = aPool;
+  demand.demandMilliCores_ = aCores * 1000;
+  demand.workerMilliCores_ = 16000;
+  demand.supply_ = aSupply;
+  demand.idleVms_ = std::move(aIdle);
+  return demand;
+}
+
+} // namespace
+
+TEST_CASE("moves for queues whose demand comes in turns")
+{
+  struct Row
+  {
+    const char* name_;
+    std::vector<PoolDemand> pools_;
+    std::vector<std::string> spares_;
+    std::vector<VmMove> moves_;
+  };
+  auto longIdle = Demand("cold", 1, 6, { "c1", "c2" });
+  longIdle.surplusFor_ = Millis(5000);
+  auto kept = longIdle;
+  kept.keepsWorkers_ = true;
+  const std::vector<Row> rows{
+    { "enough for all", { Demand("hot", 40, 4, {}) }, { "s1" }, {} },
+    { "idle VMs of another pool go first",
+      { Demand("hot", 72, 4, {}), Demand("cold", 1, 5, { "c1", "c2" }) },
+      { "s1" },
+      { { "c2", "hot" }, { "c1", "hot" } } },
+    { "then VMs that are off",
+      { Demand("hot", 72, 4, {}), Demand("cold", 1, 3, { "c1" }) },
+      { "s1", "s2", "s3" },
+      { { "s3", "hot" }, { "s2", "hot" } } },
+    { "busy VMs stay",
+      { Demand("hot", 100, 4, {}), Demand("cold", 1, 9, {}) },
+      {},
+      {} },
+    { "idle for long: off",
+      { longIdle },
+      {},
+      { { "c2", "off" }, { "c1", "off" } } },
+    { "its next turn is not known: on", { kept }, {}, {} },
+  };
+  for (const auto& row : rows) {
+    INFO(row.name_);
+    CHECK(PlanMoves(row.pools_, row.spares_, "off") == row.moves_);
+  }
+}
+
+TEST_CASE("a turn is foreseen once every pool has had one, with its demand")
+{
+  TurnForecast forecast;
+  const std::vector<std::string> pools{ "a", "b", "c" };
+  // Turns of 4.5 s in the order a, b, c, a; samples each 100 ms.
+  const auto observe = [&](int aFrom, int aTo) {
+    for (int sample = aFrom; sample < aTo; ++sample) {
+      for (std::size_t pool = 0; pool < pools.size(); ++pool) {
+        const bool isHot =
+          static_cast<std::size_t>(sample / 45) % pools.size() == pool;
+        forecast.Observe(
+          pools[pool], isHot ? 200000 : 5000, kStart + Millis(100 * sample));
+      }
+    }
+  };
+  // Quiet for a while first, as before the traffic of a day.
+  for (int sample = -50; sample < 0; ++sample) {
+    for (const auto& pool : pools) {
+      forecast.Observe(pool, 0, kStart + Millis(100 * sample));
+    }
+  }
+  observe(0, 60);
+  CHECK(!forecast.Next(kStart + Millis(6000)));
+  CHECK(forecast.HadTurn("a"));
+  CHECK(!forecast.HadTurn("c"));
+  CHECK(forecast.IsInTurn("b"));
+  observe(60, 120);
+  const auto next = forecast.Next(kStart + Millis(12000));
+  REQUIRE(next);
+  CHECK(next->pool_ == "a");
+  CHECK(next->milliCores_ == 200000);
+  CHECK(next->startsAt_ == kStart + Millis(13500));
+  observe(120, 155);
+  const auto second = forecast.Next(kStart + Millis(15500));
+  REQUIRE(second);
+  CHECK(second->pool_ == "b");
+}
+
+TEST_CASE("demand follows what arrives and the run times that were seen")
+{
+  DemandMeter meter;
+  for (int job = 0; job < 10; ++job) {
+    // Estimated at a tenth of the real run time.
+    meter.CountArrival("q", 4000, Millis(80), kStart + Millis(100 * job));
+  }
+  const auto now = kStart + Millis(950);
+  // Arrivals of the last 700 ms make the rate.
+  CHECK(meter.MilliCores("q", now) == 7 * 4000 * 80 / 700);
+  for (int run = 0; run < 30; ++run) {
+    meter.CountRun("q", Millis(800));
+  }
+  CHECK(meter.RunTime("q") == Millis(800));
+  CHECK(meter.MilliCores("q", now) == 7 * 4000 * 800 / 700);
+  CHECK(meter.MilliCores("q", now + Millis(5000)) == 0);
+}
--- a/packages/workload/turn_forecast.cpp
+++ b/packages/workload/turn_forecast.cpp
@@ -14,6 +14,8 @@
 constexpr double kBeginFactor = 2.0;
 constexpr double kLeastTurnMilliCores = 30000;
 constexpr double kEndShare = 0.4;
+// A demand that is high for this time is a turn.
+constexpr Millis kConfirmed{ 1500 };
 // Starts that are kept: two rounds of a handful of pools.
 constexpr std::size_t kKeptStarts = 16;
 // A start that is this much overdue is no longer expected.
@@ -32,20 +34,25 @@
     pool.isObserved_ = true;
     pool.mean_ = demand;
   }
-  if (pool.inTurn_) {
+  if (pool.inTurn_ && demand < kEndShare * pool.turnLevel_) {
+    pool.inTurn_ = false;
+  } else if (pool.inTurn_) {
     ++pool.turnSamples_;
     pool.turnLevel_ +=
       (demand - pool.turnLevel_) / static_cast<double>(pool.turnSamples_);
-    pool.inTurn_ = demand >= kEndShare * pool.turnLevel_;
   } else if (demand >= kLeastTurnMilliCores &&
              demand >= kBeginFactor * pool.mean_) {
     pool.inTurn_ = true;
-    pool.hadTurn_ = true;
+    pool.turnSince_ = aNow;
     pool.turnLevel_ = demand;
     pool.turnSamples_ = 1;
+  }
+  // A single large job asks for much as well, but not for long.
+  if (pool.inTurn_ && aNow - pool.turnSince_ >= kConfirmed) {
+    pool.hadTurn_ = true;
     // A turn that pauses for a moment is one turn.
     if (starts_.empty() || starts_.back().pool_ != aPool) {
-      starts_.push_back({ aPool, aNow });
+      starts_.push_back({ aPool, pool.turnSince_ });
       if (starts_.size() > kKeptStarts) {
         starts_.erase(starts_.begin());
       }
@@ -100,10 +107,10 @@
 }
 
 bool
-TurnForecast::Knows(const std::string& aPool) const
+TurnForecast::HadTurn(const std::string& aPool) const
 {
   const auto pool = pools_.find(aPool);
-  return pool != pools_.end() && pool->second.hadTurn_ && NextPool();
+  return pool != pools_.end() && pool->second.hadTurn_;
 }
 
 bool
--- a/packages/workload/turn_forecast_base.h
+++ b/packages/workload/turn_forecast_base.h
@@ -35,8 +35,9 @@
   /// The next turn; nothing while the order is not known.
   std::optional<Turn> Next(MonotonicTime aNow) const;
 
-  /// True once a turn of this pool can be expected ahead of its start.
-  bool Knows(const std::string& aPool) const;
+  /// True once the pool has had a turn: the others come first, and its next one
+  /// can be foreseen after theirs.
+  bool HadTurn(const std::string& aPool) const;
 
   /// True while the pool's turn lasts.
   bool IsInTurn(const std::string& aPool) const;
@@ -47,6 +48,7 @@
     double mean_ = 0;
     bool isObserved_ = false;
     bool inTurn_ = false;
+    MonotonicTime turnSince_{};
     /// Mean demand of the present or the last turn.
     double turnLevel_ = 0;
     std::uint64_t turnSamples_ = 0;
