--- a/packages/daemon/gateway.cpp
+++ b/packages/daemon/gateway.cpp
@@ -89,6 +89,7 @@
                  AsyncClient& aClient,
                  std::string aNode,
                  std::string aInternalPort,
+                 Metrics& aMetrics,
                  WorkloadHost* aHost,
                  std::function<std::string()> aLeader,
                  std::function<void()> aOnDoubt)
@@ -96,6 +97,7 @@
   , client_(aClient)
   , node_(std::move(aNode))
   , internalPort_(std::move(aInternalPort))
+  , metrics_(aMetrics)
   , host_(aHost)
   , leader_(std::move(aLeader))
   , onDoubt_(std::move(aOnDoubt))
@@ -105,8 +107,29 @@
 void
 Gateway::Handle(Plane aPlane, HttpRequest aRequest, Answer aAnswer)
 {
-  Try(std::make_shared<Pending>(
-    context_, aPlane, std::move(aRequest), std::move(aAnswer)));
+  Try(std::make_shared<Pending>(context_,
+                                aPlane,
+                                std::move(aRequest),
+                                Measured(aPlane, std::move(aAnswer))));
+}
+
+Gateway::Answer
+Gateway::Measured(Plane aPlane, Answer aAnswer)
+{
+  return [this,
+          plane = std::string(WordOf(aPlane)),
+          startedAt = MonotonicNow(),
+          answer = std::move(aAnswer)](HttpAnswer aMade) {
+    constexpr double kMsPerS = 1000;
+    metrics_.Count(
+      "acaciahill_requests_total",
+      { { "plane", plane }, { "status", std::to_string(aMade.status_) } });
+    metrics_.Observe("acaciahill_request_seconds",
+                     { { "plane", plane } },
+                     static_cast<double>((MonotonicNow() - startedAt).count()) /
+                       kMsPerS);
+    answer(std::move(aMade));
+  };
 }
 
 void
--- a/packages/daemon/gateway_base.h
+++ b/packages/daemon/gateway_base.h
@@ -4,6 +4,7 @@
 #include "daemon/workload_host_base.h"
 #include "http/async_client_base.h"
 #include "http/async_listener_base.h"
+#include "kernel/metrics_base.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -35,6 +36,7 @@
           AsyncClient& aClient,
           std::string aNode,
           std::string aInternalPort,
+          Metrics& aMetrics,
           WorkloadHost* aHost,
           std::function<std::string()> aLeader,
           std::function<void()> aOnDoubt);
@@ -49,6 +51,8 @@
   struct Pending;
   using PendingPtr = std::shared_ptr<Pending>;
 
+  /// Counts the answer and its time in the metrics, and then gives it.
+  Answer Measured(Plane aPlane, Answer aAnswer);
   void Try(const PendingPtr& aPending);
   void TryLater(const PendingPtr& aPending);
   void Forward(const PendingPtr& aPending, const std::string& aLeader);
@@ -58,6 +62,7 @@
   AsyncClient& client_;
   std::string node_;
   std::string internalPort_;
+  Metrics& metrics_;
   WorkloadHost* host_;
   std::function<std::string()> leader_;
   std::function<void()> onDoubt_;
--- a/packages/daemon/workload_service.cpp
+++ b/packages/daemon/workload_service.cpp
@@ -100,6 +100,7 @@
                    client_,
                    settings_.control_.node_,
                    settings_.internalPort_,
+                   metrics_,
                    host_ ? &*host_ : nullptr,
                    leader,
                    onDoubt);
--- a/packages/workload/scheduler.cpp
+++ b/packages/workload/scheduler.cpp
@@ -118,6 +118,13 @@
     return;
   }
   Decide(JobAccepted{ aSpec }, aNow);
+  LogInfo("job handed in",
+          { { "job", JobText(aSpec.id_) },
+            { "queue", aSpec.queue_ },
+            { "steps", aSpec.steps_.size() },
+            { "config", config_.version_ },
+            { "waiting_milli_cores",
+              WaitingMilliCores(config_.queues_.at(aSpec.queue_).pool_) } });
   AnswerOnCommit(aToken, RequestOutcome::Accepted);
   QueueJob(*state_.FindJob(aSpec.id_));
   CountArrival(aSpec, aNow);
--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -275,6 +275,8 @@
   std::int64_t ArrivingMilliCores(const std::string& aPool, MonotonicTime aNow);
   Millis RunTimeOf(const std::string& aPool) const;
   std::vector<PoolDemand> PoolDemands(MonotonicTime aNow);
+  /// Zones in which no worker answers, though there are some.
+  std::set<std::string> SilentZones() const;
   bool HasWorker(const std::string& aVm, const std::string& aPool) const;
   void BalancePools(MonotonicTime aNow);
   void AskMove(const VmMove& aMove, MonotonicTime aNow);
--- a/packages/workload/scheduler_pools.cpp
+++ b/packages/workload/scheduler_pools.cpp
@@ -203,6 +203,20 @@
     });
 }
 
+std::set<std::string>
+Scheduler::SilentZones() const
+{
+  std::set<std::string> silent;
+  std::set<std::string> heard;
+  for (const auto& [number, view] : views_) {
+    const bool answers = view.confirmed_ && view.missedRenewals_ == 0;
+    (answers ? heard : silent).insert(state_.FindWorker(number)->zone_);
+  }
+  std::erase_if(silent,
+                [&heard](const auto& aZone) { return heard.contains(aZone); });
+  return silent;
+}
+
 void
 Scheduler::BalancePools(MonotonicTime aNow)
 {
@@ -231,11 +245,14 @@
   if (!vmListKnown_ || moves_.size() >= kOpenMoves) {
     return;
   }
+  // A VM in a zone that is cut off would register where nobody hears it.
+  const auto silentZones = SilentZones();
   std::vector<std::string> spares;
   for (const auto& [vm, view] : vms_) {
     if (view.listing_.pool_ == sparePool &&
         view.listing_.state_ == VmState::Up && !view.isDown_ &&
-        !view.orderOpen_ && !moves_.contains(vm) && aNow >= view.restUntil_) {
+        !view.orderOpen_ && !silentZones.contains(view.listing_.zone_) &&
+        !moves_.contains(vm) && aNow >= view.restUntil_) {
       spares.push_back(vm);
     }
   }
--- a/packages/workload/scheduler_type.h
+++ b/packages/workload/scheduler_type.h
@@ -193,6 +193,7 @@
   VmState state_ = VmState::Up;
   /// Id of its worker; empty without one.
   std::string workerId_;
+  std::string zone_;
 
   bool operator==(const VmListing&) const = default;
 };
--- a/packages/workload/test/scheduler_driver.cpp
+++ b/packages/workload/test/scheduler_driver.cpp
@@ -56,7 +56,7 @@
   submits_.clear();
   cancels_.clear();
   scheduler_ =
-    std::make_unique<Scheduler>(committed_, SchedulerSettings{}, ++term_, now_);
+    std::make_unique<Scheduler>(committed_, settings_, ++term_, now_);
   if (config_.version_ > 0) {
     scheduler_->UseConfig(config_, now_);
   }
@@ -80,6 +80,10 @@
   report.worker_.pool_ = pools_.at(aWorker.id_);
   report.worker_.address_ = aWorker.id_;
   report.worker_.capacity_ = { kCores, kMemory, 0 };
+  report.worker_.zone_ = zones_[aWorker.id_];
+  report.worker_.vm_ = "vm-" + aWorker.id_;
+  report.worker_.draining_ = aWorker.draining_;
+  report.leavesInMs_ = aWorker.draining_ ? 2000 : 0;
   report.sequence_ = ++reports_[aWorker.id_];
   report.clockMs_ = ClockOf(aWorker);
   scheduler_->ReportWorker(nextToken_++, report, now_);
@@ -197,6 +201,19 @@
   cutUntil_[aId] = now_ + kDown;
 }
 
+void
+SchedulerDriver::Drain(const std::string& aId)
+{
+  workers_.at(aId).draining_ = true;
+  Report(workers_.at(aId));
+}
+
+void
+SchedulerDriver::StartWave(const UpkeepWave& aWave)
+{
+  scheduler_->StartWave(nextToken_++, aWave, now_);
+}
+
 void
 SchedulerDriver::StepWorkers()
 {
@@ -206,6 +223,7 @@
       cutUntil_.erase(until);
       worker.cut_ = false;
       worker.up_ = true;
+      worker.inUpkeep_ = false;
       reports_[id] += 1;
       Report(worker);
     }
@@ -510,18 +528,40 @@
 void
 SchedulerDriver::Do(const ListVms& /*aAction*/)
 {
-  scheduler_->HandleVms(std::nullopt, now_);
+  std::vector<VmListing> vms;
+  for (const auto& [id, worker] : workers_) {
+    vms.push_back({ "vm-" + id,
+                    pools_.at(id),
+                    worker.inUpkeep_ ? VmState::Upkeep : VmState::Up,
+                    id,
+                    "z" });
+  }
+  vms.insert(vms.end(), spareVms_.begin(), spareVms_.end());
+  scheduler_->HandleVms(vms, now_);
 }
 
 void
 SchedulerDriver::Do(const BeginUpkeep& aAction)
 {
-  scheduler_->HandleUpkeep(aAction, VmOutcome::Busy, now_);
+  const auto id = aAction.vm_.substr(std::string("vm-").size());
+  for (const auto& [task, run] : workers_.at(id).runs_) {
+    cutOff_ += run.lasts_ ? 1 : 0;
+  }
+  Crash(id);
+  workers_.at(id).inUpkeep_ = true;
+  maintained_.insert(aAction.vm_);
+  std::size_t down = 0;
+  for (const auto& [each, worker] : workers_) {
+    down += worker.inUpkeep_ ? 1 : 0;
+  }
+  mostDown_ = std::max(mostDown_, down);
+  scheduler_->HandleUpkeep(aAction, VmOutcome::Begun, now_);
 }
 
 void
 SchedulerDriver::Do(const MoveVm& aAction)
 {
+  moved_.push_back(aAction.vm_);
   scheduler_->HandleMove(aAction, VmOutcome::Busy, now_);
 }
 
--- a/packages/workload/test/scheduler_driver.h
+++ b/packages/workload/test/scheduler_driver.h
@@ -29,6 +29,9 @@
   std::string id_;
   std::uint64_t bornMs_ = 1;
   bool up_ = true;
+  bool draining_ = false;
+  /// Down for upkeep.
+  bool inUpkeep_ = false;
   /// Reaches nobody, but runs on.
   bool cut_ = false;
   std::uint64_t fence_ = 0;
@@ -87,6 +90,20 @@
   void SetConfig(const WorkloadConfig& aConfig);
   void ChangeLeader();
   void Crash(const std::string& aId);
+  /// The worker says that it will leave.
+  void Drain(const std::string& aId);
+  void StartWave(const UpkeepWave& aWave);
+  /// Most VMs that were down for upkeep at once, and all that ever were.
+  std::size_t mostDown_ = 0;
+  std::set<std::string> maintained_;
+  /// Tasks that last and were at work when their VM went down.
+  std::size_t cutOff_ = 0;
+  /// Settings of the next leaders; zones of workers by id.
+  SchedulerSettings settings_;
+  std::map<std::string, std::string> zones_;
+  /// VMs that are off, and the VMs that the platform was asked to move.
+  std::vector<VmListing> spareVms_;
+  std::vector<std::string> moved_;
 
 private:
   struct Late
--- a/packages/workload/test/scheduler_test.cpp
+++ b/packages/workload/test/scheduler_test.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace acaciahill;
 using acaciahill::test::SchedulerDriver;
 
@@ -174,6 +176,89 @@
   CHECK(PhaseOf(driver, 1) == JobPhase::Completed);
 }
 
+TEST_CASE("a draining worker gets nothing new, and loses tasks that last")
+{
+  SchedulerDriver driver(9, {});
+  driver.SetConfig(OnePool());
+  AddWorkers(driver, 3);
+  auto lasting = TwoSteps(1);
+  lasting.steps_.pop_back();
+  lasting.steps_[0].lasts_ = true;
+  driver.Submit(lasting);
+  driver.RunFor(Millis(500));
+  driver.Drain("w0");
+  driver.RunFor(Millis(400));
+  CHECK(driver.Workers().at("w0").runs_.empty());
+  for (JobId job = 2; job < 8; ++job) {
+    driver.Submit(TwoSteps(job));
+    driver.RunFor(Millis(100));
+    CHECK(driver.Workers().at("w0").runs_.empty());
+  }
+  std::size_t lastingRuns = 0;
+  for (const auto& [id, worker] : driver.Workers()) {
+    lastingRuns += static_cast<std::size_t>(std::count_if(
+      worker.runs_.begin(), worker.runs_.end(), [](const auto& aRun) {
+        return aRun.second.lasts_;
+      }));
+  }
+  CHECK(lastingRuns == 3);
+}
+
+TEST_CASE("a wave takes down at most its cap at once, and empties VMs first")
+{
+  SchedulerDriver driver(10, {});
+  driver.SetConfig(OnePool());
+  AddWorkers(driver, 6);
+  auto lasting = TwoSteps(1);
+  lasting.steps_.pop_back();
+  lasting.steps_[0].lasts_ = true;
+  lasting.steps_[0].absenceBudget_ = 1;
+  driver.Submit(lasting);
+  driver.RunFor(Millis(500));
+  UpkeepWave wave;
+  wave.id_ = 4;
+  wave.cap_ = 2;
+  wave.dueAtMs_ = 20000;
+  for (const auto& [id, worker] : driver.Workers()) {
+    wave.pendingVms_.push_back("vm-" + id);
+  }
+  driver.StartWave(wave);
+  driver.RunFor(Millis(20000));
+  CHECK(driver.mostDown_ <= 2);
+  CHECK(driver.maintained_.size() == 6);
+  CHECK(driver.cutOff_ == 0);
+  REQUIRE(driver.Committed().Waves().contains(4));
+  CHECK(driver.Committed().Waves().at(4).completed_);
+}
+
+// Seen on a zone cut: VMs that were off in the zone were moved to the pool that
+// lacked workers, counted for it, and registered where nobody heard them.
+TEST_CASE("VMs of a zone that is cut off are not moved into a pool")
+{
+  SchedulerDriver driver(11, {});
+  driver.settings_.movesVms_ = true;
+  driver.ChangeLeader();
+  auto config = OnePool();
+  config.pools_["off"] = { "off", false, true };
+  driver.SetConfig(config);
+  driver.spareVms_ = { { "s-near", "off", VmState::Up, "", "near" },
+                       { "s-cut", "off", VmState::Up, "", "cut" } };
+  driver.zones_ = {
+    { "w0", "near" }, { "w1", "near" }, { "w2", "cut" }, { "w3", "cut" }
+  };
+  AddWorkers(driver, 4);
+  driver.RunFor(Millis(500));
+  driver.Workers().at("w2").cut_ = true;
+  driver.Workers().at("w3").cut_ = true;
+  driver.RunFor(Millis(1500));
+  auto large = TwoSteps(1);
+  large.steps_[0].tasks_ = 60;
+  driver.Submit(large);
+  driver.RunFor(Millis(1000));
+  CHECK(std::count(driver.moved_.begin(), driver.moved_.end(), "s-near") > 0);
+  CHECK(std::count(driver.moved_.begin(), driver.moved_.end(), "s-cut") == 0);
+}
+
 TEST_CASE("rules of jobs hold under trouble, and all jobs end, on 200 seeds")
 {
   constexpr std::uint32_t kSeeds = 200;
