--- a/packages/daemon/workload_settings.cpp
+++ b/packages/daemon/workload_settings.cpp
@@ -104,7 +104,6 @@
   made.internalPort_ = PortOf(made.listenInternal_);
   made.seeds_ = SplitList(settings.Text("cluster", "seeds"));
   made.vmApi_ = settings.Text("platform", "vm_api");
-  made.adviceApi_ = settings.Text("platform", "advice_api");
   made.stopGrace_ = time("node", "stop_grace_ms");
 
   auto& control = made.control_;
@@ -146,10 +145,6 @@
   scheduler.authority_ = control.raft_.electionMin_ - kElectionMargin;
   scheduler.movesVms_ = !made.vmApi_.empty();
   scheduler.lease_ = time("workload", "lease_ms");
-  scheduler.stopLimit_ = time("workload", "stop_limit_ms");
-  scheduler.gangWait_ = time("workload", "gang_wait_ms");
-  scheduler.paceDelay_ = time("workload", "pace_delay_ms");
-  scheduler.notice_ = time("workload", "notice_ms");
   scheduler.keepEnded_ =
     std::chrono::seconds(settings.Integer("workload", "keep_ended_s"));
 
--- a/packages/daemon/workload_settings_type.h
+++ b/packages/daemon/workload_settings_type.h
@@ -28,8 +28,6 @@
   std::string internalPort_;
   /// Interface of the platform that lists and changes VMs; empty without one.
   std::string vmApi_;
-  /// The advice service; empty without one.
-  std::string adviceApi_;
   SchedulerSettings scheduler_;
   Millis stopGrace_{ 5000 };
 
--- a/packages/workload/scheduler_type.h
+++ b/packages/workload/scheduler_type.h
@@ -16,14 +16,6 @@
 {
   /// Time for which a worker may go on without hearing from the scheduler.
   Millis lease_{ 6000 };
-  /// Longest time that a worker takes to stop a task.
-  Millis stopLimit_{ 200 };
-  /// Longest wait of a gang's member for the others.
-  Millis gangWait_{ 3000 };
-  /// Time until a new pace is in force.
-  Millis paceDelay_{ 100 };
-  /// A task away for this time counts against its step's budget of absences.
-  Millis notice_{ 4500 };
   /// Ended jobs are shown for this time.
   Millis keepEnded_{ 120000 };
   /// Orders are given for this time after the leader last knew a majority of
--- a/packages/workload/scheduler_worker.cpp
+++ b/packages/workload/scheduler_worker.cpp
@@ -6,7 +6,7 @@
 #include <algorithm>
 #include <set>
 
-// Workers: their registration, their leases, and the lists of what they run.
+// Workers: their registration and their leases.
 
 namespace acaciahill {
 
@@ -27,12 +27,8 @@
 constexpr double kClockSlowness = 1.02;
 // Added to the end of a lease for times rounded to milliseconds.
 constexpr Millis kLeaseMargin{ 100 };
-// Lists of ends hold at most this many; more may follow.
-constexpr std::size_t kEndsInList = 500;
 // Looks beside the open renewal, at most this often for one worker.
 constexpr Millis kLookInterval{ 50 };
-// A run that is not ours is told to stop at most this often.
-constexpr Millis kStrayInterval{ 500 };
 // Bits of a fence below the term: the worker's number, and its step. Numbers in
 // JSON are exact up to 53 bits, which leaves 21 for the term.
 constexpr std::uint64_t kWorkerBits = 20;
@@ -407,122 +403,4 @@
   PaceFilling(number, aNow);
 }
 
-void
-Scheduler::TakeEnds(std::uint32_t aWorker,
-                    const WorkerLists& aLists,
-                    MonotonicTime aNow)
-{
-  const auto noted = state_.FindWorker(aWorker)->notedEnds_;
-  auto highest = noted;
-  for (const auto& end : aLists.ended_) {
-    if (end.number_ <= noted) {
-      continue;
-    }
-    highest = std::max(highest, end.number_);
-    if (FindRun(aWorker, end.task_, end.run_) != nullptr) {
-      CountEnd(aWorker, end, aNow);
-      CloseRun(aWorker, end.task_, end.run_, end.end_, end.checkpoint_, aNow);
-    } else if (end.end_ == RunEnd::Done) {
-      TakeLateEnd(end, aNow);
-    }
-  }
-  if (highest > noted) {
-    Decide(EndsNoted{ aWorker, highest }, aNow);
-    heldNow_.ends_[aWorker] = highest;
-    placementDue_ = true;
-  }
-}
-
-// A run that was given up as its worker was silent had ended as done before.
-// Nothing else was started for the task yet, so that its work is not lost.
-void
-Scheduler::TakeLateEnd(const EndedRun& aEnd, MonotonicTime aNow)
-{
-  const auto* task = state_.FindTask(aEnd.task_);
-  const auto* job = state_.FindJob(aEnd.task_.job_);
-  if (task == nullptr || task->state_ != TaskState::Waiting ||
-      task->run_ != aEnd.run_ || IsOver(job->phase_) ||
-      job->spec_.steps_[aEnd.task_.step_].lasts_) {
-    return;
-  }
-  Decide(RunClosed{ aEnd.task_, aEnd.run_, RunEnd::Done, {}, false }, aNow);
-  QueueAfter(aEnd.task_, RunEnd::Done);
-}
-
-void
-Scheduler::TakeRunning(std::uint32_t aWorker,
-                       const WorkerLists& aLists,
-                       MonotonicTime aNow)
-{
-  for (const auto& running : aLists.running_) {
-    auto* run = FindRun(aWorker, running.task_, running.run_);
-    if (run == nullptr) {
-      StopStray(aWorker, running.task_, running.run_, aNow);
-      continue;
-    }
-    if (run->phase_ != RunPhase::Running) {
-      run->phase_ = RunPhase::Running;
-      run->since_ = aNow;
-    }
-    run->percent_ = running.percent_;
-    run->gauge_ = running.gauge_;
-    if (!running.checkpoint_.empty()) {
-      run->checkpoint_ = running.checkpoint_;
-    }
-  }
-}
-
-void
-Scheduler::StopStray(std::uint32_t aWorker,
-                     const TaskKey& aTask,
-                     std::uint32_t aRun,
-                     MonotonicTime aNow)
-{
-  std::erase_if(straySentAt_, [aNow](const auto& aEntry) {
-    return aNow - aEntry.second > kStrayInterval;
-  });
-  if (!straySentAt_.emplace(std::pair(aTask, aRun), aNow).second) {
-    return;
-  }
-  LogInfo("stopping a run that is not expected",
-          { { "task", TaskText(aTask) },
-            { "run", aRun },
-            { "worker", state_.FindWorker(aWorker)->id_ } });
-  actions_.emplace_back(StopRun{ MakeTarget(aWorker, aNow), aTask, aRun });
-}
-
-// A run that stands in neither list is not on the worker. Only lists that were
-// made after the order was answered tell that.
-void
-Scheduler::CheckMissing(std::uint32_t aWorker,
-                        const WorkerLists& aLists,
-                        MonotonicTime aSentAt,
-                        MonotonicTime aNow)
-{
-  if (aLists.ended_.size() >= kEndsInList) {
-    return;
-  }
-  std::set<std::pair<TaskKey, std::uint32_t>> listed;
-  for (const auto& running : aLists.running_) {
-    listed.emplace(running.task_, running.run_);
-  }
-  std::vector<std::pair<TaskKey, std::uint32_t>> never;
-  for (auto& [task, run] : views_.at(aWorker).runs_) {
-    if (listed.contains({ task, run.run_ }) || run.phase_ == RunPhase::Logged ||
-        run.phase_ == RunPhase::Sent || aSentAt <= run.since_) {
-      continue;
-    }
-    if (run.stoppedAt_ && aSentAt > *run.stoppedAt_) {
-      never.emplace_back(task, run.run_);
-    } else {
-      run.phase_ = RunPhase::Unsure;
-      WantStop(run);
-    }
-  }
-  for (const auto& [task, run] : never) {
-    CloseRun(aWorker, task, run, RunEnd::Rejected, {}, aNow);
-    placementDue_ = true;
-  }
-}
-
 } // namespace acaciahill
