Fix: requests wait for an election, and go to the new leader at once

Entry nodes kept sending requests to the frozen node, as its followers named it until they had elected another, and each call waited 1.2 s for its end; requests without any leader were refused after 120 ms with Retry-After 1 s.

Ruled out: the election (0.69 s) and the takeover (30 ms).

Change: a node counts as leader only once it says so itself; a leader that is silent for 0.5 s is noticed, and nodes that did not answer are left out of the questions for 0.6 s. Calls that are open when another leader is found are repeated there. Requests wait up to 1 s for an election; where no leader was known for 1.5 s they are refused at once. A leader that loses its leadership with requests in work tells so, and they are repeated in place of an unclear answer.

--- a/packages/daemon/gateway.cpp
+++ b/packages/daemon/gateway.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace acaciahill {
 
@@ -16,20 +17,15 @@
 constexpr std::string_view kPlaneHeader = "Acaciahill-Plane";
 constexpr std::string_view kCallersWord = "callers";
 constexpr std::string_view kControlWord = "control";
-// Header of the answer of a node that does not lead.
-constexpr std::string_view kNotLeaderHeader = "Acaciahill-Not-Leader";
-
-// A request that reached no leader is refused after this time: a change of
-// leaders takes longer, and the sender can come back.
-constexpr Millis kUnsentPatience{ 120 };
-// A request that may have been accepted is sent again for this time, so that
-// its sender learns the outcome.
-constexpr Millis kSentPatience{ 1500 };
+
 constexpr Millis kRetryPause{ 25 };
-constexpr Millis kForwardTimeout{ 1200 };
+// Pause between looks whether another node leads while a call is open. Answers
+// mostly take a few tens of milliseconds.
+constexpr Millis kWatchPause{ 50 };
 // A change of leaders takes about this long.
 constexpr Millis kComeBack{ 1000 };
 constexpr std::int64_t kNotNow = 503;
+constexpr std::int64_t kServerError = 500;
 
 bool
 HasHeader(const HttpHeaders& aHeaders, std::string_view aName)
@@ -83,6 +79,9 @@
   boost::asio::steady_timer timer_;
   /// A leader may have accepted it.
   bool maybeAccepted_ = false;
+  bool isAnswered_ = false;
+  /// Number of the last call to a leader.
+  std::uint64_t call_ = 0;
 };
 
 Gateway::Gateway(boost::asio::io_context& aContext,
@@ -91,8 +90,8 @@
                  std::string aInternalPort,
                  Metrics& aMetrics,
                  WorkloadHost* aHost,
-                 std::function<std::string()> aLeader,
-                 std::function<void()> aOnDoubt)
+                 LeaderSource aLeader,
+                 GatewayTiming aTiming)
   : context_(aContext)
   , client_(aClient)
   , node_(std::move(aNode))
@@ -100,7 +99,7 @@
   , metrics_(aMetrics)
   , host_(aHost)
   , leader_(std::move(aLeader))
-  , onDoubt_(std::move(aOnDoubt))
+  , timing_(aTiming)
 {
 }
 
@@ -162,14 +161,33 @@
   }
 }
 
+void
+Gateway::Finish(const PendingPtr& aPending, HttpAnswer aAnswer)
+{
+  if (!std::exchange(aPending->isAnswered_, true)) {
+    aPending->timer_.cancel();
+    aPending->answer_(std::move(aAnswer));
+  }
+}
+
 void
 Gateway::Try(const PendingPtr& aPending)
 {
   if (host_ != nullptr && host_->IsActive()) {
-    GiveToHost(aPending->plane_, aPending->request_, aPending->answer_);
+    ++aPending->call_;
+    GiveToHost(aPending->plane_,
+               aPending->request_,
+               [this, pending = aPending](HttpAnswer aAnswer) {
+                 if (HasHeader(aAnswer.headers_, kNotLeaderHeader)) {
+                   pending->maybeAccepted_ = true;
+                   TryLater(pending);
+                 } else {
+                   Finish(pending, std::move(aAnswer));
+                 }
+               });
     return;
   }
-  const auto leader = leader_();
+  const auto leader = leader_.leader_();
   if (leader.empty() || leader == node_) {
     TryLater(aPending);
   } else {
@@ -188,40 +206,87 @@
            aHeader.name_ == "Transfer-Encoding" ||
            aHeader.name_ == "Content-Length";
   });
-  client_.Call(aLeader + ":" + internalPort_,
-               std::move(request),
-               kForwardTimeout,
-               [this, pending = aPending](const CallResult& aResult) {
-                 if (const auto* answer = std::get_if<HttpAnswer>(&aResult)) {
-                   if (!HasHeader(answer->headers_, kNotLeaderHeader)) {
-                     pending->answer_(PassOn(*answer));
-                     return;
-                   }
-                 } else {
-                   pending->maybeAccepted_ |=
-                     std::get<CallFailure>(aResult) != CallFailure::NotSent;
-                 }
-                 onDoubt_();
-                 TryLater(pending);
-               });
+  const auto call = ++aPending->call_;
+  client_.Call(
+    aLeader + ":" + internalPort_,
+    std::move(request),
+    timing_.forward_,
+    [this, pending = aPending, call, aLeader](const CallResult& aResult) {
+      const bool isLast = call == pending->call_;
+      if (const auto* answer = std::get_if<HttpAnswer>(&aResult)) {
+        const bool leads = !HasHeader(answer->headers_, kNotLeaderHeader);
+        if (leads) {
+          leader_.onAnswer_(aLeader);
+        }
+        // A former leader that knows no outcome is not the last word.
+        if (leads && (isLast || answer->status_ < kServerError)) {
+          Finish(pending, PassOn(*answer));
+          return;
+        }
+        pending->maybeAccepted_ |= answer->status_ != kNotNow;
+      } else {
+        pending->maybeAccepted_ |=
+          std::get<CallFailure>(aResult) != CallFailure::NotSent;
+      }
+      if (isLast && !pending->isAnswered_) {
+        leader_.onDoubt_();
+        TryLater(pending);
+      }
+    });
+  WatchLeader(aPending, aLeader);
+}
+
+void
+Gateway::WatchLeader(const PendingPtr& aPending, const std::string& aSentTo)
+{
+  aPending->timer_.expires_after(kWatchPause);
+  aPending->timer_.async_wait([this, pending = aPending, aSentTo](
+                                const boost::system::error_code& aError) {
+    if (aError || pending->isAnswered_) {
+      return;
+    }
+    const bool leadsHere = host_ != nullptr && host_->IsActive();
+    const auto leader = leader_.leader_();
+    if (!leadsHere && (leader.empty() || leader == aSentTo)) {
+      WatchLeader(pending, aSentTo);
+      return;
+    }
+    LogInfo(
+      "sending a request to the new leader",
+      { { "target", pending->request_.target_ },
+        { "former", aSentTo },
+        { "leader", leadsHere ? node_ : leader },
+        { "waited_ms", (MonotonicNow() - pending->startedAt_).count() } });
+    pending->maybeAccepted_ = true;
+    Try(pending);
+  });
+}
+
+void
+Gateway::Refuse(const PendingPtr& aPending)
+{
+  LogWarning("no leader for a request",
+             { { "plane", WordOf(aPending->plane_) },
+               { "method", aPending->request_.method_ },
+               { "target", aPending->request_.target_ },
+               { "waited_ms", (MonotonicNow() - aPending->startedAt_).count() },
+               { "leaderless_ms", leader_.silentFor_().count() },
+               { "maybe_accepted", aPending->maybeAccepted_ } });
+  Finish(aPending,
+         aPending->maybeAccepted_ ? platform::EncodeUnclear()
+                                  : platform::EncodeNotNow(kComeBack));
 }
 
 void
 Gateway::TryLater(const PendingPtr& aPending)
 {
   const auto waited = MonotonicNow() - aPending->startedAt_;
-  const auto patience =
-    aPending->maybeAccepted_ ? kSentPatience : kUnsentPatience;
-  if (waited >= patience) {
-    LogWarning("no leader for a request",
-               { { "plane", WordOf(aPending->plane_) },
-                 { "method", aPending->request_.method_ },
-                 { "target", aPending->request_.target_ },
-                 { "waited_ms", waited.count() },
-                 { "maybe_accepted", aPending->maybeAccepted_ } });
-    aPending->answer_(aPending->maybeAccepted_
-                        ? platform::EncodeUnclear()
-                        : platform::EncodeNotNow(kComeBack));
+  const bool isOver = aPending->maybeAccepted_
+                        ? waited >= timing_.sentPatience_
+                        : waited >= timing_.unsentPatience_ ||
+                            leader_.silentFor_() >= timing_.leaderless_;
+  if (isOver) {
+    Refuse(aPending);
     return;
   }
   aPending->timer_.expires_after(kRetryPause);
--- a/packages/daemon/gateway_base.h
+++ b/packages/daemon/gateway_base.h
@@ -5,6 +5,7 @@
 #include "http/async_client_base.h"
 #include "http/async_listener_base.h"
 #include "kernel/metrics_base.h"
+#include "kernel/time_type.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -21,12 +22,45 @@
   Control,
 };
 
+/// How a gateway knows the leader.
+struct LeaderSource
+{
+  /// Node id of the leader; empty while it is unknown.
+  std::function<std::string()> leader_;
+  /// Time since a leader was last known to be there.
+  std::function<Millis()> silentFor_;
+  /// A node answered a request as the leader.
+  std::function<void(const std::string&)> onAnswer_;
+  /// A call to the leader failed.
+  std::function<void()> onDoubt_;
+};
+
+/// How long a gateway waits for what.
+struct GatewayTiming
+{
+  /// A request that reached no leader is refused after this time. An election
+  /// is mostly over by then, and customers wait three times as long.
+  Millis unsentPatience_{ 1000 };
+  /// When no leader was there for this time, requests are refused at once: this
+  /// node is cut off, or there is none to be elected.
+  Millis leaderless_{ 1500 };
+  /// A request that may have been accepted is sent again for this time, so that
+  /// its sender learns the outcome.
+  Millis sentPatience_{ 1500 };
+  /// A call to the leader is given up after this time.
+  Millis forward_{ 1200 };
+
+  bool operator==(const GatewayTiming&) const = default;
+};
+
 /// Brings requests that arrive at any node to the leader's scheduler, which
 /// alone decides on them: to the own one while this node leads, else over the
-/// leader's internal interface. A request that found no leader is refused soon
-/// and truthfully; one that may have reached a leader is sent again, as every
-/// request here may arrive twice, until its outcome is known or time is up.
-/// Used from the context's thread only.
+/// leader's internal interface. Requests wait for the end of an election and
+/// are refused truthfully when it takes too long; one that may have reached a
+/// leader is sent again, as every request here may arrive twice, until its
+/// outcome is known or time is up. When another node is found to lead, requests
+/// that the former leader has not answered go to that one at once. Used from
+/// the context's thread only.
 class Gateway
 {
 public:
@@ -38,8 +72,8 @@
           std::string aInternalPort,
           Metrics& aMetrics,
           WorkloadHost* aHost,
-          std::function<std::string()> aLeader,
-          std::function<void()> aOnDoubt);
+          LeaderSource aLeader,
+          GatewayTiming aTiming = {});
 
   /// A request from outside.
   void Handle(Plane aPlane, HttpRequest aRequest, Answer aAnswer);
@@ -56,6 +90,11 @@
   void Try(const PendingPtr& aPending);
   void TryLater(const PendingPtr& aPending);
   void Forward(const PendingPtr& aPending, const std::string& aLeader);
+  /// Sends the request to the new leader when another one is found meanwhile.
+  void WatchLeader(const PendingPtr& aPending, const std::string& aSentTo);
+  void Refuse(const PendingPtr& aPending);
+  /// Answers unless the request has its answer already.
+  static void Finish(const PendingPtr& aPending, HttpAnswer aAnswer);
   void GiveToHost(Plane aPlane, const HttpRequest& aRequest, Answer aAnswer);
 
   boost::asio::io_context& context_;
@@ -64,8 +103,8 @@
   std::string internalPort_;
   Metrics& metrics_;
   WorkloadHost* host_;
-  std::function<std::string()> leader_;
-  std::function<void()> onDoubt_;
+  LeaderSource leader_;
+  GatewayTiming timing_;
 };
 
 } // namespace acaciahill
--- a/packages/daemon/leader_finder.cpp
+++ b/packages/daemon/leader_finder.cpp
@@ -6,17 +6,23 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace acaciahill {
 
 namespace {
 
-// Pause between questions to a leader that answers. A lost leader is noticed
-// within this time and the timeout.
-constexpr Millis kConfirmInterval{ 700 };
+// A leader that answered nothing for this time is asked. A lost leader is
+// noticed within this time and the timeout, which is less than an election
+// takes.
+constexpr Millis kConfirmInterval{ 250 };
 // Pause between questions while the leader is unknown.
-constexpr Millis kSearchInterval{ 60 };
-constexpr Millis kAskTimeout{ 400 };
+constexpr Millis kSearchInterval{ 40 };
+// Many times the delay between two zones.
+constexpr Millis kAskTimeout{ 250 };
+// A node that did not answer is left out of the questions for this time, unless
+// it is the only one.
+constexpr Millis kSilentPause{ 600 };
 
 } // namespace
 
@@ -59,6 +65,7 @@
   , timer_(aContext)
   , seeds_(std::move(aSeedNodes))
   , internalPort_(std::move(aInternalPort))
+  , confirmedAt_(MonotonicNow())
 {
 }
 
@@ -85,6 +92,14 @@
   AskLater(Millis(0));
 }
 
+void
+LeaderFinder::Confirm(const std::string& aLeader)
+{
+  if (aLeader == leader_) {
+    confirmedAt_ = MonotonicNow();
+  }
+}
+
 void
 LeaderFinder::SetSeeds(std::vector<std::string> aSeedNodes)
 {
@@ -99,25 +114,46 @@
   }
   timer_.expires_after(aPause);
   timer_.async_wait([this](const boost::system::error_code& aError) {
-    if (!aError && !stopped_ && !asking_) {
+    if (aError || stopped_ || asking_) {
+      return;
+    }
+    const auto age = MonotonicNow() - confirmedAt_;
+    if (!leader_.empty() && age < kConfirmInterval) {
+      AskLater(kConfirmInterval - age);
+    } else {
       Ask();
     }
   });
 }
 
+bool
+LeaderFinder::WasSilent(const std::string& aNode) const
+{
+  return aNode == silent_ && MonotonicNow() - silentAt_ < kSilentPause;
+}
+
 std::string
 LeaderFinder::NextNode()
 {
   if (!leader_.empty()) {
     return leader_;
   }
+  if (!candidate_.empty()) {
+    return std::exchange(candidate_, {});
+  }
   auto all = nodes_;
   for (const auto& seed : seeds_) {
     if (std::find(all.begin(), all.end(), seed) == all.end()) {
       all.push_back(seed);
     }
   }
-  return all.empty() ? "" : all[next_++ % all.size()];
+  if (all.empty()) {
+    return "";
+  }
+  if (WasSilent(all[next_ % all.size()])) {
+    ++next_;
+  }
+  return all[next_++ % all.size()];
 }
 
 void
@@ -137,20 +173,33 @@
                kAskTimeout,
                [this, node](const CallResult& aResult) {
                  asking_ = false;
-                 const auto* answer = std::get_if<HttpAnswer>(&aResult);
-                 Take(node,
-                      answer == nullptr ? GroupInfo{}
-                                        : DecodeGroupInfo(answer->body_));
+                 if (const auto* answer = std::get_if<HttpAnswer>(&aResult)) {
+                   Take(node, DecodeGroupInfo(answer->body_));
+                 } else {
+                   TakeSilence(node);
+                 }
                });
 }
 
+void
+LeaderFinder::TakeSilence(const std::string& aAsked)
+{
+  silent_ = aAsked;
+  silentAt_ = MonotonicNow();
+  if (leader_ == aAsked) {
+    LogInfo("lost the leader", { { "leader", leader_ }, { "now", "" } });
+    leader_.clear();
+  }
+  AskLater(kSearchInterval);
+}
+
 void
 LeaderFinder::Take(const std::string& aAsked, const GroupInfo& aInfo)
 {
   if (!aInfo.nodes_.empty()) {
     nodes_ = aInfo.nodes_;
   }
-  if (aInfo.leader_ == aAsked && !aAsked.empty()) {
+  if (aInfo.leader_ == aAsked) {
     if (leader_ != aAsked) {
       LogInfo("found the leader", { { "leader", aAsked } });
     }
@@ -163,10 +212,9 @@
     LogInfo("lost the leader",
             { { "leader", leader_ }, { "now", aInfo.leader_ } });
   }
-  // A node that names another one is asked no more; that one has to confirm.
   leader_.clear();
-  if (!aInfo.leader_.empty()) {
-    leader_ = aInfo.leader_;
+  if (!aInfo.leader_.empty() && !WasSilent(aInfo.leader_)) {
+    candidate_ = aInfo.leader_;
     AskLater(Millis(0));
     return;
   }
--- a/packages/daemon/leader_finder_base.h
+++ b/packages/daemon/leader_finder_base.h
@@ -33,7 +33,9 @@
 DecodeGroupInfo(const std::string& aBody);
 
 /// Keeps an entry node informed of who leads the control group, by asking
-/// control nodes in turn. Used from the context's thread only.
+/// control nodes in turn. A node that others name counts as leader only once it
+/// says so itself: they name one that hangs until they have elected another.
+/// Used from the context's thread only.
 class LeaderFinder
 {
 public:
@@ -48,9 +50,12 @@
   /// Node id of the leader; empty while it is unknown.
   const std::string& Leader() const { return leader_; }
 
-  /// When the leader last answered that it leads.
+  /// When the leader last answered; the start of this process before.
   MonotonicTime ConfirmedAt() const { return confirmedAt_; }
 
+  /// The leader answered a request, which shows as well that it leads.
+  void Confirm(const std::string& aLeader);
+
   /// A call to the leader failed: asks again at once.
   void Doubt();
 
@@ -61,7 +66,9 @@
   void AskLater(Millis aPause);
   void Ask();
   void Take(const std::string& aAsked, const GroupInfo& aInfo);
+  void TakeSilence(const std::string& aAsked);
   std::string NextNode();
+  bool WasSilent(const std::string& aNode) const;
 
   AsyncClient& client_;
   boost::asio::steady_timer timer_;
@@ -69,6 +76,11 @@
   std::vector<std::string> nodes_;
   std::string internalPort_;
   std::string leader_;
+  /// Named by another node, and to be asked next.
+  std::string candidate_;
+  /// The last node that did not answer, and when that was noticed.
+  std::string silent_;
+  MonotonicTime silentAt_{};
   MonotonicTime confirmedAt_{};
   std::size_t next_ = 0;
   bool asking_ = false;
--- /dev/null
+++ b/packages/daemon/test/leader_finder_test.cpp
@@ -0,0 +1,93 @@
+#include "daemon/leader_finder_base.h"
+
+#include "http/async_listener_base.h"
+#include "kernel/os_clock_func.h"
+
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace acaciahill;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::vector<std::string> kNodes{ "127.0.0.1", "127.0.0.2", "127.0.0.3" };
+
+/// A control group of three; the first node may hang.
+struct FakeGroup
+{
+  FakeGroup()
+    : client_(context_)
+  {
+    for (int tries = 0; listeners_.size() < kNodes.size(); ++tries) {
+      REQUIRE(tries < 100);
+      listeners_.clear();
+      port_ = std::to_string(
+        30000 +
+        (MonotonicNow().time_since_epoch().count() * 31 + tries) % 10000);
+      for (const auto& node : kNodes) {
+        auto listener = std::make_unique<AsyncListener>(
+          context_,
+          [this, node](HttpRequest, AsyncListener::Answer aAnswer) {
+            if (hanging_.contains(node)) {
+              open_.push_back(std::move(aAnswer));
+              return;
+            }
+            HttpAnswer answer;
+            answer.status_ = 200;
+            answer.body_ = EncodeGroupInfo({ named_, kNodes });
+            aAnswer(std::move(answer));
+          },
+          HttpLimits{ 16384, 65536 });
+        if (!IsOk(listener->Start(node + ":" + port_))) {
+          break;
+        }
+        listeners_.push_back(std::move(listener));
+      }
+    }
+  }
+
+  boost::asio::io_context context_;
+  AsyncClient client_;
+  std::vector<std::unique_ptr<AsyncListener>> listeners_;
+  std::vector<AsyncListener::Answer> open_;
+  std::string port_;
+  /// The leader that all nodes name.
+  std::string named_;
+  std::set<std::string> hanging_;
+};
+
+} // namespace
+
+// Seen with a frozen leader: its followers named it until they had elected
+// another one, and every answer of theirs brought the requests back to it.
+TEST_CASE("a node that others name leads only once it says so itself")
+{
+  FakeGroup group;
+  group.named_ = kNodes[0];
+  LeaderFinder finder(group.context_, group.client_, kNodes, group.port_);
+  finder.Start();
+  const auto runUntil = [&group](const auto& aCondition) {
+    for (int step = 0; step < 1000 && !aCondition(); ++step) {
+      group.context_.run_for(10ms);
+      group.context_.restart();
+    }
+    return aCondition();
+  };
+  REQUIRE(runUntil([&] { return finder.Leader() == kNodes[0]; }));
+
+  group.hanging_.insert(kNodes[0]);
+  REQUIRE(runUntil([&] { return finder.Leader().empty(); }));
+  for (int step = 0; step < 60; ++step) {
+    group.context_.run_for(10ms);
+    group.context_.restart();
+    CHECK(finder.Leader().empty());
+  }
+  group.named_ = kNodes[1];
+  CHECK(runUntil([&] { return finder.Leader() == kNodes[1]; }));
+}
--- a/packages/daemon/workload_host.cpp
+++ b/packages/daemon/workload_host.cpp
@@ -176,8 +176,10 @@
   auto waiting = std::move(waiting_);
   waiting_.clear();
   // What they asked for may be in the log.
+  auto unclear = platform::EncodeUnclear();
+  unclear.headers_.push_back({ kNotLeaderHeader, "yes" });
   for (const auto& [token, answer] : waiting) {
-    answer(platform::EncodeUnclear());
+    answer(unclear);
   }
 }
 
--- a/packages/daemon/workload_host_base.h
+++ b/packages/daemon/workload_host_base.h
@@ -18,6 +18,10 @@
 
 namespace acaciahill {
 
+/// Header of answers of a node that does not lead, or no longer does. With
+/// status 503 the request was not taken; else it may have been.
+inline constexpr const char* kNotLeaderHeader = "Acaciahill-Not-Leader";
+
 /// Runs the scheduler on the leader of the control group: gives it requests,
 /// the workers' answers and the time, and carries out what it decides. A new
 /// leadership begins with a new scheduler, after everything that former leaders
--- a/packages/daemon/workload_service.cpp
+++ b/packages/daemon/workload_service.cpp
@@ -84,17 +84,12 @@
 Result<Done>
 WorkloadService::Start()
 {
-  std::function<std::string()> leader;
-  std::function<void()> onDoubt = [] {};
   if (settings_.isControl_) {
     replica_ = &registry_.Find<ReplicaService>(kReplicaServiceName);
     host_.emplace(settings_, *replica_, metrics_, context_, client_);
-    leader = [this] { return replica_->Control().leader_; };
   } else {
     finder_.emplace(
       context_, client_, NodesOf(settings_.seeds_), settings_.internalPort_);
-    leader = [this] { return finder_->Leader(); };
-    onDoubt = [this] { finder_->Doubt(); };
   }
   gateway_.emplace(context_,
                    client_,
@@ -102,8 +97,7 @@
                    settings_.internalPort_,
                    metrics_,
                    host_ ? &*host_ : nullptr,
-                   leader,
-                   onDoubt);
+                   KnownLeader());
   for (auto& port : PortsToServe()) {
     const bool isCallers = port.address_ == settings_.listenCallers_;
     auto listener = std::make_unique<AsyncListener>(
@@ -127,6 +121,25 @@
   return Done{};
 }
 
+// Control nodes learn of leaders from the log's group itself, others ask them.
+LeaderSource
+WorkloadService::KnownLeader()
+{
+  if (replica_ != nullptr) {
+    return { [this] { return replica_->Control().leader_; },
+             [this, startedAt = MonotonicNow()] {
+               return std::min(replica_->Control().age_,
+                               MonotonicNow() - startedAt);
+             },
+             [](const std::string&) {},
+             [] {} };
+  }
+  return { [this] { return finder_->Leader(); },
+           [this] { return MonotonicNow() - finder_->ConfirmedAt(); },
+           [this](const std::string& aLeader) { finder_->Confirm(aLeader); },
+           [this] { finder_->Doubt(); } };
+}
+
 std::vector<WorkloadService::Port>
 WorkloadService::PortsToServe()
 {
--- a/packages/daemon/workload_service_base.h
+++ b/packages/daemon/workload_service_base.h
@@ -50,6 +50,7 @@
     AsyncListener::Handler handler_;
   };
 
+  LeaderSource KnownLeader();
   std::vector<Port> PortsToServe();
   bool IsReady() const;
   void AnswerInternal(const HttpRequest& aRequest,
