Fix: VMs whose workers have not reported since a start are not replaced

Ruled out: counting VMs that the platform lists as up (no change: it lists a VM as down until its worker has registered, seen with a debug line).

Change: for 3 s after a takeover (two reports of a worker) VMs that are listed in a pool, up or down, count for it.

Test: workers_that have not reported since a start are not replaced; failed first.

--- a/packages/workload/scheduler_pools.cpp
+++ b/packages/workload/scheduler_pools.cpp
@@ -29,6 +29,8 @@
 constexpr std::size_t kOpenMoves = 32;
 // A VM takes this long to arrive in a pool, and cannot be moved meanwhile.
 constexpr Millis kArrival{ 1700 };
+// Workers report every 1.5 s, so that all that run have done so by then.
+constexpr Millis kFirstReports{ 3000 };
 // A VM that could not be moved is tried again after this time.
 constexpr Millis kBusyPause{ 600 };
 
@@ -172,6 +174,17 @@
       // A pool that never had a worker has VMs like those of the others.
     }
   }
+  if (aNow - startedAt_ < kFirstReports) {
+    for (const auto& [vm, view] : vms_) {
+      const auto load = loads.find(view.listing_.pool_);
+      // The platform lists a VM as down until its worker has registered.
+      const bool mayReport = view.listing_.state_ == VmState::Up ||
+                             view.listing_.state_ == VmState::Down;
+      if (load != loads.end() && mayReport && FindWorkerOfVm(vm) == 0) {
+        ++load->second.supply_;
+      }
+    }
+  }
   std::int64_t typical = 0;
   for (const auto& [name, load] : loads) {
     typical = std::max(typical, load.workerMilliCores_);
--- a/packages/workload/test/scheduler_test.cpp
+++ b/packages/workload/test/scheduler_test.cpp
@@ -308,6 +308,28 @@
   CHECK(std::count(driver.moved_.begin(), driver.moved_.end(), "s-cut") == 0);
 }
 
+// Seen at the start of every day: a few workers had reported themselves, and
+// VMs were switched on for pools whose other workers were about to.
+TEST_CASE("workers that have not reported since a start are not replaced")
+{
+  SchedulerDriver driver(12, {});
+  driver.settings_.movesVms_ = true;
+  driver.ChangeLeader();
+  auto config = OnePool();
+  config.pools_["off"] = { "off", false, true };
+  driver.SetConfig(config);
+  driver.spareVms_ = { { "p-1", "p", VmState::Down, "", "z" },
+                       { "p-2", "p", VmState::Down, "", "z" },
+                       { "p-3", "p", VmState::Up, "", "z" },
+                       { "s-1", "off", VmState::Up, "", "z" } };
+  AddWorkers(driver, 1);
+  driver.RunFor(Millis(2500));
+  CHECK(driver.moved_.empty());
+  // They have not come, and the pool keeps its least size.
+  driver.RunFor(Millis(2500));
+  CHECK(!driver.moved_.empty());
+}
+
 TEST_CASE("rules of jobs hold under trouble, and all jobs end, on 200 seeds")
 {
   constexpr std::uint32_t kSeeds = 200;
