Change: pools get VMs for the growth of their demand until these arrive

Ruled out: the order of steps (they waited for cores), moves that were refused.

Change: the growth of the rate of arrivals over 2.5 s is told by a least squares fit, where there were 8 arrivals or more, and counts until a VM has arrived.

Test: the growth of demand at the start of a turn is seen (did not exist before).

--- a/packages/workload/demand_meter.cpp
+++ b/packages/workload/demand_meter.cpp
@@ -10,6 +10,10 @@
 // Arrivals of this time make the present rate: long enough for a handful of
 // large jobs, short against a turn of several seconds.
 constexpr Millis kWindow{ 700 };
+// Arrivals of this time tell the growth: about a third of the rise of a turn.
+constexpr Millis kGrowthWindow{ 2500 };
+// With fewer arrivals the growth is not told from chance.
+constexpr std::size_t kFewArrivals = 8;
 // Weight of a new run in the learned run time, once there are a few.
 constexpr double kRunWeight = 0.02;
 constexpr std::uint64_t kFewRuns = 20;
@@ -52,17 +56,40 @@
 {
   auto& queue = queues_[aQueue];
   auto& arrivals = queue.arrivals_;
-  while (!arrivals.empty() && arrivals.front().at_ <= aNow - kWindow) {
+  while (!arrivals.empty() && arrivals.front().at_ <= aNow - kGrowthWindow) {
     arrivals.pop_front();
   }
   std::int64_t arrived = 0;
   for (const auto& arrival : arrivals) {
-    arrived += arrival.milliCores_;
+    arrived += arrival.at_ > aNow - kWindow ? arrival.milliCores_ : 0;
   }
   return static_cast<std::int64_t>(static_cast<double>(arrived) * queue.runMs_ /
                                    static_cast<double>(kWindow.count()));
 }
 
+// The least squares fit of a rate that grows evenly over the window.
+std::int64_t
+DemandMeter::Growth(const std::string& aQueue,
+                    Millis aWithin,
+                    MonotonicTime aNow)
+{
+  constexpr double kFit = 12;
+  const auto& queue = queues_[aQueue];
+  if (queue.arrivals_.size() < kFewArrivals) {
+    return 0;
+  }
+  const auto window = static_cast<double>(kGrowthWindow.count());
+  double moment = 0;
+  for (const auto& arrival : queue.arrivals_) {
+    const auto age = static_cast<double>((aNow - arrival.at_).count());
+    moment += static_cast<double>(arrival.milliCores_) * (window / 2 - age);
+  }
+  const auto slope = kFit * moment / (window * window * window);
+  const auto grown =
+    slope * static_cast<double>(aWithin.count()) * queue.runMs_;
+  return std::max<std::int64_t>(0, static_cast<std::int64_t>(grown));
+}
+
 Millis
 DemandMeter::RunTime(const std::string& aQueue) const
 {
--- a/packages/workload/demand_meter_base.h
+++ b/packages/workload/demand_meter_base.h
@@ -30,6 +30,12 @@
   /// Cores that keep up with what arrived at a queue in the last window.
   std::int64_t MilliCores(const std::string& aQueue, MonotonicTime aNow);
 
+  /// Cores by which that grows within a time, as far as the last arrivals show;
+  /// 0 when it falls, or when there were too few arrivals to tell.
+  std::int64_t Growth(const std::string& aQueue,
+                      Millis aWithin,
+                      MonotonicTime aNow);
+
   /// Learned run time of a task of the queue; the estimate before the first
   /// runs.
   Millis RunTime(const std::string& aQueue) const;
@@ -48,6 +54,7 @@
 
   struct QueueMeter
   {
+    /// Those that the growth is told from, oldest first.
     std::deque<Arrival> arrivals_;
     double runMs_ = 0;
     /// Mean square of the difference from the mean.
--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -286,6 +286,9 @@
   void CountArrival(const JobSpec& aSpec, MonotonicTime aNow);
   void ObserveDemand(MonotonicTime aNow);
   std::int64_t ArrivingMilliCores(const std::string& aPool, MonotonicTime aNow);
+  /// Cores by which the demand of a pool grows until a VM that is moved there
+  /// now has arrived.
+  std::int64_t GrowthOf(const std::string& aPool, MonotonicTime aNow);
   Millis RunTimeOf(const std::string& aPool) const;
   std::vector<PoolDemand> PoolDemands(MonotonicTime aNow);
   /// Zones in which no worker answers, though there are some.
--- a/packages/workload/scheduler_pools.cpp
+++ b/packages/workload/scheduler_pools.cpp
@@ -95,6 +95,18 @@
   return arriving;
 }
 
+std::int64_t
+Scheduler::GrowthOf(const std::string& aPool, MonotonicTime aNow)
+{
+  std::int64_t growth = 0;
+  for (const auto& [key, queue] : config_.queues_) {
+    if (queue.pool_ == aPool) {
+      growth += demand_.Growth(key, kArrival, aNow);
+    }
+  }
+  return growth;
+}
+
 Millis
 Scheduler::RunTimeOf(const std::string& aPool) const
 {
@@ -132,7 +144,9 @@
       // Tasks that wait are to be begun within the time that objectives leave.
       const auto backlog = WaitingMilliCores(name) * RunTimeOf(name).count() /
                            kBacklogTime.count();
-      load.demandMilliCores_ = backlog + ArrivingMilliCores(name, aNow);
+      // What is asked for now comes when demand has grown.
+      load.demandMilliCores_ =
+        backlog + ArrivingMilliCores(name, aNow) + GrowthOf(name, aNow);
       load.keepsWorkers_ = !forecast_.HadTurn(name);
       const auto turn = forecast_.Next(aNow);
       if (turn && turn->pool_ == name && turn->startsAt_ - aNow <= kMoveAhead) {
--- a/packages/workload/test/pools_test.cpp
+++ b/packages/workload/test/pools_test.cpp
@@ -121,3 +121,40 @@
   CHECK(meter.MilliCores("q", now) == 7 * 4000 * 800 / 700);
   CHECK(meter.MilliCores("q", now + Millis(5000)) == 0);
 }
+
+TEST_CASE("the growth of demand at the start of a turn is seen")
+{
+  struct Row
+  {
+    const char* name_;
+    int from_; ///< Jobs a second at the start of the window of 2.5 s.
+    int to_;   ///< And at its end.
+    std::int64_t least_;
+    std::int64_t most_;
+  };
+  // A job asks for 10 cores for 1 s; the growth is that of 2 s, within a tenth of
+  // the demand, as jobs are counted whole.
+  const std::vector<Row> rows{
+    { "rises from 10 to 35 a second, by 10 in each", 10, 35, 180000, 220000 },
+    { "stays", 20, 20, 0, 20000 },
+    { "falls", 35, 10, 0, 0 },
+    { "two jobs tell nothing", 0, 2, 0, 0 },
+  };
+  for (const auto& row : rows) {
+    INFO(row.name_);
+    DemandMeter meter;
+    for (int run = 0; run < 30; ++run) {
+      meter.CountRun("q", Millis(1000));
+    }
+    double due = 0;
+    for (int ms = 1; ms <= 2500; ++ms) {
+      due += (row.from_ + (row.to_ - row.from_) * ms / 2500.0) / 1000.0;
+      for (; due >= 1; due -= 1) {
+        meter.CountArrival("q", 10000, Millis(100), kStart + Millis(ms));
+      }
+    }
+    const auto growth = meter.Growth("q", Millis(2000), kStart + Millis(2500));
+    CHECK(growth >= row.least_);
+    CHECK(growth <= row.most_);
+  }
+}
