Change: tasks that wait ask for the cores of the rounds in which they can run

Cause: waiting tasks asked for their cores times run time over the 1 s in which they are to begin: for tasks of 2.1 s twice what would run them all at once.

Change: run time over run time and 1 s.

--- a/packages/workload/scheduler_pools.cpp
+++ b/packages/workload/scheduler_pools.cpp
@@ -253,7 +253,8 @@
                        ChainTimeOf(name),
                        kArrival);
   // Tasks that wait are to be begun within the time that objectives leave.
-  expected += waiting * RunTimeOf(name).count() / kBacklogTime.count();
+  const auto runTime = RunTimeOf(name);
+  expected += waiting * runTime.count() / (runTime + kBacklogTime).count();
   const auto turn = forecast_.Next(aNow);
   if (turn && turn->pool_ == name && turn->startsAt_ - aNow <= kMoveAhead) {
     expected = std::max(expected, turn->milliCores_);
