Add: what leaders learn of the load is logged, and later leaders go on from it

Cause: a new leader knew no run times, no turns and no order of them.

Ruled out: asking the workers, whose lists tell no run times.

Change: run times by queue, and mean, level and starts of turns by pool, are one value of the replicated state. The leader replaces it when a run time has changed by a tenth or a turn began, every 2 s at most. States of the former binary form are still read. What pools ask for has a file of its own.

--- a/packages/workload/demand_meter.cpp
+++ b/packages/workload/demand_meter.cpp
@@ -125,4 +125,32 @@
          aDeviations * std::sqrt(found->second.runVariance_);
 }
 
+std::vector<LearnedQueue>
+DemandMeter::Learned() const
+{
+  std::vector<LearnedQueue> learned;
+  for (const auto& [name, queue] : queues_) {
+    if (queue.runs_ >= kKnownRuns) {
+      learned.push_back({ name,
+                          queue.runMs_,
+                          queue.runVariance_,
+                          queue.runs_,
+                          queue.chainSteps_ });
+    }
+  }
+  return learned;
+}
+
+void
+DemandMeter::Restore(const std::vector<LearnedQueue>& aQueues)
+{
+  for (const auto& learned : aQueues) {
+    auto& queue = queues_[learned.queue_];
+    queue.runMs_ = learned.meanRunMs_;
+    queue.runVariance_ = learned.runVariance_;
+    queue.runs_ = learned.runs_;
+    queue.chainSteps_ = learned.chainSteps_;
+  }
+}
+
 } // namespace acaciahill
--- a/packages/workload/demand_meter_base.h
+++ b/packages/workload/demand_meter_base.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "kernel/time_type.h"
+#include "workload/workload_type.h"
 
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace acaciahill {
 
@@ -49,6 +51,12 @@
   std::optional<double> LearnedRunTime(const std::string& aQueue,
                                        double aDeviations) const;
 
+  /// What a later leader is to know, by the name of the queue.
+  std::vector<LearnedQueue> Learned() const;
+
+  /// Goes on from what a former leader has learned.
+  void Restore(const std::vector<LearnedQueue>& aQueues);
+
 private:
   struct Arrival
   {
--- a/packages/workload/scheduler.cpp
+++ b/packages/workload/scheduler.cpp
@@ -29,6 +29,8 @@
   , startedAt_(aNow)
   , authorityAt_(aNow)
 {
+  demand_.Restore(state_.Learned().queues_);
+  forecast_.Restore(state_.Learned(), aNow, baseMs_);
   for (const auto& [number, worker] : state_.Workers()) {
     AddView(worker, aNow);
   }
@@ -223,6 +225,7 @@
   EvacuateLeaving(aNow);
   AdvanceWaves(aNow);
   BalancePools(aNow);
+  NoteLearned(aNow);
   placementDue_ = true;
 }
 
--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -101,6 +101,10 @@
   /// Longest time between two ticks.
   static constexpr Millis kTick{ 50 };
 
+  /// A VM takes this long to arrive in a pool, and cannot be moved meanwhile:
+  /// the platform takes 1.5 s, and its worker has to register.
+  static constexpr Millis kVmArrival{ 1700 };
+
 private:
   /// Steps with tasks that wait, in the order in which they are served.
   struct ReadyStep
@@ -281,7 +285,7 @@
               const StepSpec& aStep,
               MonotonicTime aNow);
 
-  // scheduler_pools.cpp: moves of VMs between pools.
+  // scheduler_demand.cpp: what pools ask for.
   std::int64_t WaitingMilliCores(const std::string& aPool) const;
   void CountArrival(const JobSpec& aSpec, MonotonicTime aNow);
   void ObserveDemand(MonotonicTime aNow);
@@ -295,6 +299,10 @@
   /// arrived.
   std::int64_t ExpectedDemand(const PoolDemand& aLoad, MonotonicTime aNow);
   std::vector<PoolDemand> PoolDemands(MonotonicTime aNow);
+  /// Logs what was learned, so that a later leader goes on from it.
+  void NoteLearned(MonotonicTime aNow);
+
+  // scheduler_pools.cpp: moves of VMs between pools.
   /// Zones in which no worker answers, though there are some.
   std::set<std::string> SilentZones() const;
   bool HasWorker(const std::string& aVm, const std::string& aPool) const;
@@ -339,6 +347,7 @@
   DemandMeter demand_;
   TurnForecast forecast_;
   MonotonicTime observedAt_{};
+  MonotonicTime learnedAt_{};
   std::map<std::string, MonotonicTime> surplusSince_;
   bool vmListOpen_ = false;
   bool vmListKnown_ = false;
--- /dev/null
+++ b/packages/workload/scheduler_demand.cpp
@@ -0,0 +1,300 @@
+#include "workload/scheduler_base.h"
+
+#include "kernel/log_func.h"
+#include "workload/pool_balance_func.h"
+#include "workload/workload_text_func.h"
+
+#include <algorithm>
+#include <cmath>
+
+// What pools ask for: work that arrives, waits and runs, and turns.
+
+namespace acaciahill {
+
+namespace {
+
+constexpr Millis kObserveInterval{ 100 };
+// Objectives leave about this much beyond the run times of a short chain.
+constexpr Millis kBacklogTime{ 1000 };
+// VMs are moved this long before a turn that is expected: the platform takes
+// 1.5 s, and the worker has to register and answer.
+constexpr Millis kMoveAhead{ 2200 };
+// Workers report every 1.5 s, so that all that run have done so by then.
+constexpr Millis kFirstReports{ 3000 };
+// What was learned is logged this often at most, and when a run time has
+// changed by this share.
+constexpr Millis kLearnInterval{ 2000 };
+constexpr double kLearnShare = 0.1;
+
+/// Steps in the longest chain of a job.
+std::size_t
+ChainSteps(const JobSpec& aSpec)
+{
+  std::vector<std::size_t> depth;
+  depth.reserve(aSpec.steps_.size());
+  for (const auto& step : aSpec.steps_) {
+    std::size_t before = 0;
+    for (const auto after : step.after_) {
+      before = std::max(before, depth[after]);
+    }
+    depth.push_back(before + 1);
+  }
+  return *std::max_element(depth.begin(), depth.end());
+}
+
+/// True when a later leader would decide otherwise with the one than with the
+/// other.
+bool
+Differ(const LearnedLoad& aOne, const LearnedLoad& aTwo)
+{
+  return aOne.turns_ != aTwo.turns_ ||
+         !std::equal(aOne.queues_.begin(),
+                     aOne.queues_.end(),
+                     aTwo.queues_.begin(),
+                     aTwo.queues_.end(),
+                     [](const auto& aLeft, const auto& aRight) {
+                       return aLeft.queue_ == aRight.queue_ &&
+                              std::abs(aLeft.meanRunMs_ - aRight.meanRunMs_) <=
+                                kLearnShare * aRight.meanRunMs_;
+                     }) ||
+         !std::equal(aOne.pools_.begin(),
+                     aOne.pools_.end(),
+                     aTwo.pools_.begin(),
+                     aTwo.pools_.end(),
+                     [](const auto& aLeft, const auto& aRight) {
+                       return aLeft.pool_ == aRight.pool_ &&
+                              aLeft.hadTurn_ == aRight.hadTurn_;
+                     });
+}
+
+} // namespace
+
+std::int64_t
+Scheduler::WaitingMilliCores(const std::string& aPool) const
+{
+  const auto ready = ready_.find(aPool);
+  if (ready == ready_.end()) {
+    return 0;
+  }
+  std::int64_t waiting = 0;
+  for (const auto& each : ready->second) {
+    const auto* job = state_.FindJob(each.job_);
+    if (job == nullptr || IsOver(job->phase_)) {
+      continue;
+    }
+    const auto occurrence = job->occurrences_.find(each.occurrence_);
+    if (occurrence == job->occurrences_.end()) {
+      continue;
+    }
+    const auto& step = job->spec_.steps_[each.step_];
+    const auto& tasks = occurrence->second.steps_[each.step_];
+    const auto count =
+      std::count_if(tasks.begin(), tasks.end(), [](const auto& aTask) {
+        return aTask.state_ == TaskState::Waiting;
+      });
+    waiting += count * ReservedBy(step.need_, step.fills_).milliCores_;
+  }
+  return waiting;
+}
+
+void
+Scheduler::CountArrival(const JobSpec& aSpec, MonotonicTime aNow)
+{
+  std::int64_t milliCores = 0;
+  std::int64_t tasks = 0;
+  std::int64_t estimated = 0;
+  for (const auto& step : aSpec.steps_) {
+    if (!step.lasts_) {
+      milliCores += step.tasks_ * step.need_.milliCores_;
+      estimated += step.tasks_ * step.estimatedMs_;
+      tasks += step.tasks_;
+    }
+  }
+  if (tasks > 0) {
+    demand_.CountArrival(aSpec.queue_,
+                         milliCores,
+                         Millis(estimated / tasks),
+                         ChainSteps(aSpec),
+                         aNow);
+  }
+}
+
+std::int64_t
+Scheduler::ArrivingMilliCores(const std::string& aPool, MonotonicTime aNow)
+{
+  std::int64_t arriving = 0;
+  for (const auto& [key, queue] : config_.queues_) {
+    if (queue.pool_ == aPool) {
+      arriving += demand_.MilliCores(key, aNow);
+    }
+  }
+  return arriving;
+}
+
+std::int64_t
+Scheduler::GrowthOf(const std::string& aPool, MonotonicTime aNow)
+{
+  std::int64_t growth = 0;
+  for (const auto& [key, queue] : config_.queues_) {
+    if (queue.pool_ == aPool) {
+      growth += demand_.Growth(key, kVmArrival, aNow);
+    }
+  }
+  return growth;
+}
+
+Millis
+Scheduler::ChainTimeOf(const std::string& aPool) const
+{
+  Millis longest{ 0 };
+  for (const auto& [key, queue] : config_.queues_) {
+    if (queue.pool_ == aPool) {
+      longest = std::max(longest, demand_.ChainTime(key));
+    }
+  }
+  return longest;
+}
+
+Millis
+Scheduler::RunTimeOf(const std::string& aPool) const
+{
+  Millis longest{ 0 };
+  for (const auto& [key, queue] : config_.queues_) {
+    if (queue.pool_ == aPool) {
+      longest = std::max(longest, demand_.RunTime(key));
+    }
+  }
+  return longest;
+}
+
+void
+Scheduler::ObserveDemand(MonotonicTime aNow)
+{
+  if (aNow - observedAt_ < kObserveInterval) {
+    return;
+  }
+  observedAt_ = aNow;
+  for (const auto& [name, pool] : config_.pools_) {
+    if (!pool.spare_) {
+      forecast_.Observe(name, ArrivingMilliCores(name, aNow), aNow);
+    }
+  }
+}
+
+std::vector<PoolDemand>
+Scheduler::PoolDemands(MonotonicTime aNow)
+{
+  std::map<std::string, PoolDemand> loads;
+  for (const auto& [name, pool] : config_.pools_) {
+    if (!pool.spare_) {
+      loads[name].pool_ = name;
+      auto& load = loads[name];
+      load.keepsWorkers_ = !forecast_.HadTurn(name);
+    }
+  }
+  for (const auto& [number, view] : views_) {
+    const auto& worker = *state_.FindWorker(number);
+    const auto load = loads.find(worker.pool_);
+    if (load == loads.end()) {
+      continue;
+    }
+    auto& pool = load->second;
+    for (const auto& [task, run] : view.runs_) {
+      pool.heldMilliCores_ += ReservedBy(run).milliCores_;
+      pool.lastingMilliCores_ += run.lasts_ ? ReservedBy(run).milliCores_ : 0;
+    }
+    pool.workerMilliCores_ =
+      std::max(pool.workerMilliCores_, worker.capacity_.milliCores_);
+    if (worker.draining_ || view.evacuating_ || view.missedRenewals_ > 0) {
+      continue;
+    }
+    ++pool.supply_;
+    const bool holdsLasting =
+      std::any_of(view.runs_.begin(), view.runs_.end(), [](const auto& aRun) {
+        return aRun.second.lasts_;
+      });
+    pool.bound_ += holdsLasting ? 1 : 0;
+    if (view.runs_.empty() && view.confirmed_ && !worker.vm_.empty()) {
+      pool.idleVms_.push_back(worker.vm_);
+    }
+  }
+  for (const auto& [vm, move] : moves_) {
+    const auto load = loads.find(move.pool_);
+    if (load != loads.end() && !HasWorker(vm, move.pool_)) {
+      ++load->second.supply_;
+      // A pool that never had a worker has VMs like those of the others.
+    }
+  }
+  if (aNow - startedAt_ < kFirstReports) {
+    for (const auto& [vm, view] : vms_) {
+      const auto load = loads.find(view.listing_.pool_);
+      // The platform lists a VM as down until its worker has registered.
+      const bool mayReport = view.listing_.state_ == VmState::Up ||
+                             view.listing_.state_ == VmState::Down;
+      if (load != loads.end() && mayReport && FindWorkerOfVm(vm) == 0) {
+        ++load->second.supply_;
+      }
+    }
+  }
+  std::int64_t typical = 0;
+  for (const auto& [name, load] : loads) {
+    typical = std::max(typical, load.workerMilliCores_);
+  }
+  std::vector<PoolDemand> list;
+  for (auto& [name, load] : loads) {
+    load.workerMilliCores_ =
+      load.workerMilliCores_ == 0 ? typical : load.workerMilliCores_;
+    load.demandMilliCores_ = ExpectedDemand(load, aNow);
+    auto& since = surplusSince_[name];
+    if (load.supply_ <= WantedWorkers(load)) {
+      since = aNow;
+    }
+    load.surplusFor_ = since == MonotonicTime{} ? Millis(0) : aNow - since;
+    if (since == MonotonicTime{}) {
+      since = aNow;
+    }
+    list.push_back(std::move(load));
+  }
+  return list;
+}
+
+std::int64_t
+Scheduler::ExpectedDemand(const PoolDemand& aLoad, MonotonicTime aNow)
+{
+  const auto& name = aLoad.pool_;
+  const auto waiting = WaitingMilliCores(name);
+  // What is asked for now comes when demand has grown.
+  auto expected =
+    ExpectedMilliCores(aLoad.heldMilliCores_ - aLoad.lastingMilliCores_,
+                       ArrivingMilliCores(name, aNow) + GrowthOf(name, aNow),
+                       ChainTimeOf(name),
+                       kVmArrival);
+  // Tasks that wait are to be begun within the time that objectives leave.
+  const auto runTime = RunTimeOf(name);
+  expected += waiting * runTime.count() / (runTime + kBacklogTime).count();
+  const auto turn = forecast_.Next(aNow);
+  if (turn && turn->pool_ == name && turn->startsAt_ - aNow <= kMoveAhead) {
+    expected = std::max(expected, turn->milliCores_);
+  }
+  return expected + aLoad.lastingMilliCores_;
+}
+
+void
+Scheduler::NoteLearned(MonotonicTime aNow)
+{
+  if (aNow - learnedAt_ < kLearnInterval) {
+    return;
+  }
+  learnedAt_ = aNow;
+  LearnedLoad load;
+  load.queues_ = demand_.Learned();
+  forecast_.Learn(load, aNow, LogicalNow(aNow));
+  if (Differ(load, state_.Learned())) {
+    LogInfo(
+      "noting what was learned of the load",
+      { { "queues", load.queues_.size() }, { "turns", load.turns_.size() } });
+    Decide(LoadLearned{ std::move(load) }, aNow);
+  }
+}
+
+} // namespace acaciahill
--- a/packages/workload/test/pools_test.cpp
+++ b/packages/workload/test/pools_test.cpp
@@ -185,3 +185,43 @@
           row.expected_);
   }
 }
+
+TEST_CASE("what was learned of the load goes on with a later leader")
+{
+  TurnForecast former;
+  for (int sample = -50; sample < 155; ++sample) {
+    const auto at = kStart + Millis(100 * sample);
+    const bool isFirst = sample >= 0 && sample < 45;
+    former.Observe("a", isFirst || sample >= 135 ? 200000 : 5000, at);
+    former.Observe("b", sample >= 45 && sample < 90 ? 200000 : 5000, at);
+    former.Observe("c", sample >= 90 && sample < 135 ? 200000 : 5000, at);
+  }
+  // Both leaders' clocks are their own; the logical time is one.
+  const auto lost = kStart + Millis(15500);
+  constexpr std::uint64_t kLogical = 700000;
+  LearnedLoad load;
+  former.Learn(load, lost, kLogical);
+  TurnForecast later;
+  const MonotonicTime began{ Millis(5000000) };
+  later.Restore(load, began, kLogical);
+  const auto expected = former.Next(lost);
+  const auto turn = later.Next(began);
+  REQUIRE(expected);
+  REQUIRE(turn);
+  CHECK(turn->pool_ == expected->pool_);
+  CHECK(turn->milliCores_ == expected->milliCores_);
+  CHECK(turn->startsAt_ - began == expected->startsAt_ - lost);
+  CHECK(later.HadTurn("c"));
+
+  DemandMeter meter;
+  for (int run = 0; run < 30; ++run) {
+    meter.CountRun("q", Millis(run % 2 == 0 ? 700 : 900));
+  }
+  DemandMeter next;
+  next.Restore(meter.Learned());
+  REQUIRE(next.LearnedRunTime("q", 1));
+  CHECK(*next.LearnedRunTime("q", 1) == *meter.LearnedRunTime("q", 1));
+  // An estimate does not replace it.
+  next.CountArrival("q", 4000, Millis(80), 1, began);
+  CHECK(next.RunTime("q") == meter.RunTime("q"));
+}
--- a/packages/workload/test/scheduler_test.cpp
+++ b/packages/workload/test/scheduler_test.cpp
@@ -330,6 +330,46 @@
   CHECK(!driver.moved_.empty());
 }
 
+// Seen in incident inc-ef70 and in the worst windows of days with trouble: a
+// leader elected shortly before a turn moved VMs by the customers' estimates.
+TEST_CASE("a new leader knows the run times that former ones have seen")
+{
+  SchedulerDriver driver(13, {});
+  driver.settings_.movesVms_ = true;
+  driver.ChangeLeader();
+  auto config = OnePool();
+  config.pools_["off"] = { "off", false, true };
+  driver.SetConfig(config);
+  for (int vm = 0; vm < 9; ++vm) {
+    driver.spareVms_.push_back(
+      { "s-" + std::to_string(vm), "off", VmState::Up, "", "z" });
+  }
+  AddWorkers(driver, 3);
+  // Tasks that are estimated at 1 ms take about 750 ms.
+  const auto submit = [&driver](JobId aId) {
+    auto spec = TwoSteps(aId);
+    spec.steps_.pop_back();
+    spec.steps_[0].estimatedMs_ = 1;
+    driver.Submit(spec);
+  };
+  for (JobId job = 1; job <= 4; ++job) {
+    submit(job);
+    driver.RunFor(Millis(1000));
+  }
+  driver.RunFor(Millis(3000));
+  REQUIRE(driver.Committed().Learned().queues_.size() == 1);
+  driver.ChangeLeader();
+  driver.RunFor(Millis(500));
+  const auto before = driver.moved_.size();
+  // 20 jobs of 3 cores ask for more than the pool's 12 cores, and none of their
+  // tasks ends in 0.4 s.
+  for (JobId job = 11; job <= 30; ++job) {
+    submit(job);
+    driver.RunFor(Millis(20));
+  }
+  CHECK(driver.moved_.size() >= before + 5);
+}
+
 TEST_CASE("rules of jobs hold under trouble, and all jobs end, on 200 seeds")
 {
   constexpr std::uint32_t kSeeds = 200;
--- a/packages/workload/turn_forecast.cpp
+++ b/packages/workload/turn_forecast.cpp
@@ -120,4 +120,38 @@
   return pool != pools_.end() && pool->second.inTurn_;
 }
 
+void
+TurnForecast::Learn(LearnedLoad& aLoad,
+                    MonotonicTime aNow,
+                    std::uint64_t aLogicalMs) const
+{
+  for (const auto& [name, pool] : pools_) {
+    aLoad.pools_.push_back(
+      { name, pool.mean_, pool.turnLevel_, pool.hadTurn_ });
+  }
+  for (const auto& start : starts_) {
+    const auto age = static_cast<std::uint64_t>((aNow - start.at_).count());
+    aLoad.turns_.push_back(
+      { start.pool_, aLogicalMs > age ? aLogicalMs - age : 0 });
+  }
+}
+
+void
+TurnForecast::Restore(const LearnedLoad& aLoad,
+                      MonotonicTime aNow,
+                      std::uint64_t aLogicalMs)
+{
+  for (const auto& learned : aLoad.pools_) {
+    auto& pool = pools_[learned.pool_];
+    pool.mean_ = learned.meanMilliCores_;
+    pool.isObserved_ = true;
+    pool.turnLevel_ = learned.turnMilliCores_;
+    pool.hadTurn_ = learned.hadTurn_;
+  }
+  for (const auto& turn : aLoad.turns_) {
+    starts_.push_back(
+      { turn.pool_, aNow - Millis(aLogicalMs - turn.startedAtMs_) });
+  }
+}
+
 } // namespace acaciahill
--- a/packages/workload/turn_forecast_base.h
+++ b/packages/workload/turn_forecast_base.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "kernel/time_type.h"
+#include "workload/workload_type.h"
 
 #include <cstdint>
 #include <map>
@@ -42,6 +43,17 @@
   /// True while the pool's turn lasts.
   bool IsInTurn(const std::string& aPool) const;
 
+  /// What a later leader is to know. The time is given with the logical time
+  /// that it stands for.
+  void Learn(LearnedLoad& aLoad,
+             MonotonicTime aNow,
+             std::uint64_t aLogicalMs) const;
+
+  /// Goes on from what a former leader has learned.
+  void Restore(const LearnedLoad& aLoad,
+               MonotonicTime aNow,
+               std::uint64_t aLogicalMs);
+
 private:
   struct PoolTrack
   {
--- a/packages/workload/workload.cpp
+++ b/packages/workload/workload.cpp
@@ -280,6 +280,12 @@
   }
 }
 
+void
+Workload::Take(const LoadLearned& aEvent)
+{
+  learned_ = aEvent.load_;
+}
+
 void
 Workload::Take(const WaveVmBegun& aEvent)
 {
--- a/packages/workload/workload_base.h
+++ b/packages/workload/workload_base.h
@@ -24,6 +24,7 @@
     return workers_;
   }
   const std::map<std::uint64_t, UpkeepWave>& Waves() const { return waves_; }
+  const LearnedLoad& Learned() const { return learned_; }
   std::uint64_t LogicalMs() const { return logicalMs_; }
   /// Number for the next worker that registers.
   std::uint32_t NextWorkerNumber() const { return nextWorker_; }
@@ -57,6 +58,7 @@
   void Take(const WorkerLeft& aEvent);
   void Take(const WaveStarted& aEvent);
   void Take(const WaveVmBegun& aEvent);
+  void Take(const LoadLearned& aEvent);
 
   TaskEntry* MutableTask(const TaskKey& aTask);
   void BeginOccurrence(JobEntry& aJob, std::uint32_t aOccurrence);
@@ -68,6 +70,7 @@
   std::map<JobId, JobEntry> jobs_;
   std::map<std::uint32_t, WorkerEntry> workers_;
   std::map<std::uint64_t, UpkeepWave> waves_;
+  LearnedLoad learned_;
   std::uint64_t logicalMs_ = 0;
   std::uint32_t nextWorker_ = 1;
 };
--- a/packages/workload/workload_codec.cpp
+++ b/packages/workload/workload_codec.cpp
@@ -15,8 +15,10 @@
 
 namespace {
 
-// Raised when the form changes; an older program refuses a newer one.
-constexpr std::uint32_t kFormVersion = 1;
+// Raised when the form changes; an older program refuses a newer one. Form 1
+// has no learned load.
+constexpr std::uint32_t kFormVersion = 2;
+constexpr std::uint32_t kFormWithoutLearned = 1;
 
 } // namespace
 
@@ -141,6 +143,41 @@
            aValue.completed_);
 }
 
+template<typename Archive>
+void
+serialize(Archive& aArchive, LearnedQueue& aValue)
+{
+  aArchive(aValue.queue_,
+           aValue.meanRunMs_,
+           aValue.runVariance_,
+           aValue.runs_,
+           aValue.chainSteps_);
+}
+
+template<typename Archive>
+void
+serialize(Archive& aArchive, LearnedPool& aValue)
+{
+  aArchive(aValue.pool_,
+           aValue.meanMilliCores_,
+           aValue.turnMilliCores_,
+           aValue.hadTurn_);
+}
+
+template<typename Archive>
+void
+serialize(Archive& aArchive, LearnedTurn& aValue)
+{
+  aArchive(aValue.pool_, aValue.startedAtMs_);
+}
+
+template<typename Archive>
+void
+serialize(Archive& aArchive, LearnedLoad& aValue)
+{
+  aArchive(aValue.queues_, aValue.pools_, aValue.turns_);
+}
+
 template<typename Archive>
 void
 serialize(Archive& aArchive, ConfigAccepted& aValue)
@@ -233,6 +270,13 @@
   aArchive(aValue.wave_, aValue.vm_);
 }
 
+template<typename Archive>
+void
+serialize(Archive& aArchive, LoadLearned& aValue)
+{
+  aArchive(aValue.load_);
+}
+
 template<typename Archive>
 void
 serialize(Archive& aArchive, WorkloadBatch& aValue)
@@ -246,7 +290,7 @@
 struct WorkloadCodec
 {
   template<typename Archive>
-  static void Run(Archive& aArchive, Workload& aValue)
+  static void Run(Archive& aArchive, Workload& aValue, std::uint32_t aForm)
   {
     aArchive(aValue.config_,
              aValue.jobs_,
@@ -254,6 +298,9 @@
              aValue.waves_,
              aValue.logicalMs_,
              aValue.nextWorker_);
+    if (aForm > kFormWithoutLearned) {
+      aArchive(aValue.learned_);
+    }
   }
 };
 
@@ -282,10 +329,10 @@
     cereal::PortableBinaryInputArchive archive(stream);
     std::uint32_t version = 0;
     archive(version);
-    if (version != kFormVersion) {
+    if (version < kFormWithoutLearned || version > kFormVersion) {
       return "form " + std::to_string(version) + " is not known";
     }
-    aRead(archive);
+    aRead(archive, version);
   } catch (const std::exception& error) {
     return error.what();
   }
@@ -300,7 +347,7 @@
 Workload::Encode() const
 {
   return EncodeWith([this](auto& aArchive) {
-    WorkloadCodec::Run(aArchive, const_cast<Workload&>(*this));
+    WorkloadCodec::Run(aArchive, const_cast<Workload&>(*this), kFormVersion);
   });
 }
 
@@ -308,9 +355,10 @@
 Workload::Decode(std::string_view aBytes)
 {
   Workload workload;
-  const auto fault = DecodeWith(aBytes, [&workload](auto& aArchive) {
-    WorkloadCodec::Run(aArchive, workload);
-  });
+  const auto fault =
+    DecodeWith(aBytes, [&workload](auto& aArchive, auto aForm) {
+      WorkloadCodec::Run(aArchive, workload, aForm);
+    });
   if (!fault.empty()) {
     return Error{ ErrorKind::CorruptSnapshot, "workload: " + fault };
   }
@@ -327,8 +375,8 @@
 DecodeBatch(std::string_view aBytes)
 {
   WorkloadBatch batch;
-  const auto fault =
-    DecodeWith(aBytes, [&batch](auto& aArchive) { aArchive(batch); });
+  const auto fault = DecodeWith(
+    aBytes, [&batch](auto& aArchive, auto /*aForm*/) { aArchive(batch); });
   if (!fault.empty()) {
     return Error{ ErrorKind::BadRequest, "workload batch: " + fault };
   }
--- a/packages/workload/workload_event_type.h
+++ b/packages/workload/workload_event_type.h
@@ -119,6 +119,14 @@
   bool operator==(const WaveVmBegun&) const = default;
 };
 
+/// Replaces what was learned of the load.
+struct LoadLearned
+{
+  LearnedLoad load_;
+
+  bool operator==(const LoadLearned&) const = default;
+};
+
 /// Every change of the workload's state is one of these.
 using WorkloadEvent = std::variant<ConfigAccepted,
                                    JobAccepted,
@@ -132,7 +140,8 @@
                                    WorkerDraining,
                                    WorkerLeft,
                                    WaveStarted,
-                                   WaveVmBegun>;
+                                   WaveVmBegun,
+                                   LoadLearned>;
 
 /// Events that are logged together.
 struct WorkloadBatch
--- a/packages/workload/workload_type.h
+++ b/packages/workload/workload_type.h
@@ -236,6 +236,53 @@
   bool operator==(const WorkerEntry&) const = default;
 };
 
+/// What was learned of the jobs of a queue.
+struct LearnedQueue
+{
+  std::string queue_;
+  /// Run times of tasks that were done, and how many there were.
+  double meanRunMs_ = 0;
+  double runVariance_ = 0;
+  std::uint64_t runs_ = 0;
+  /// Mean number of steps in the longest chain of a job.
+  double chainSteps_ = 1;
+
+  bool operator==(const LearnedQueue&) const = default;
+};
+
+/// What was learned of the turns of a pool's demand.
+struct LearnedPool
+{
+  std::string pool_;
+  double meanMilliCores_ = 0;
+  /// Mean demand of its last turn.
+  double turnMilliCores_ = 0;
+  bool hadTurn_ = false;
+
+  bool operator==(const LearnedPool&) const = default;
+};
+
+/// A turn of a pool that began.
+struct LearnedTurn
+{
+  std::string pool_;
+  /// Logical time in ms.
+  std::uint64_t startedAtMs_ = 0;
+
+  bool operator==(const LearnedTurn&) const = default;
+};
+
+/// What leaders have learned of the load, for the ones after them.
+struct LearnedLoad
+{
+  std::vector<LearnedQueue> queues_;
+  std::vector<LearnedPool> pools_;
+  /// Oldest first.
+  std::vector<LearnedTurn> turns_;
+
+  bool operator==(const LearnedLoad&) const = default;
+};
+
 /// A wave of upkeep: each of its VMs goes down once.
 struct UpkeepWave
 {
