Fix: a VM that was moving as the list was read can be moved after that

Ruled out: the limit of open moves, refusals of the platform (none in the log).

Change: a VM that is listed as moving counts as up once a move is over; if it is not, the platform refuses and it is tried again.

Test: a VM that was moving as the list was read can be moved after that; failed first.

--- a/packages/workload/scheduler_upkeep.cpp
+++ b/packages/workload/scheduler_upkeep.cpp
@@ -88,6 +88,11 @@
   for (const auto& listing : *aVms) {
     auto& view = vms_[listing.vm_];
     view.listing_ = listing;
+    // The list is not read again for some time, and the move ends before.
+    if (listing.state_ == VmState::Moving) {
+      view.listing_.state_ = VmState::Up;
+      view.restUntil_ = std::max(view.restUntil_, aNow + kVmArrival);
+    }
     listed.insert(listing.vm_);
     if (view.isDown_ && listing.state_ == VmState::Up &&
         aNow - view.downSince_ > kLeastDown) {
--- a/packages/workload/test/scheduler_test.cpp
+++ b/packages/workload/test/scheduler_test.cpp
@@ -330,6 +330,26 @@
   CHECK(!driver.moved_.empty());
 }
 
+// Seen on nashta-rota's trouble-2: 14 VMs that were just moving as the list was
+// read stayed off for 8 s while a pool asked for twice what it held.
+TEST_CASE("a VM that was moving as the list was read can be moved after that")
+{
+  SchedulerDriver driver(14, {});
+  driver.settings_.movesVms_ = true;
+  driver.ChangeLeader();
+  auto config = OnePool();
+  config.pools_["off"] = { "off", false, true };
+  driver.SetConfig(config);
+  driver.spareVms_ = { { "s-1", "off", VmState::Moving, "", "z" } };
+  AddWorkers(driver, 3);
+  driver.RunFor(Millis(2500));
+  auto large = TwoSteps(1);
+  large.steps_[0].tasks_ = 60;
+  driver.Submit(large);
+  driver.RunFor(Millis(1000));
+  CHECK(std::count(driver.moved_.begin(), driver.moved_.end(), "s-1") > 0);
+}
+
 // Seen in incident inc-ef70 and in the worst windows of days with trouble: a
 // leader elected shortly before a turn moved VMs by the customers' estimates.
 TEST_CASE("a new leader knows the run times that former ones have seen")
