--- a/packages/daemon/daemon_settings.cpp
+++ b/packages/daemon/daemon_settings.cpp
@@ -23,18 +23,6 @@
   return voters;
 }
 
-LogLevel
-ParseLevel(const std::string& aText)
-{
-  if (aText == "debug") {
-    return LogLevel::Debug;
-  }
-  if (aText == "warning") {
-    return LogLevel::Warning;
-  }
-  return aText == "error" ? LogLevel::Error : LogLevel::Info;
-}
-
 /// Reads values of one section.
 class Section
 {
@@ -160,7 +148,7 @@
     static_cast<std::uint64_t>(cluster.Integer("snapshot_entries"));
   made.platformUrl_ = settings.Text("platform", "url");
   made.traceFile_ = settings.Text("trace", "file");
-  made.log_ = { ParseLevel(log.Text("level")),
+  made.log_ = { LogLevelOf(log.Text("level")),
                 log.Text("format") == "json" ? LogFormat::Json
                                              : LogFormat::Text,
                 log.Text("file"),
--- a/packages/daemon/workload_service.cpp
+++ b/packages/daemon/workload_service.cpp
@@ -1,5 +1,6 @@
 #include "daemon/workload_service_base.h"
 
+#include "kernel/address_func.h"
 #include "kernel/log_func.h"
 #include "kernel/os_clock_func.h"
 #include "platform/platform_requests_func.h"
@@ -27,19 +28,13 @@
 constexpr std::int64_t kOk = 200;
 constexpr std::int64_t kUnavailable = 503;
 
-std::string
-HostOf(const std::string& aAddress)
-{
-  return aAddress.substr(0, aAddress.rfind(':'));
-}
-
 std::vector<std::string>
 NodesOf(const std::vector<std::string>& aSeeds)
 {
   std::vector<std::string> nodes;
   nodes.reserve(aSeeds.size());
   std::transform(
-    aSeeds.begin(), aSeeds.end(), std::back_inserter(nodes), HostOf);
+    aSeeds.begin(), aSeeds.end(), std::back_inserter(nodes), HostOfAddress);
   return nodes;
 }
 
--- a/packages/daemon/workload_settings.cpp
+++ b/packages/daemon/workload_settings.cpp
@@ -1,6 +1,7 @@
 #include "daemon/workload_settings_type.h"
 
 #include "daemon/table/workload_setting_table.h"
+#include "kernel/address_func.h"
 
 #include <algorithm>
 
@@ -25,19 +26,6 @@
   return items;
 }
 
-std::string
-HostOf(const std::string& aAddress)
-{
-  return aAddress.substr(0, aAddress.rfind(':'));
-}
-
-std::string
-PortOf(const std::string& aAddress)
-{
-  const auto colon = aAddress.rfind(':');
-  return colon == std::string::npos ? "" : aAddress.substr(colon + 1);
-}
-
 /// Faults that no single key shows; empty when there are none.
 std::string
 FaultOf(const WorkloadSettings& aSettings)
@@ -67,18 +55,6 @@
   return "";
 }
 
-LogLevel
-LevelOf(const std::string& aText)
-{
-  if (aText == "debug") {
-    return LogLevel::Debug;
-  }
-  if (aText == "warning") {
-    return LogLevel::Warning;
-  }
-  return aText == "error" ? LogLevel::Error : LogLevel::Info;
-}
-
 } // namespace
 
 Result<WorkloadSettings>
@@ -101,7 +77,7 @@
   made.listenControl_ = settings.Text("listen", "control");
   made.listenInternal_ = settings.Text("listen", "internal");
   made.listenMetrics_ = settings.Text("listen", "metrics");
-  made.internalPort_ = PortOf(made.listenInternal_);
+  made.internalPort_ = PortOfAddress(made.listenInternal_);
   made.seeds_ = SplitList(settings.Text("cluster", "seeds"));
   made.vmApi_ = settings.Text("platform", "vm_api");
   made.stopGrace_ = time("node", "stop_grace_ms");
@@ -120,9 +96,10 @@
                     time("timing", "election_max_ms") };
   control.snapshotEntries_ =
     static_cast<std::uint64_t>(settings.Integer("cluster", "snapshot_entries"));
-  const auto peerPort = PortOf(control.listenPeers_);
+  const auto peerPort = PortOfAddress(control.listenPeers_);
   for (const auto& seed : made.seeds_) {
-    control.voters_.emplace(HostOf(seed), HostOf(seed) + ":" + peerPort);
+    control.voters_.emplace(HostOfAddress(seed),
+                            HostOfAddress(seed) + ":" + peerPort);
   }
   control.seeded_ = SeededGroup{
     peerPort,
@@ -130,7 +107,7 @@
     static_cast<int>(settings.Integer("cluster", "tolerated_losses"))
   };
   const auto& name = settings.Text("node", "name");
-  control.log_ = { LevelOf(settings.Text("log", "level")),
+  control.log_ = { LogLevelOf(settings.Text("log", "level")),
                    settings.Text("log", "format") == "json" ? LogFormat::Json
                                                             : LogFormat::Text,
                    settings.Text("log", "file").empty()
--- a/packages/http/async_client.cpp
+++ b/packages/http/async_client.cpp
@@ -203,10 +203,4 @@
   asio::post(impl_->context_, [exchange] { exchange->Start(); });
 }
 
-void
-AsyncClient::Forget(const std::string& aAddress)
-{
-  impl_->idle_.erase(aAddress);
-}
-
 } // namespace acaciahill
--- a/packages/http/async_client_base.h
+++ b/packages/http/async_client_base.h
@@ -46,9 +46,6 @@
             Millis aTimeout,
             OnResult aOnResult);
 
-  /// Closes idle connections to an address, for example as it has a new owner.
-  void Forget(const std::string& aAddress);
-
 private:
   struct Impl;
   std::shared_ptr<Impl> impl_;
--- a/packages/kernel/log.cpp
+++ b/packages/kernel/log.cpp
@@ -156,4 +156,16 @@
   spdlog::default_logger_raw()->flush();
 }
 
+LogLevel
+LogLevelOf(std::string_view aText)
+{
+  if (aText == "debug") {
+    return LogLevel::Debug;
+  }
+  if (aText == "warning") {
+    return LogLevel::Warning;
+  }
+  return aText == "error" ? LogLevel::Error : LogLevel::Info;
+}
+
 } // namespace acaciahill
--- a/packages/kernel/log_func.h
+++ b/packages/kernel/log_func.h
@@ -23,6 +23,10 @@
   Json,
 };
 
+/// The level that settings name; Info for words that name none.
+LogLevel
+LogLevelOf(std::string_view aText);
+
 /// The file name that stands for standard output.
 inline constexpr std::string_view kLogToStdout = "-";
 
--- a/packages/workload/scheduler.cpp
+++ b/packages/workload/scheduler.cpp
@@ -35,6 +35,7 @@
     AddView(worker, aNow);
   }
   for (const auto& [id, job] : state_.Jobs()) {
+    NoteRepeated(job.spec_);
     for (const auto& [number, occurrence] : job.occurrences_) {
       for (std::uint32_t step = 0; step < occurrence.steps_.size(); ++step) {
         const auto& tasks = occurrence.steps_[step];
@@ -125,10 +126,11 @@
             { "queue", aSpec.queue_ },
             { "steps", aSpec.steps_.size() },
             { "config", config_.version_ },
-            { "waiting_milli_cores",
-              WaitingMilliCores(config_.queues_.at(aSpec.queue_).pool_) } });
+            { "waiting_steps",
+              ready_[config_.queues_.at(aSpec.queue_).pool_].size() } });
   AnswerOnCommit(aToken, RequestOutcome::Accepted);
   QueueJob(*state_.FindJob(aSpec.id_));
+  NoteRepeated(aSpec);
   CountArrival(aSpec, aNow);
   placementDue_ = true;
 }
@@ -229,15 +231,25 @@
   placementDue_ = true;
 }
 
+void
+Scheduler::NoteRepeated(const JobSpec& aSpec)
+{
+  if (aSpec.repeatCount_ > 0) {
+    repeated_.insert(aSpec.id_);
+  }
+}
+
 void
 Scheduler::BeginDueOccurrences(std::uint64_t aWallMs, MonotonicTime aNow)
 {
+  std::erase_if(repeated_, [this](JobId aJob) {
+    const auto* job = state_.FindJob(aJob);
+    return job == nullptr || IsOver(job->phase_);
+  });
   std::vector<OccurrenceBegun> due;
-  for (const auto& [id, job] : state_.Jobs()) {
+  for (const auto id : repeated_) {
+    const auto& job = *state_.FindJob(id);
     const auto& spec = job.spec_;
-    if (spec.repeatCount_ == 0 || IsOver(job.phase_)) {
-      continue;
-    }
     for (auto next = job.begunOccurrences_;
          next < spec.repeatCount_ &&
          spec.startAtMs_ + next * spec.intervalMs_ <= aWallMs;
--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -172,6 +172,8 @@
   void FlushBatch(MonotonicTime aNow);
   std::uint64_t LogicalNow(MonotonicTime aNow) const;
   bool HasAuthority(MonotonicTime aNow) const;
+  /// Remembers jobs whose steps run several times.
+  void NoteRepeated(const JobSpec& aSpec);
   void BeginDueOccurrences(std::uint64_t aWallMs, MonotonicTime aNow);
   void ForgetEndedJobs(MonotonicTime aNow);
 
@@ -231,7 +233,6 @@
                 const EndedRun& aEnd,
                 MonotonicTime aNow);
   void ReleaseStart(const HeldStart& aStart, MonotonicTime aNow);
-  void WantStop(RunView& aRun);
   void StopWanted(MonotonicTime aNow);
   void StopRunsOf(JobId aJob);
   void EvacuateLeaving(MonotonicTime aNow);
@@ -333,6 +334,8 @@
   /// number of the new one.
   std::map<std::uint32_t, std::uint32_t> superseded_;
   std::map<std::string, std::set<ReadyStep>> ready_;
+  /// Jobs whose next occurrence may become due.
+  std::set<JobId> repeated_;
   bool placementDue_ = true;
 
   std::vector<WorkloadEvent> events_;
--- a/packages/workload/scheduler_lists.cpp
+++ b/packages/workload/scheduler_lists.cpp
@@ -128,7 +128,7 @@
       never.emplace_back(task, run.run_);
     } else {
       run.phase_ = RunPhase::Unsure;
-      WantStop(run);
+      run.stopWanted_ = true;
     }
   }
   for (const auto& [task, run] : never) {
--- a/packages/workload/scheduler_run.cpp
+++ b/packages/workload/scheduler_run.cpp
@@ -198,7 +198,7 @@
         run->phase_ = RunPhase::Unsure;
         run->since_ = aNow;
       }
-      WantStop(*run);
+      run->stopWanted_ = true;
       return;
     case OrderOutcome::NoRoom:
       view.avoidUntil_ = std::max(view.avoidUntil_, aNow + kAvoidFull);
@@ -251,12 +251,6 @@
   }
 }
 
-void
-Scheduler::WantStop(RunView& aRun)
-{
-  aRun.stopWanted_ = true;
-}
-
 void
 Scheduler::StopWanted(MonotonicTime aNow)
 {
@@ -281,7 +275,7 @@
   for (auto& [number, view] : views_) {
     auto run = view.runs_.lower_bound(TaskKey{ aJob, 0, 0, 0 });
     for (; run != view.runs_.end() && run->first.job_ == aJob; ++run) {
-      WantStop(run->second);
+      run->second.stopWanted_ = true;
     }
   }
 }
@@ -303,7 +297,7 @@
       }
       if (run.lasts_ ||
           (isNear && job->spec_.steps_[task.step_].checkpoints_)) {
-        WantStop(run);
+        run.stopWanted_ = true;
       }
     }
   }
--- a/packages/workload/scheduler_upkeep.cpp
+++ b/packages/workload/scheduler_upkeep.cpp
@@ -186,7 +186,7 @@
                     { "run", run.run_ },
                     { "vm", vm },
                     { "away", AwayOf(task) } });
-          WantStop(run);
+          run.stopWanted_ = true;
         }
       }
     }
