Change: the leader decides once for what comes in within 5 ms

The scheduler looks at all workers, runs and waiting steps for each answer of a worker, about 1,500 a second.

Change: events that come within 5 ms of the last look are looked at together.

--- a/packages/daemon/workload_host.cpp
+++ b/packages/daemon/workload_host.cpp
@@ -39,6 +39,7 @@
   , context_(aContext)
   , client_(aClient)
   , timer_(aContext)
+  , runTimer_(aContext)
 {
 }
 
@@ -56,6 +57,7 @@
 {
   stopped_ = true;
   timer_.cancel();
+  runTimer_.cancel();
   Abandon("stopping");
 }
 
--- a/packages/daemon/workload_host_base.h
+++ b/packages/daemon/workload_host_base.h
@@ -59,8 +59,11 @@
   void Abandon(std::string_view aReason);
   bool HasSlept();
   void RefreshConfig();
-  /// Carries out what the scheduler decided since the last call.
+  /// Has the scheduler decide on what came in, at once or with what comes in
+  /// shortly after.
   void Run();
+  /// Carries out what the scheduler decides now.
+  void RunNow();
   RequestToken Hold(Answer aAnswer);
   /// Answers once everything logged before is committed, with what the
   /// function makes of the state then.
@@ -93,6 +96,9 @@
   boost::asio::io_context& context_;
   AsyncClient& client_;
   boost::asio::steady_timer timer_;
+  boost::asio::steady_timer runTimer_;
+  bool runDue_ = false;
+  MonotonicTime ranAt_{};
   bool stopped_ = false;
 
   std::optional<Scheduler> scheduler_;
--- a/packages/daemon/workload_orders.cpp
+++ b/packages/daemon/workload_orders.cpp
@@ -20,12 +20,38 @@
 // Added to the wait of a renewal for its way there and back.
 constexpr Millis kRenewalMargin{ 400 };
 constexpr Millis kVmTimeout{ 1500 };
+// The scheduler looks at all workers and waiting steps for each of its
+// decisions, and these look at what came in within this time together. A start
+// takes some tens of milliseconds.
+constexpr Millis kRunPause{ 5 };
 
 } // namespace
 
 void
 WorkloadHost::Run()
 {
+  if (runDue_) {
+    return;
+  }
+  const auto since = MonotonicNow() - ranAt_;
+  if (since >= kRunPause) {
+    RunNow();
+    return;
+  }
+  runDue_ = true;
+  runTimer_.expires_after(kRunPause - since);
+  runTimer_.async_wait([this](const boost::system::error_code& aError) {
+    runDue_ = false;
+    if (!aError) {
+      RunNow();
+    }
+  });
+}
+
+void
+WorkloadHost::RunNow()
+{
+  ranAt_ = MonotonicNow();
   const auto control = replica_.Control();
   if (scheduler_ && control.isLeader_ && control.term_ == term_) {
     scheduler_->ConfirmAuthority(MonotonicNow() - control.age_);
