Fix: gangs end and fail as one

Cause: members of a gang were closed one by one. When the end of one was not heard it was started again after the others had ended as done; when one could not begin, the others waited for it in vain; failures were counted for each member, and members could carry different checkpoints. No test had a gang.

Change: an end as done closes all members; any other end stops them; failures of the members are added up; all resume from one checkpoint. A gang that finds no room no longer copies the views of all workers.

The fake workers know gangs.

--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -227,6 +227,16 @@
                 RunEnd aEnd,
                 const std::string& aCheckpoint,
                 MonotonicTime aNow);
+  /// Ends or stops the other members of a gang, of which one has ended.
+  void EndGang(const TaskKey& aTask,
+               std::uint32_t aRun,
+               RunEnd aEnd,
+               MonotonicTime aNow);
+  /// Ends of the task as failed; of a gang those of all its members.
+  std::uint32_t FailuresOf(const TaskKey& aTask) const;
+  /// From where the next run of the task resumes. All members of a gang have to
+  /// carry one value, which may be of any of them.
+  const std::string& CheckpointOf(const TaskKey& aTask) const;
   /// Queues what an end of a run makes ready.
   void QueueAfter(const TaskKey& aTask, RunEnd aEnd);
   void CountEnd(std::uint32_t aWorker,
--- a/packages/workload/scheduler_place.cpp
+++ b/packages/workload/scheduler_place.cpp
@@ -285,25 +285,27 @@
     }
     run = std::max(run, task.run_ + 1);
   }
-  const auto used = views_;
+  const auto need = ReservedBy(step.need_, step.fills_);
   std::vector<std::uint32_t> chosen;
+  const auto giveBack = [&] {
+    for (const auto taken : chosen) {
+      auto& view = views_.at(taken);
+      view.used_ = Difference(view.used_, need);
+    }
+  };
   std::map<std::uint32_t, std::uint32_t> ofStep;
   for (std::size_t member = 0; member < tasks.size(); ++member) {
     const auto worker = ChooseWorker(step, aWorkers, ofStep);
     if (worker == 0) {
-      for (const auto taken : chosen) {
-        views_.at(taken).used_ = used.at(taken).used_;
-      }
+      giveBack();
       return false;
     }
     auto& view = views_.at(worker);
-    view.used_ = Sum(view.used_, ReservedBy(step.need_, step.fills_));
+    view.used_ = Sum(view.used_, need);
     ++ofStep[worker];
     chosen.push_back(worker);
   }
-  for (const auto taken : chosen) {
-    views_.at(taken).used_ = used.at(taken).used_;
-  }
+  giveBack();
   for (std::uint32_t index = 0; index < chosen.size(); ++index) {
     Assign({ aReady.job_, aReady.occurrence_, aReady.step_, index },
            run,
--- a/packages/workload/scheduler_run.cpp
+++ b/packages/workload/scheduler_run.cpp
@@ -4,6 +4,7 @@
 #include "workload/workload_text_func.h"
 
 #include <algorithm>
+#include <numeric>
 
 // The life of a run: its order, its stop, its end; leaving workers; pace.
 
@@ -69,11 +70,12 @@
 
   const auto* job = state_.FindJob(aTask.job_);
   const auto before = job->phase_;
+  const bool isGang = job->spec_.steps_[aTask.step_].gang_;
   const auto queue = config_.queues_.find(job->spec_.queue_);
   const auto attempts =
     queue == config_.queues_.end() ? 1 : queue->second.attempts_;
-  const bool isLast = aEnd == RunEnd::Failed && !lasts &&
-                      state_.FindTask(aTask)->failures_ + 1 >= attempts;
+  const bool isLast =
+    aEnd == RunEnd::Failed && !lasts && FailuresOf(aTask) + 1 >= attempts;
   if (aEnd != RunEnd::Done && aEnd != RunEnd::Stopped) {
     LogInfo("run ended early",
             { { "task", TaskText(aTask) },
@@ -95,9 +97,78 @@
     }
     return;
   }
+  if (isGang) {
+    EndGang(aTask, aRun, aEnd, aNow);
+  }
   QueueAfter(aTask, aEnd);
 }
 
+// One end as done stands for all members, which end together. After any other
+// end the rest would wait for the member in vain.
+void
+Scheduler::EndGang(const TaskKey& aTask,
+                   std::uint32_t aRun,
+                   RunEnd aEnd,
+                   MonotonicTime aNow)
+{
+  const auto* job = state_.FindJob(aTask.job_);
+  const auto occurrence = job->occurrences_.find(aTask.occurrence_);
+  if (occurrence == job->occurrences_.end()) {
+    return;
+  }
+  const auto tasks = occurrence->second.steps_[aTask.step_];
+  for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+    const TaskKey other{ aTask.job_, aTask.occurrence_, aTask.step_, index };
+    if (index == aTask.index_ || tasks[index].run_ != aRun) {
+      continue;
+    }
+    auto* run = FindRun(tasks[index].worker_, other, aRun);
+    if (aEnd != RunEnd::Done) {
+      if (run != nullptr) {
+        run->stopWanted_ = true;
+      }
+    } else if (run != nullptr) {
+      CloseRun(tasks[index].worker_, other, aRun, RunEnd::Done, {}, aNow);
+    } else {
+      Decide(RunClosed{ other, aRun, RunEnd::Done, {}, false }, aNow);
+    }
+  }
+}
+
+std::uint32_t
+Scheduler::FailuresOf(const TaskKey& aTask) const
+{
+  const auto& job = *state_.FindJob(aTask.job_);
+  if (!job.spec_.steps_[aTask.step_].gang_) {
+    return state_.FindTask(aTask)->failures_;
+  }
+  const auto& tasks =
+    job.occurrences_.at(aTask.occurrence_).steps_[aTask.step_];
+  return std::accumulate(tasks.begin(),
+                         tasks.end(),
+                         0U,
+                         [](std::uint32_t aSum, const auto& aMember) {
+                           return aSum + aMember.failures_;
+                         });
+}
+
+const std::string&
+Scheduler::CheckpointOf(const TaskKey& aTask) const
+{
+  const auto& job = *state_.FindJob(aTask.job_);
+  const auto& own = state_.FindTask(aTask)->checkpoint_;
+  if (!job.spec_.steps_[aTask.step_].gang_) {
+    return own;
+  }
+  const auto& tasks =
+    job.occurrences_.at(aTask.occurrence_).steps_[aTask.step_];
+  const auto saved =
+    std::find_if(tasks.begin(), tasks.end(), [](const auto& aMember) {
+      return !aMember.checkpoint_.empty();
+    });
+  return saved == tasks.end() ? own : saved->checkpoint_;
+}
+
 void
 Scheduler::QueueAfter(const TaskKey& aTask, RunEnd aEnd)
 {
@@ -164,7 +235,7 @@
                                   aStart.task_,
                                   aStart.run_,
                                   job->spec_.payload_,
-                                  state_.FindTask(aStart.task_)->checkpoint_ });
+                                  CheckpointOf(aStart.task_) });
 }
 
 void
--- a/packages/workload/test/scheduler_driver.cpp
+++ b/packages/workload/test/scheduler_driver.cpp
@@ -24,6 +24,7 @@
 constexpr Millis kDown{ 3000 };
 constexpr Millis kCut{ 9000 };
 constexpr Millis kRunTime{ 500 };
+constexpr Millis kGangTimeout{ 3000 };
 constexpr std::int64_t kCores = 4000;
 constexpr std::int64_t kMemory = 4000;
 
@@ -247,6 +248,56 @@
       EndRun(worker, task, end);
     }
   }
+  StepGangs();
+}
+
+std::vector<TaskKey>
+SchedulerDriver::MembersOf(const TaskKey& aTask) const
+{
+  const auto& step = specs_.at(aTask.job_).steps_[aTask.step_];
+  if (!step.gang_) {
+    return { aTask };
+  }
+  std::vector<TaskKey> members;
+  for (std::uint32_t index = 0; index < step.tasks_; ++index) {
+    members.push_back({ aTask.job_, aTask.occurrence_, aTask.step_, index });
+  }
+  return members;
+}
+
+void
+SchedulerDriver::StepGangs()
+{
+  using Gang = std::tuple<JobId, std::uint32_t, std::uint32_t, std::uint32_t>;
+  std::map<Gang, std::vector<std::pair<FakeWorker*, TaskKey>>> gangs;
+  for (auto& [id, worker] : workers_) {
+    for (const auto& [task, run] : worker.runs_) {
+      if (run.gang_) {
+        gangs[{ task.job_, task.occurrence_, task.step_, run.run_ }].push_back(
+          { &worker, task });
+      }
+    }
+  }
+  for (const auto& [gang, members] : gangs) {
+    const auto& first = members.front().second;
+    const bool isWhole = members.size() == MembersOf(first).size();
+    const bool fails = Hits(trouble_.failedEnd_);
+    for (const auto& [worker, task] : members) {
+      auto& run = worker->runs_.at(task);
+      if (isWhole && !run.together_) {
+        run.together_ = true;
+        // When one fails the others are broken.
+        run.end_ = fails ? RunEnd::Failed : RunEnd::Done;
+        run.endsAt_ =
+          fails && task != first ? MonotonicTime::max() : now_ + kRunTime;
+      } else if (!isWhole && run.together_) {
+        EndRun(*worker, task, RunEnd::Broken);
+      } else if (!isWhole && now_ - run.startedAt_ >= kGangTimeout) {
+        ++alone_;
+        EndRun(*worker, task, RunEnd::Alone);
+      }
+    }
+  }
 }
 
 void
@@ -256,7 +307,8 @@
   aWorker.runs_.erase(aTask);
   aWorker.barred_[aTask] = std::max(aWorker.barred_[aTask], run);
   if (aEnd == RunEnd::Done) {
-    endedDone_.insert(aTask);
+    const auto members = MembersOf(aTask);
+    endedDone_.insert(members.begin(), members.end());
   }
   aWorker.ended_.push_back({ aWorker.nextEnd_++, aTask, run, aEnd, {} });
 }
@@ -363,6 +415,9 @@
   run.endsAt_ = now_ + kRunTime + Millis(Draw(500));
   run.end_ = Hits(trouble_.failedEnd_) ? RunEnd::Failed : RunEnd::Done;
   run.lasts_ = step.lasts_;
+  run.gang_ = step.gang_;
+  run.startedAt_ = now_;
+  run.endsAt_ = step.gang_ ? MonotonicTime::max() : run.endsAt_;
   run.milliCores_ = step.fills_ ? 0 : step.need_.milliCores_;
   run.memoryMb_ = step.need_.memoryMb_;
   aWorker.runs_[aOrder.task_] = run;
@@ -481,7 +536,8 @@
         const bool stands =
           !lapsedEnds_.contains({ worker->id_, worker->bornMs_, aEnd.number_ });
         if (isNoted && stands && aEnd.end_ == RunEnd::Done) {
-          notedDone_.insert(aEnd.task_);
+          const auto members = MembersOf(aEnd.task_);
+          notedDone_.insert(members.begin(), members.end());
         }
         return isNoted;
       });
--- a/packages/workload/test/scheduler_driver.h
+++ b/packages/workload/test/scheduler_driver.h
@@ -22,6 +22,10 @@
     MonotonicTime endsAt_{};
     RunEnd end_ = RunEnd::Done;
     bool lasts_ = false;
+    /// Members of a gang work from when all are there, and end together.
+    bool gang_ = false;
+    bool together_ = false;
+    MonotonicTime startedAt_{};
     std::int64_t milliCores_ = 0;
     std::int64_t memoryMb_ = 0;
   };
@@ -84,6 +88,8 @@
   MonotonicTime Now() const { return now_; }
   /// Whether the leader hears a majority of the voters; true at first.
   bool hasMajority_ = true;
+  /// Members of gangs that waited in vain for the others.
+  std::size_t alone_ = 0;
   /// Orders to workers so far.
   std::size_t orders_ = 0;
   std::map<std::string, FakeWorker>& Workers() { return workers_; }
@@ -121,6 +127,9 @@
   template<typename Order>
   OrderAnswer Deliver(const Order& aOrder);
   void StepWorkers();
+  void StepGangs();
+  /// The tasks of the gang that the task belongs to, or only itself.
+  std::vector<TaskKey> MembersOf(const TaskKey& aTask) const;
   void AnswerRenewals();
   void Answer(const RenewLease& aAction);
   void MakeTrouble();
--- a/packages/workload/test/scheduler_test.cpp
+++ b/packages/workload/test/scheduler_test.cpp
@@ -390,6 +390,48 @@
   CHECK(driver.moved_.size() >= before + 5);
 }
 
+TEST_CASE("a gang begins together, and one end as done stands for all members")
+{
+  SchedulerDriver driver(15, {});
+  driver.SetConfig(OnePool());
+  AddWorkers(driver, 3);
+  driver.RunFor(Millis(500));
+  auto spec = TwoSteps(1);
+  spec.steps_[0].gang_ = true;
+  spec.steps_[0].tasks_ = 6;
+  spec.steps_[0].maxPerWorker_ = 2;
+  driver.Submit(spec);
+  // The ends of a member whose worker is cut off are not heard.
+  driver.RunFor(Millis(200));
+  driver.Workers().at("w1").cut_ = true;
+  driver.RunFor(Millis(3000));
+  CHECK(PhaseOf(driver, 1) == JobPhase::Completed);
+  CHECK(driver.alone_ == 0);
+  INFO((driver.Seen().empty() ? "" : driver.Seen().front()));
+  CHECK(driver.Seen().empty());
+}
+
+TEST_CASE("members of a gang do not wait for one that cannot begin")
+{
+  SchedulerDriver driver(16, {});
+  driver.SetConfig(OnePool());
+  AddWorkers(driver, 3);
+  driver.RunFor(Millis(500));
+  auto spec = TwoSteps(1);
+  spec.steps_.pop_back();
+  spec.steps_[0].gang_ = true;
+  spec.steps_[0].maxPerWorker_ = 1;
+  driver.Submit(spec);
+  // A worker begins to drain between the assignment and its order.
+  driver.RunFor(Millis(10));
+  driver.Drain("w2");
+  AddWorkers(driver, 4);
+  driver.RunFor(Millis(4000));
+  CHECK(driver.alone_ == 0);
+  CHECK(PhaseOf(driver, 1) == JobPhase::Completed);
+  CHECK(driver.Seen().empty());
+}
+
 TEST_CASE("rules of jobs hold under trouble, and all jobs end, on 200 seeds")
 {
   constexpr std::uint32_t kSeeds = 200;
@@ -411,7 +453,9 @@
     AddWorkers(driver, 4);
     driver.RunFor(Millis(300));
     for (JobId job = 1; job <= kJobs; ++job) {
-      driver.Submit(TwoSteps(job));
+      auto spec = TwoSteps(job);
+      spec.steps_[0].gang_ = job % 5 == 0;
+      driver.Submit(spec);
       if (job % 9 == 0) {
         driver.Cancel(job - 3);
       }
