Fix: workers and operators are refused after 0.5 s without a leader

Change: requests on the control interface wait 0.5 s for an election.

Test: a row of gateway_test, which gets no answer without the change (not run there; the former timing had no such member).

--- a/packages/daemon/gateway.cpp
+++ b/packages/daemon/gateway.cpp
@@ -281,10 +281,13 @@
 Gateway::TryLater(const PendingPtr& aPending)
 {
   const auto waited = MonotonicNow() - aPending->startedAt_;
-  const bool isOver = aPending->maybeAccepted_
-                        ? waited >= timing_.sentPatience_
-                        : waited >= timing_.unsentPatience_ ||
-                            leader_.silentFor_() >= timing_.leaderless_;
+  const auto patience = aPending->plane_ == Plane::Callers
+                          ? timing_.unsentPatience_
+                          : timing_.controlPatience_;
+  const bool isOver =
+    aPending->maybeAccepted_
+      ? waited >= timing_.sentPatience_
+      : waited >= patience || leader_.silentFor_() >= timing_.leaderless_;
   if (isOver) {
     Refuse(aPending);
     return;
--- a/packages/daemon/gateway_base.h
+++ b/packages/daemon/gateway_base.h
@@ -41,6 +41,9 @@
   /// A request that reached no leader is refused after this time. An election
   /// is mostly over by then, and customers wait three times as long.
   Millis unsentPatience_{ 1000 };
+  /// The same for workers and operators: they try another node after 1 s
+  /// without an answer, and an answer then comes too late.
+  Millis controlPatience_{ 500 };
   /// When no leader was there for this time, requests are refused at once: this
   /// node is cut off, or there is none to be elected.
   Millis leaderless_{ 1500 };
--- a/packages/daemon/test/gateway_test.cpp
+++ b/packages/daemon/test/gateway_test.cpp
@@ -76,7 +76,7 @@
   }
 
   /// Passes one request on; the answer is there when one came in time.
-  std::optional<HttpAnswer> Ask(GatewayTiming aTiming)
+  std::optional<HttpAnswer> Ask(Plane aPlane, GatewayTiming aTiming)
   {
     Gateway gateway(
       context_, client_, "entry", port_, metrics_, nullptr, Source(), aTiming);
@@ -84,7 +84,7 @@
     request.method_ = "POST";
     request.target_ = "/q/1";
     std::optional<HttpAnswer> answer;
-    gateway.Handle(Plane::Callers, std::move(request), [&](HttpAnswer aAnswer) {
+    gateway.Handle(aPlane, std::move(request), [&](HttpAnswer aAnswer) {
       answer = std::move(aAnswer);
       context_.stop();
     });
@@ -156,13 +156,14 @@
     bool elects_;
     std::int64_t status_;
     std::string body_;
+    Plane plane_ = Plane::Callers;
   };
   const std::vector<Row> rows{
     { "a leader that answers",
       Mood::Answers,
       kOne,
       Millis(0),
-      { kNever, kNever, kNever, kNever },
+      { kNever, kNever, kNever, kNever, kNever },
       false,
       200,
       kOne },
@@ -172,7 +173,7 @@
       Mood::Hangs,
       kOne,
       Millis(0),
-      { kNever, kNever, kNever, kNever },
+      { kNever, kNever, kNever, kNever, kNever },
       true,
       200,
       kTwo },
@@ -181,7 +182,7 @@
       Mood::Answers,
       "",
       Millis(100),
-      { kNever, kNever, kNever, kNever },
+      { kNever, kNever, kNever, kNever, kNever },
       true,
       200,
       kTwo },
@@ -189,7 +190,7 @@
       Mood::LostLeadership,
       kOne,
       Millis(0),
-      { kNever, kNever, kNever, kNever },
+      { kNever, kNever, kNever, kNever, kNever },
       false,
       200,
       kTwo },
@@ -197,7 +198,7 @@
       Mood::Answers,
       "",
       Millis(5000),
-      { kNever, Millis(1500), kNever, kNever },
+      { kNever, kNever, Millis(1500), kNever, kNever },
       false,
       503,
       "" },
@@ -205,10 +206,20 @@
       Mood::Answers,
       "",
       Millis(100),
-      { Millis(100), kNever, kNever, kNever },
+      { Millis(100), kNever, kNever, kNever, kNever },
       false,
       503,
       "" },
+    // A worker's heartbeat was held for 1 s, after which it calls another node.
+    { "a worker is told sooner",
+      Mood::Answers,
+      "",
+      Millis(100),
+      { kNever, Millis(100), kNever, kNever, kNever },
+      false,
+      503,
+      "",
+      Plane::Control },
   };
   for (const auto& row : rows) {
     INFO(row.name_);
@@ -218,7 +229,7 @@
     if (row.elects_) {
       bench.ElectLater(kTwo);
     }
-    const auto answer = bench.Ask(row.timing_);
+    const auto answer = bench.Ask(row.plane_, row.timing_);
     REQUIRE(answer);
     CHECK(answer->status_ == row.status_);
     CHECK(answer->body_ == row.body_);
