Fix: each member of a gang is logged as done once

Cause: seen in the read of the change: every member that was closed as done closed all others again, which wrote events in the square of the gang's size.

Change: members that are done are left out.

Test: the model counts ends that are logged as done twice; the gang's test failed first.

--- a/packages/workload/scheduler_demand.cpp
+++ b/packages/workload/scheduler_demand.cpp
@@ -222,7 +222,6 @@
     const auto load = loads.find(move.pool_);
     if (load != loads.end() && !HasWorker(vm, move.pool_)) {
       ++load->second.supply_;
-      // A pool that never had a worker has VMs like those of the others.
     }
   }
   if (aNow - startedAt_ < kFirstReports) {
@@ -236,6 +235,7 @@
       }
     }
   }
+  // A pool that never had a worker has VMs like those of the others.
   std::int64_t typical = 0;
   for (const auto& [name, load] : loads) {
     typical = std::max(typical, load.workerMilliCores_);
--- a/packages/workload/scheduler_run.cpp
+++ b/packages/workload/scheduler_run.cpp
@@ -111,24 +111,25 @@
                    RunEnd aEnd,
                    MonotonicTime aNow)
 {
-  const auto* job = state_.FindJob(aTask.job_);
-  const auto occurrence = job->occurrences_.find(aTask.occurrence_);
-  if (occurrence == job->occurrences_.end()) {
-    return;
-  }
-  const auto tasks = occurrence->second.steps_[aTask.step_];
-  for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+  const auto members =
+    state_.FindJob(aTask.job_)->spec_.steps_[aTask.step_].tasks_;
+  for (std::uint32_t index = 0; index < members; ++index) {
     const TaskKey other{ aTask.job_, aTask.occurrence_, aTask.step_, index };
-    if (index == aTask.index_ || tasks[index].run_ != aRun) {
+    const auto* task = state_.FindTask(other);
+    if (task == nullptr) {
+      // The last member has ended the occurrence.
+      return;
+    }
+    if (task->run_ != aRun || task->state_ == TaskState::Done) {
       continue;
     }
-    auto* run = FindRun(tasks[index].worker_, other, aRun);
+    auto* run = FindRun(task->worker_, other, aRun);
     if (aEnd != RunEnd::Done) {
       if (run != nullptr) {
         run->stopWanted_ = true;
       }
     } else if (run != nullptr) {
-      CloseRun(tasks[index].worker_, other, aRun, RunEnd::Done, {}, aNow);
+      CloseRun(task->worker_, other, aRun, RunEnd::Done, {}, aNow);
     } else {
       Decide(RunClosed{ other, aRun, RunEnd::Done, {}, false }, aNow);
     }
--- a/packages/workload/test/scheduler_driver.cpp
+++ b/packages/workload/test/scheduler_driver.cpp
@@ -54,6 +54,7 @@
     log_.pop_front();
   }
   log_.clear();
+  loggedDone_.clear();
   submits_.clear();
   cancels_.clear();
   scheduler_ =
@@ -330,6 +331,13 @@
 void
 SchedulerDriver::Do(const LogBatch& aAction)
 {
+  for (const auto& event : aAction.events_.events_) {
+    const auto* closed = std::get_if<RunClosed>(&event);
+    if (closed != nullptr && closed->end_ == RunEnd::Done &&
+        !loggedDone_.emplace(closed->task_, closed->run_).second) {
+      violations_.push_back("logged as done twice: " + TaskText(closed->task_));
+    }
+  }
   log_.emplace_back(now_ + kCommitTime, aAction);
 }
 
--- a/packages/workload/test/scheduler_driver.h
+++ b/packages/workload/test/scheduler_driver.h
@@ -176,6 +176,8 @@
   /// Worker, life and number of ends that were listed when a lease lapsed.
   std::set<std::tuple<std::string, std::uint64_t, std::uint64_t>> lapsedEnds_;
   std::map<JobId, JobSpec> specs_;
+  /// Runs that were logged as done.
+  std::set<std::pair<TaskKey, std::uint32_t>> loggedDone_;
   Violations violations_;
 };
 
