--- a/packages/daemon/test/gateway_test.cpp
+++ b/packages/daemon/test/gateway_test.cpp
@@ -1,5 +1,6 @@
 #include "daemon/gateway_base.h"
 
+#include "kernel/address_func.h"
 #include "kernel/os_clock_func.h"
 
 #include <catch2/catch.hpp>
@@ -52,12 +53,12 @@
       for (const auto& [node, mood] : aNodes) {
         auto listener = std::make_unique<AsyncListener>(
           context_,
-          [this, node = node, mood = mood](HttpRequest,
+          [this, node = node, mood = mood](const HttpRequest&,
                                            AsyncListener::Answer aAnswer) {
             Serve(node, mood, std::move(aAnswer));
           },
           HttpLimits{ 16384, 65536 });
-        if (!IsOk(listener->Start(node + ":" + port))) {
+        if (!IsOk(listener->Start(JoinAddress(node, port)))) {
           port = "0";
           break;
         }
--- a/packages/daemon/test/leader_finder_test.cpp
+++ b/packages/daemon/test/leader_finder_test.cpp
@@ -1,6 +1,7 @@
 #include "daemon/leader_finder_base.h"
 
 #include "http/async_listener_base.h"
+#include "kernel/address_func.h"
 #include "kernel/os_clock_func.h"
 
 #include <catch2/catch.hpp>
@@ -33,7 +34,7 @@
       for (const auto& node : kNodes) {
         auto listener = std::make_unique<AsyncListener>(
           context_,
-          [this, node](HttpRequest, AsyncListener::Answer aAnswer) {
+          [this, node](const HttpRequest&, AsyncListener::Answer aAnswer) {
             if (hanging_.contains(node)) {
               open_.push_back(std::move(aAnswer));
               return;
@@ -44,7 +45,7 @@
             aAnswer(std::move(answer));
           },
           HttpLimits{ 16384, 65536 });
-        if (!IsOk(listener->Start(node + ":" + port_))) {
+        if (!IsOk(listener->Start(JoinAddress(node, port_)))) {
           break;
         }
         listeners_.push_back(std::move(listener));
--- a/packages/kernel/address.cpp
+++ b/packages/kernel/address.cpp
@@ -15,4 +15,10 @@
   return colon == std::string::npos ? "" : aAddress.substr(colon + 1);
 }
 
+std::string
+JoinAddress(std::string aHost, const std::string& aPort)
+{
+  return aHost.append(":").append(aPort);
+}
+
 } // namespace acaciahill
--- a/packages/kernel/address_func.h
+++ b/packages/kernel/address_func.h
@@ -12,4 +12,8 @@
 std::string
 PortOfAddress(const std::string& aAddress);
 
+/// "host:port".
+std::string
+JoinAddress(std::string aHost, const std::string& aPort);
+
 } // namespace acaciahill
