--- a/packages/daemon/daemon_settings.cpp
+++ b/packages/daemon/daemon_settings.cpp
@@ -91,13 +91,8 @@
     return "node.role: this node is listed in cluster.voters but its role is "
            "entry";
   }
-  if (aSettings.raft_.electionMin_ < 3 * aSettings.raft_.heartbeat_) {
-    // One lost heartbeat must not start an election.
-    return "timing.election_min_ms: must be at least 3 times "
-           "timing.heartbeat_ms";
-  }
-  if (aSettings.raft_.electionMax_ <= aSettings.raft_.electionMin_) {
-    return "timing.election_max_ms: must be over timing.election_min_ms";
+  if (auto fault = FaultOfTiming(aSettings.raft_); !fault.empty()) {
+    return fault;
   }
   if (aSettings.routingLease_ < 2 * aSettings.announceInterval_) {
     // One lost announcement must not end the evidence of a healthy target.
@@ -108,6 +103,20 @@
 
 } // namespace
 
+std::string
+FaultOfTiming(const RaftTiming& aTiming)
+{
+  if (aTiming.electionMin_ < 3 * aTiming.heartbeat_) {
+    // One lost heartbeat must not start an election.
+    return "timing.election_min_ms: must be at least 3 times "
+           "timing.heartbeat_ms";
+  }
+  if (aTiming.electionMax_ <= aTiming.electionMin_) {
+    return "timing.election_max_ms: must be over timing.election_min_ms";
+  }
+  return "";
+}
+
 Result<DaemonSettings>
 LoadDaemonSettings(const std::string& aPath)
 {
--- a/packages/daemon/daemon_settings_type.h
+++ b/packages/daemon/daemon_settings_type.h
@@ -61,6 +61,10 @@
   bool operator==(const DaemonSettings&) const = default;
 };
 
+/// What is wrong with the times of the control group; empty when nothing is.
+std::string
+FaultOfTiming(const RaftTiming& aTiming);
+
 /// Reads and checks a settings file. Errors: BadSetting with a line for each
 /// fault.
 Result<DaemonSettings>
--- a/packages/daemon/gateway.cpp
+++ b/packages/daemon/gateway.cpp
@@ -1,12 +1,12 @@
 #include "daemon/gateway_base.h"
 
+#include "http/http_message_func.h"
 #include "kernel/log_func.h"
 #include "kernel/os_clock_func.h"
 #include "platform/platform_requests_func.h"
 
 #include <boost/asio/steady_timer.hpp>
 
-#include <algorithm>
 #include <utility>
 
 namespace acaciahill {
@@ -27,14 +27,6 @@
 constexpr std::int64_t kNotNow = 503;
 constexpr std::int64_t kServerError = 500;
 
-bool
-HasHeader(const HttpHeaders& aHeaders, std::string_view aName)
-{
-  return std::any_of(aHeaders.begin(), aHeaders.end(), [&](const auto& aOne) {
-    return aOne.name_ == aName;
-  });
-}
-
 std::string_view
 WordOf(Plane aPlane)
 {
@@ -141,12 +133,8 @@
     aAnswer(std::move(answer));
     return;
   }
-  const bool isControl = std::any_of(aRequest.headers_.begin(),
-                                     aRequest.headers_.end(),
-                                     [](const auto& aHeader) {
-                                       return aHeader.name_ == kPlaneHeader &&
-                                              aHeader.value_ == kControlWord;
-                                     });
+  const bool isControl =
+    FindHeader(aRequest.headers_, kPlaneHeader) == kControlWord;
   GiveToHost(
     isControl ? Plane::Control : Plane::Callers, aRequest, std::move(aAnswer));
 }
@@ -178,7 +166,7 @@
     GiveToHost(aPending->plane_,
                aPending->request_,
                [this, pending = aPending](HttpAnswer aAnswer) {
-                 if (HasHeader(aAnswer.headers_, kNotLeaderHeader)) {
+                 if (FindHeader(aAnswer.headers_, kNotLeaderHeader)) {
                    pending->maybeAccepted_ = true;
                    TryLater(pending);
                  } else {
@@ -214,7 +202,7 @@
     [this, pending = aPending, call, aLeader](const CallResult& aResult) {
       const bool isLast = call == pending->call_;
       if (const auto* answer = std::get_if<HttpAnswer>(&aResult)) {
-        const bool leads = !HasHeader(answer->headers_, kNotLeaderHeader);
+        const bool leads = !FindHeader(answer->headers_, kNotLeaderHeader);
         if (leads) {
           leader_.onAnswer_(aLeader);
         }
--- a/packages/daemon/test/gateway_test.cpp
+++ b/packages/daemon/test/gateway_test.cpp
@@ -1,7 +1,7 @@
 #include "daemon/gateway_base.h"
 
 #include "kernel/address_func.h"
-#include "kernel/os_clock_func.h"
+#include "support/process_harness.h"
 
 #include <catch2/catch.hpp>
 
@@ -42,30 +42,16 @@
     : client_(context_)
     , timer_(context_)
   {
-    // The port of the first node is free for the others' addresses as well.
-    std::string port = "0";
-    for (int tries = 0; port == "0"; ++tries) {
-      REQUIRE(tries < 100);
-      port = std::to_string(
-        20000 +
-        (MonotonicNow().time_since_epoch().count() * 31 + tries) % 10000);
-      listeners_.clear();
-      for (const auto& [node, mood] : aNodes) {
-        auto listener = std::make_unique<AsyncListener>(
-          context_,
-          [this, node = node, mood = mood](const HttpRequest&,
-                                           AsyncListener::Answer aAnswer) {
-            Serve(node, mood, std::move(aAnswer));
-          },
-          HttpLimits{ 16384, 65536 });
-        if (!IsOk(listener->Start(JoinAddress(node, port)))) {
-          port = "0";
-          break;
-        }
-        listeners_.push_back(std::move(listener));
-      }
+    for (const auto& [node, mood] : aNodes) {
+      listeners_.push_back(std::make_unique<AsyncListener>(
+        context_,
+        [this, node = node, mood = mood](const HttpRequest&,
+                                         AsyncListener::Answer aAnswer) {
+          Serve(node, mood, std::move(aAnswer));
+        },
+        HttpLimits{ 16384, 65536 }));
+      REQUIRE(IsOk(listeners_.back()->Start(JoinAddress(node, port_))));
     }
-    port_ = port;
   }
 
   LeaderSource Source()
@@ -107,14 +93,12 @@
   std::string leader_;
   Millis silentFor_{ 0 };
   std::vector<std::string> confirmed_;
-  std::vector<std::string> asked_;
 
 private:
   void Serve(const std::string& aNode,
              Mood aMood,
              AsyncListener::Answer aAnswer)
   {
-    asked_.push_back(aNode);
     HttpAnswer answer;
     answer.status_ = 200;
     switch (aMood) {
@@ -139,7 +123,7 @@
   boost::asio::steady_timer timer_;
   std::vector<std::unique_ptr<AsyncListener>> listeners_;
   std::vector<AsyncListener::Answer> hanging_;
-  std::string port_;
+  const std::string port_{ std::to_string(testing::FreePort()) };
   Metrics metrics_;
 };
 
--- a/packages/daemon/test/leader_finder_test.cpp
+++ b/packages/daemon/test/leader_finder_test.cpp
@@ -2,7 +2,7 @@
 
 #include "http/async_listener_base.h"
 #include "kernel/address_func.h"
-#include "kernel/os_clock_func.h"
+#include "support/process_harness.h"
 
 #include <catch2/catch.hpp>
 
@@ -25,31 +25,21 @@
   FakeGroup()
     : client_(context_)
   {
-    for (int tries = 0; listeners_.size() < kNodes.size(); ++tries) {
-      REQUIRE(tries < 100);
-      listeners_.clear();
-      port_ = std::to_string(
-        30000 +
-        (MonotonicNow().time_since_epoch().count() * 31 + tries) % 10000);
-      for (const auto& node : kNodes) {
-        auto listener = std::make_unique<AsyncListener>(
-          context_,
-          [this, node](const HttpRequest&, AsyncListener::Answer aAnswer) {
-            if (hanging_.contains(node)) {
-              open_.push_back(std::move(aAnswer));
-              return;
-            }
-            HttpAnswer answer;
-            answer.status_ = 200;
-            answer.body_ = EncodeGroupInfo({ named_, kNodes });
-            aAnswer(std::move(answer));
-          },
-          HttpLimits{ 16384, 65536 });
-        if (!IsOk(listener->Start(JoinAddress(node, port_)))) {
-          break;
-        }
-        listeners_.push_back(std::move(listener));
-      }
+    for (const auto& node : kNodes) {
+      listeners_.push_back(std::make_unique<AsyncListener>(
+        context_,
+        [this, node](const HttpRequest&, AsyncListener::Answer aAnswer) {
+          if (hanging_.contains(node)) {
+            open_.push_back(std::move(aAnswer));
+            return;
+          }
+          HttpAnswer answer;
+          answer.status_ = 200;
+          answer.body_ = EncodeGroupInfo({ named_, kNodes });
+          aAnswer(std::move(answer));
+        },
+        HttpLimits{ 16384, 65536 }));
+      REQUIRE(IsOk(listeners_.back()->Start(JoinAddress(node, port_))));
     }
   }
 
@@ -57,7 +47,7 @@
   AsyncClient client_;
   std::vector<std::unique_ptr<AsyncListener>> listeners_;
   std::vector<AsyncListener::Answer> open_;
-  std::string port_;
+  const std::string port_{ std::to_string(testing::FreePort()) };
   /// The leader that all nodes name.
   std::string named_;
   std::set<std::string> hanging_;
--- a/packages/daemon/test/replica_pull_test.cpp
+++ b/packages/daemon/test/replica_pull_test.cpp
@@ -1,9 +1,8 @@
 #include "daemon/replica_service_base.h"
 
 #include "state/text_func.h"
+#include "support/process_harness.h"
 
-#include <Poco/Net/ServerSocket.h>
-#include <Poco/Net/SocketAddress.h>
 #include <Poco/TemporaryFile.h>
 
 #include <catch2/catch.hpp>
@@ -17,6 +16,7 @@
 #include <utility>
 
 using namespace acaciahill;
+using acaciahill::testing::FreeAddress;
 using namespace std::chrono_literals;
 
 namespace {
@@ -27,14 +27,6 @@
 constexpr Millis kDigestAge{ 10000 };
 constexpr const char* kCluster = "test";
 
-std::string
-FreeAddress()
-{
-  const Poco::Net::ServerSocket socket(
-    Poco::Net::SocketAddress("127.0.0.1", 0));
-  return socket.address().toString();
-}
-
 /// A voter that answers every pull with the same reply.
 class FakeSource : public PeerHandler
 {
--- a/packages/daemon/workload_settings.cpp
+++ b/packages/daemon/workload_settings.cpp
@@ -44,15 +44,7 @@
   if (std::any_of(aSettings.seeds_.begin(), aSettings.seeds_.end(), isBad)) {
     return "cluster.seeds: must be numeric addresses with ports";
   }
-  if (control.raft_.electionMin_ < 3 * control.raft_.heartbeat_) {
-    // One lost heartbeat must not start an election.
-    return "timing.election_min_ms: must be at least 3 times "
-           "timing.heartbeat_ms";
-  }
-  if (control.raft_.electionMax_ <= control.raft_.electionMin_) {
-    return "timing.election_max_ms: must be over timing.election_min_ms";
-  }
-  return "";
+  return FaultOfTiming(control.raft_);
 }
 
 } // namespace
--- a/packages/relay/http_framing_func.h
+++ b/packages/relay/http_framing_func.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "http/http_message_type.h"
+#include "http/http_message_func.h"
 #include "kernel/error_type.h"
 #include "kernel/time_type.h"
 
@@ -66,17 +66,6 @@
   std::unique_ptr<Impl> impl_;
 };
 
-/// The value of the first header of that name, compared without case; nothing
-/// when there is none.
-std::optional<std::string_view>
-FindHeader(const HttpHeaders& aHeaders, std::string_view aName);
-
-std::size_t
-CountHeader(const HttpHeaders& aHeaders, std::string_view aName);
-
-bool
-IsSameName(std::string_view aLeft, std::string_view aRight);
-
 /// Headers without those that concern one connection only: the hop-by-hop
 /// ones, those named in Connection, and the length, which is written anew.
 HttpHeaders
--- a/packages/workload/scheduler.cpp
+++ b/packages/workload/scheduler.cpp
@@ -73,6 +73,10 @@
 Scheduler::UseConfig(const WorkloadConfig& aConfig, MonotonicTime /*aNow*/)
 {
   config_ = aConfig;
+  queuesOfPool_.clear();
+  for (const auto& [key, queue] : config_.queues_) {
+    queuesOfPool_[queue.pool_].push_back(key);
+  }
   QueueAll();
   placementDue_ = true;
 }
--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -297,6 +297,7 @@
               MonotonicTime aNow);
 
   // scheduler_demand.cpp: what pools ask for.
+  const std::vector<std::string>& QueuesOf(const std::string& aPool) const;
   std::int64_t WaitingMilliCores(const std::string& aPool) const;
   void CountArrival(const JobSpec& aSpec, MonotonicTime aNow);
   void ObserveDemand(MonotonicTime aNow);
@@ -334,6 +335,9 @@
   bool deposed_ = false;
   Workload state_;
   WorkloadConfig config_;
+  /// Keys of the queues of each pool, as the configuration has them. Pools are
+  /// balanced many times a second, and there may be hundreds of queues.
+  std::map<std::string, std::vector<std::string>> queuesOfPool_;
   /// Logical time at the start of this leadership.
   std::uint64_t baseMs_ = 0;
   MonotonicTime startedAt_;
--- a/packages/workload/scheduler_demand.cpp
+++ b/packages/workload/scheduler_demand.cpp
@@ -119,14 +119,20 @@
   }
 }
 
+const std::vector<std::string>&
+Scheduler::QueuesOf(const std::string& aPool) const
+{
+  static const std::vector<std::string> kNone;
+  const auto found = queuesOfPool_.find(aPool);
+  return found == queuesOfPool_.end() ? kNone : found->second;
+}
+
 std::int64_t
 Scheduler::ArrivingMilliCores(const std::string& aPool, MonotonicTime aNow)
 {
   std::int64_t arriving = 0;
-  for (const auto& [key, queue] : config_.queues_) {
-    if (queue.pool_ == aPool) {
-      arriving += demand_.MilliCores(key, aNow);
-    }
+  for (const auto& key : QueuesOf(aPool)) {
+    arriving += demand_.MilliCores(key, aNow);
   }
   return arriving;
 }
@@ -135,10 +141,8 @@
 Scheduler::GrowthOf(const std::string& aPool, MonotonicTime aNow)
 {
   std::int64_t growth = 0;
-  for (const auto& [key, queue] : config_.queues_) {
-    if (queue.pool_ == aPool) {
-      growth += demand_.Growth(key, kVmArrival, aNow);
-    }
+  for (const auto& key : QueuesOf(aPool)) {
+    growth += demand_.Growth(key, kVmArrival, aNow);
   }
   return growth;
 }
@@ -147,10 +151,8 @@
 Scheduler::ChainTimeOf(const std::string& aPool) const
 {
   Millis longest{ 0 };
-  for (const auto& [key, queue] : config_.queues_) {
-    if (queue.pool_ == aPool) {
-      longest = std::max(longest, demand_.ChainTime(key));
-    }
+  for (const auto& key : QueuesOf(aPool)) {
+    longest = std::max(longest, demand_.ChainTime(key));
   }
   return longest;
 }
@@ -159,10 +161,8 @@
 Scheduler::RunTimeOf(const std::string& aPool) const
 {
   Millis longest{ 0 };
-  for (const auto& [key, queue] : config_.queues_) {
-    if (queue.pool_ == aPool) {
-      longest = std::max(longest, demand_.RunTime(key));
-    }
+  for (const auto& key : QueuesOf(aPool)) {
+    longest = std::max(longest, demand_.RunTime(key));
   }
   return longest;
 }
@@ -209,11 +209,7 @@
       continue;
     }
     ++pool.supply_;
-    const bool holdsLasting =
-      std::any_of(view.runs_.begin(), view.runs_.end(), [](const auto& aRun) {
-        return aRun.second.lasts_;
-      });
-    pool.bound_ += holdsLasting ? 1 : 0;
+    pool.bound_ += HoldsLasting(view) ? 1 : 0;
     if (view.runs_.empty() && view.confirmed_ && !worker.vm_.empty()) {
       pool.idleVms_.push_back(worker.vm_);
     }
--- a/packages/workload/scheduler_place.cpp
+++ b/packages/workload/scheduler_place.cpp
@@ -33,12 +33,13 @@
 // Tasks that fill stay away from workers with tasks that have a target.
 constexpr std::int64_t kSharePenalty = 1000;
 
+/// A run of one of the tasks has been assigned before.
 bool
-HoldsLasting(const WorkerView& aView)
+HasBegun(const std::vector<TaskEntry>& aTasks)
 {
-  return std::any_of(aView.runs_.begin(),
-                     aView.runs_.end(),
-                     [](const auto& aRun) { return aRun.second.lasts_; });
+  return std::any_of(aTasks.begin(), aTasks.end(), [](const auto& aTask) {
+    return aTask.run_ > 0;
+  });
 }
 
 } // namespace
@@ -115,10 +116,7 @@
     return;
   }
   const bool isBegun =
-    !aJob.spec_.steps_[aStep].after_.empty() ||
-    std::any_of(tasks.begin(), tasks.end(), [](const auto& aTask) {
-      return aTask.run_ > 0;
-    });
+    !aJob.spec_.steps_[aStep].after_.empty() || HasBegun(tasks);
   ready_[queue->second.pool_].insert(
     { queue->second.priority_,
       !isBegun,
@@ -169,12 +167,9 @@
 bool
 Scheduler::IsPartlyPlaced(const ReadyStep& aReady) const
 {
-  const auto& tasks = state_.FindJob(aReady.job_)
-                        ->occurrences_.at(aReady.occurrence_)
-                        .steps_[aReady.step_];
-  return std::any_of(tasks.begin(), tasks.end(), [](const auto& aTask) {
-    return aTask.run_ > 0;
-  });
+  return HasBegun(state_.FindJob(aReady.job_)
+                    ->occurrences_.at(aReady.occurrence_)
+                    .steps_[aReady.step_]);
 }
 
 void
--- a/packages/workload/scheduler_worker.cpp
+++ b/packages/workload/scheduler_worker.cpp
@@ -34,6 +34,20 @@
 constexpr std::uint64_t kWorkerBits = 20;
 constexpr std::uint64_t kStepBits = 12;
 
+/// Number of the last worker for which the condition holds; 0 without one.
+/// Lives of one worker follow on each other, and the last has the highest one.
+template<typename Condition>
+std::uint32_t
+LastWorker(const Workload& aState, Condition aCondition)
+{
+  const auto& workers = aState.Workers();
+  const auto found = std::find_if(
+    workers.rbegin(), workers.rend(), [&aCondition](const auto& aEntry) {
+      return aCondition(aEntry.second);
+    });
+  return found == workers.rend() ? 0 : found->first;
+}
+
 } // namespace
 
 WorkerView*
@@ -60,25 +74,15 @@
 std::uint32_t
 Scheduler::FindWorkerById(const std::string& aId) const
 {
-  // Lives of one worker follow on each other; the last one has the highest
-  // number.
-  const auto& workers = state_.Workers();
-  const auto found =
-    std::find_if(workers.rbegin(), workers.rend(), [&aId](const auto& aEntry) {
-      return aEntry.second.id_ == aId;
-    });
-  return found == workers.rend() ? 0 : found->first;
+  return LastWorker(state_,
+                    [&aId](const auto& aWorker) { return aWorker.id_ == aId; });
 }
 
 std::uint32_t
 Scheduler::FindWorkerOfVm(const std::string& aVm) const
 {
-  const auto& workers = state_.Workers();
-  const auto found =
-    std::find_if(workers.rbegin(), workers.rend(), [&aVm](const auto& aEntry) {
-      return aEntry.second.vm_ == aVm;
-    });
-  return found == workers.rend() ? 0 : found->first;
+  return LastWorker(state_,
+                    [&aVm](const auto& aWorker) { return aWorker.vm_ == aVm; });
 }
 
 // A higher term, a later life under one id and an order without an answer each
@@ -182,7 +186,7 @@
       AnswerOnCommit(aToken, RequestOutcome::Accepted);
     }
   }
-  auto& view = views_.at(FindWorkerById(entry.id_));
+  auto& view = views_.at(entry.number_);
   view.sequence_ = aReport.sequence_;
   view.heardAt_ = aNow;
   if (!view.hasClock_) {
--- a/packages/workload/test/scheduler_test.cpp
+++ b/packages/workload/test/scheduler_test.cpp
@@ -48,6 +48,17 @@
   }
 }
 
+/// VMs may be moved between the pool and one in which they are off.
+void
+LetMoveVms(SchedulerDriver& aDriver)
+{
+  aDriver.settings_.movesVms_ = true;
+  aDriver.ChangeLeader();
+  auto config = OnePool();
+  config.pools_["off"] = { "off", false, true };
+  aDriver.SetConfig(config);
+}
+
 JobPhase
 PhaseOf(const SchedulerDriver& aDriver, JobId aJob)
 {
@@ -285,11 +296,7 @@
 TEST_CASE("VMs of a zone that is cut off are not moved into a pool")
 {
   SchedulerDriver driver(11, {});
-  driver.settings_.movesVms_ = true;
-  driver.ChangeLeader();
-  auto config = OnePool();
-  config.pools_["off"] = { "off", false, true };
-  driver.SetConfig(config);
+  LetMoveVms(driver);
   driver.spareVms_ = { { "s-near", "off", VmState::Up, "", "near" },
                        { "s-cut", "off", VmState::Up, "", "cut" } };
   driver.zones_ = {
@@ -313,11 +320,7 @@
 TEST_CASE("workers that have not reported since a start are not replaced")
 {
   SchedulerDriver driver(12, {});
-  driver.settings_.movesVms_ = true;
-  driver.ChangeLeader();
-  auto config = OnePool();
-  config.pools_["off"] = { "off", false, true };
-  driver.SetConfig(config);
+  LetMoveVms(driver);
   driver.spareVms_ = { { "p-1", "p", VmState::Down, "", "z" },
                        { "p-2", "p", VmState::Down, "", "z" },
                        { "p-3", "p", VmState::Up, "", "z" },
@@ -335,11 +338,7 @@
 TEST_CASE("a VM that was moving as the list was read can be moved after that")
 {
   SchedulerDriver driver(14, {});
-  driver.settings_.movesVms_ = true;
-  driver.ChangeLeader();
-  auto config = OnePool();
-  config.pools_["off"] = { "off", false, true };
-  driver.SetConfig(config);
+  LetMoveVms(driver);
   driver.spareVms_ = { { "s-1", "off", VmState::Moving, "", "z" } };
   AddWorkers(driver, 3);
   driver.RunFor(Millis(2500));
@@ -355,11 +354,7 @@
 TEST_CASE("a new leader knows the run times that former ones have seen")
 {
   SchedulerDriver driver(13, {});
-  driver.settings_.movesVms_ = true;
-  driver.ChangeLeader();
-  auto config = OnePool();
-  config.pools_["off"] = { "off", false, true };
-  driver.SetConfig(config);
+  LetMoveVms(driver);
   for (int vm = 0; vm < 9; ++vm) {
     driver.spareVms_.push_back(
       { "s-" + std::to_string(vm), "off", VmState::Up, "", "z" });
--- a/packages/workload/workload_text.cpp
+++ b/packages/workload/workload_text.cpp
@@ -1,5 +1,6 @@
 #include "workload/workload_text_func.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 
@@ -136,4 +137,12 @@
   return ReservedBy(aRun.need_, aRun.fills_);
 }
 
+bool
+HoldsLasting(const WorkerView& aView)
+{
+  return std::any_of(aView.runs_.begin(),
+                     aView.runs_.end(),
+                     [](const auto& aRun) { return aRun.second.lasts_; });
+}
+
 } // namespace acaciahill
--- a/packages/workload/workload_text_func.h
+++ b/packages/workload/workload_text_func.h
@@ -47,4 +47,8 @@
 TaskNeed
 ReservedBy(const RunView& aRun);
 
+/// The worker has a run of a task that lasts.
+bool
+HoldsLasting(const WorkerView& aView);
+
 } // namespace acaciahill
