Fix: control nodes ask the leader itself for a place among the voters

Cause: a node that has a disk and no vote names its disk in its pulls. Pulls go to a voter of its own zone as long as that one is in contact, and only the leader admits, and only nodes that pulled from it. Ruled out: a limit on the group's size and failing additions; the leader's log shows no try to admit (-6.7 s, then 19.5 s under a leader of another zone).

Change: the node asks the leader itself (Status names the candidate's disk), three times a second. The leader looks at its voters four times a second, adds before it removes, removes a voter only when it does not answer under its own disk, and gives the place of a silent voter away after 2.5 longest elections instead of a fixed 6 s, which is as long as a new node has to catch up. A group that forms for the first time takes work once it has the voters that the losses need, or after 3 s. A group that is too small is reported in the log and in two metrics.

--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -64,8 +64,8 @@
     if (node == aSettings.node_) {
       continue;
     }
-    const auto status =
-      client.Status(address, aSettings.cluster_, kStatusTimeout);
+    const auto status = client.Status(
+      address, { aSettings.cluster_, std::nullopt }, kStatusTimeout);
     if (IsOk(status) && ValueOf(status) != PeerStatus{}) {
       return ClusterHasBegun(node, address);
     }
--- a/packages/daemon/peer_client.cpp
+++ b/packages/daemon/peer_client.cpp
@@ -311,7 +311,7 @@
 
 Result<PeerStatus>
 PeerClient::Status(const std::string& aAddress,
-                   const std::string& aCluster,
+                   const PeerStatusRequest& aRequest,
                    Millis aTimeout)
 {
   grpc::ClientContext context;
@@ -321,7 +321,11 @@
     return Error{ ErrorKind::NodeStopping, "" };
   }
   wire::StatusRequest request;
-  request.set_cluster(aCluster);
+  request.set_cluster(aRequest.cluster_);
+  if (aRequest.candidate_) {
+    request.mutable_candidate()->set_node(aRequest.candidate_->node_);
+    request.mutable_candidate()->set_disk(aRequest.candidate_->disk_);
+  }
   wire::StatusReply reply;
   const auto status = stub->Status(&context, request, &reply);
   impl_->EndCall(aAddress, stub.get(), context, status);
--- a/packages/daemon/peer_client_base.h
+++ b/packages/daemon/peer_client_base.h
@@ -41,7 +41,7 @@
 
   /// Blocks until the reply is there. Errors: Timeout, IoError.
   Result<PeerStatus> Status(const std::string& aAddress,
-                            const std::string& aCluster,
+                            const PeerStatusRequest& aRequest,
                             Millis aTimeout);
 
   /// Ends calls that are waiting and refuses new ones.
--- a/packages/daemon/peer_server.cpp
+++ b/packages/daemon/peer_server.cpp
@@ -81,7 +81,12 @@
     if (aRequest->cluster() != cluster_) {
       return OtherCluster();
     }
-    const auto status = handler_.HandleStatus();
+    PeerStatusRequest request{ aRequest->cluster(), std::nullopt };
+    if (aRequest->has_candidate()) {
+      request.candidate_ =
+        VoterId{ aRequest->candidate().node(), aRequest->candidate().disk() };
+    }
+    const auto status = handler_.HandleStatus(request);
     aReply->set_leader(status.leader_);
     aReply->set_term(status.term_);
     aReply->set_last_index(status.lastIndex_);
--- a/packages/daemon/peer_type.h
+++ b/packages/daemon/peer_type.h
@@ -77,6 +77,15 @@
   std::uint32_t hops_ = 0;
 };
 
+/// Asks what a voter knows of the cluster.
+struct PeerStatusRequest
+{
+  std::string cluster_;
+  /// Identity of a node that has a disk but no vote, and asks the leader for
+  /// one; nothing for others.
+  std::optional<VoterId> candidate_;
+};
+
 /// What a voter knows of the cluster. All members are empty or 0 on a voter
 /// whose cluster has not begun.
 struct PeerStatus
@@ -101,7 +110,7 @@
   virtual PeerRaft HandleRaft(const PeerRaft& aRequest) = 0;
   virtual PeerPullReply HandlePull(const PeerPull& aRequest) = 0;
   virtual CommandResult HandlePropose(const PeerPropose& aRequest) = 0;
-  virtual PeerStatus HandleStatus() = 0;
+  virtual PeerStatus HandleStatus(const PeerStatusRequest& aRequest) = 0;
 };
 
 } // namespace acaciahill
--- a/packages/daemon/replica_follower.cpp
+++ b/packages/daemon/replica_follower.cpp
@@ -70,18 +70,21 @@
   return sources;
 }
 
+bool
+ReplicaService::HasVote() const
+{
+  const std::lock_guard lock(controlMutex_);
+  const auto& voters = control_.voters_;
+  return settings_.voter_ &&
+         std::find(voters.begin(), voters.end(), self_) != voters.end();
+}
+
 void
 ReplicaService::RunFollower()
 {
   SourceChoice choice;
   while (!stopping_) {
-    const bool hasVote = [this] {
-      const std::lock_guard lock(controlMutex_);
-      const auto& voters = control_.voters_;
-      return settings_.voter_ &&
-             std::find(voters.begin(), voters.end(), self_) != voters.end();
-    }();
-    if (hasVote) {
+    if (HasVote()) {
       std::this_thread::sleep_for(kPullWait);
       continue;
     }
--- a/packages/daemon/replica_requests.cpp
+++ b/packages/daemon/replica_requests.cpp
@@ -180,8 +180,11 @@
 }
 
 PeerStatus
-ReplicaService::HandleStatus()
+ReplicaService::HandleStatus(const PeerStatusRequest& aRequest)
 {
+  if (const auto& candidate = aRequest.candidate_) {
+    NoteCandidate(candidate->node_, candidate->disk_);
+  }
   const auto control = Control();
   return { control.leader_, control.term_, control.lastIndex_ };
 }
@@ -191,8 +194,7 @@
 {
   directory_->AcceptDigest(aRequest.node_, aRequest.digest_);
   if (!aRequest.disk_.empty()) {
-    const std::lock_guard lock(controlMutex_);
-    unrecognized_[aRequest.node_] = { aRequest.disk_, MonotonicNow() };
+    NoteCandidate(aRequest.node_, aRequest.disk_);
   }
   // A state without claims is of no use to a node that may get a vote. Such a
   // pull exchanges digests only, and waits all the same: it would be repeated
--- a/packages/daemon/replica_seeds.cpp
+++ b/packages/daemon/replica_seeds.cpp
@@ -6,22 +6,87 @@
 #include <algorithm>
 
 // The part of the replica that forms and keeps a group whose members are found
-// by a few addresses: who is admitted, and in whose place.
+// by a few addresses: who asks for a place, who is admitted, and in whose
+// place.
 
 namespace acaciahill {
 
 namespace {
 
-// A voter that answered nothing for this time gives up its place to a control
-// node that has none. It is three times the longest election, so that a change
-// of leaders costs no voter its place.
-constexpr Millis kSilentVoter{ 6000 };
-// A node may ask for a place for this time after it was last heard.
+// Longest elections for which a voter may answer nothing before it gives up its
+// place to a control node that has none. A change of leaders takes one or two.
+constexpr double kSilentElections = 2.5;
+// Heartbeats without an answer after which a node that shows another disk is
+// taken to have lost the one of its vote.
+constexpr int kLostHeartbeats = 3;
+// A node may be admitted for this time after it last asked for a place.
 constexpr Millis kCandidateMaxAge{ 3000 };
+constexpr Millis kAdmissionInterval{ 300 };
+constexpr Millis kAdmissionTimeout{ 1000 };
+constexpr Millis kSizeReportInterval{ 5000 };
 
 } // namespace
 
+// Only the leader admits nodes, so that each asks the leader itself. Its pulls
+// may go to another voter for as long as that one is in contact.
 void
+ReplicaService::RunAdmission()
+{
+  while (!stopping_) {
+    const auto leader = HasVote() ? std::string() : Control().leader_;
+    const auto address = leader.empty() ? std::nullopt : AddressOf(leader);
+    if (address && leader != settings_.node_) {
+      const auto status = client_.Status(
+        *address, { settings_.cluster_, self_ }, kAdmissionTimeout);
+      if (IsOk(status) && !ValueOf(status).leader_.empty()) {
+        const std::lock_guard lock(controlMutex_);
+        control_.leader_ = ValueOf(status).leader_;
+      }
+    }
+    std::this_thread::sleep_for(kAdmissionInterval);
+  }
+}
+
+void
+ReplicaService::NoteCandidate(const std::string& aNode,
+                              const std::string& aDisk)
+{
+  const std::lock_guard lock(controlMutex_);
+  unrecognized_[aNode] = { aDisk, MonotonicNow() };
+}
+
+std::size_t
+ReplicaService::WantedVoters() const
+{
+  return settings_.seeded_
+           ? 2 * static_cast<std::size_t>(settings_.seeded_->toleratedLosses_) +
+               1
+           : 0;
+}
+
+bool
+ReplicaService::RemoveLostVoter(
+  const std::map<std::string, UnrecognizedDisk>& aHeard)
+{
+  // A voter that still answers with the disk of its vote was told about by a
+  // message from before.
+  const auto silent = core_->SilentVoters(
+    MonotonicNow(), kLostHeartbeats * settings_.raft_.heartbeat_);
+  for (const auto& voter : silent) {
+    const auto heard = aHeard.find(voter.node_);
+    if (heard != aHeard.end() && heard->second.disk_ != voter.disk_) {
+      LogWarning("removing a voter that lost its disk",
+                 { { "voter", voter.node_ },
+                   { "disk", voter.disk_ },
+                   { "disk_now", heard->second.disk_ } });
+      Enqueue(ChangeVoters{ voter, false });
+      return true;
+    }
+  }
+  return false;
+}
+
+bool
 ReplicaService::GrowSeededGroup(
   const std::map<std::string, UnrecognizedDisk>& aHeard)
 {
@@ -32,34 +97,68 @@
       return aVoter.node_ == aNode;
     });
   };
-  const auto candidate =
-    std::find_if(aHeard.begin(), aHeard.end(), [&](const auto& aEntry) {
-      return !isVoter(aEntry.first) &&
-             now - aEntry.second.heardAt_ <= kCandidateMaxAge;
-    });
-  if (candidate == aHeard.end()) {
-    return;
+  // The node that was tried least recently: one that the leader cannot reach
+  // must not keep out the others.
+  const UnrecognizedDisk* candidate = nullptr;
+  std::string node;
+  for (const auto& [name, heard] : aHeard) {
+    if (!isVoter(name) && now - heard.heardAt_ <= kCandidateMaxAge &&
+        (candidate == nullptr || admittedAt_[name] < admittedAt_[node])) {
+      candidate = &heard;
+      node = name;
+    }
+  }
+  if (candidate == nullptr) {
+    return false;
   }
-  const auto wanted =
-    2 * static_cast<std::size_t>(settings_.seeded_->toleratedLosses_) + 1;
-  if (voters.size() < wanted) {
+  if (voters.size() < WantedVoters()) {
     LogInfo("admitting a control node as a voter",
-            { { "node", candidate->first },
-              { "disk", candidate->second.disk_ },
+            { { "candidate", node },
+              { "disk", candidate->disk_ },
               { "voters", voters.size() },
-              { "wanted", wanted } });
-    Enqueue(
-      ChangeVoters{ { candidate->first, candidate->second.disk_ }, true });
+              { "wanted", WantedVoters() } });
+    admittedAt_[node] = now;
+    Enqueue(ChangeVoters{ { node, candidate->disk_ }, true });
+    return true;
+  }
+  const auto silentFor = std::chrono::duration_cast<Millis>(
+    settings_.raft_.electionMax_ * kSilentElections);
+  const auto silent = core_->SilentVoters(now, silentFor);
+  if (silent.empty()) {
+    return false;
+  }
+  LogWarning("removing a silent voter, as another node can take its place",
+             { { "voter", silent.front().node_ },
+               { "candidate", node },
+               { "silent_ms", silentFor.count() } });
+  Enqueue(ChangeVoters{ silent.front(), false });
+  return true;
+}
+
+void
+ReplicaService::ReportGroupSize()
+{
+  const auto voters = core_->Voters().voters_.size();
+  metrics_.Set("acaciahill_control_voters", {}, static_cast<double>(voters));
+  metrics_.Set("acaciahill_control_voters_wanted",
+               {},
+               static_cast<double>(WantedVoters()));
+  const auto now = MonotonicNow();
+  if (core_->Role() != RaftRole::Leader || voters >= WantedVoters() ||
+      now - sizeReportedAt_ < kSizeReportInterval) {
     return;
   }
-  const auto silent = core_->SilentVoters(now, kSilentVoter);
-  if (!silent.empty()) {
-    LogWarning("removing a silent voter, as another node can take its place",
-               { { "voter", silent.front().node_ },
-                 { "candidate", candidate->first },
-                 { "silent_ms", kSilentVoter.count() } });
-    Enqueue(ChangeVoters{ silent.front(), false });
+  sizeReportedAt_ = now;
+  std::size_t candidates = 0;
+  {
+    const std::lock_guard lock(controlMutex_);
+    candidates = unrecognized_.size();
   }
+  LogWarning("the group has fewer voters than the tolerated losses need",
+             { { "voters", voters },
+               { "wanted", WantedVoters() },
+               { "losses_borne", (voters - 1) / 2 },
+               { "nodes_that_ask", candidates } });
 }
 
 } // namespace acaciahill
--- a/packages/daemon/replica_service.cpp
+++ b/packages/daemon/replica_service.cpp
@@ -16,7 +16,7 @@
 constexpr std::size_t kTailBytes = 8UL * 1024 * 1024;
 // Ticks in one heartbeat interval.
 constexpr int kTicksPerHeartbeat = 5;
-constexpr Millis kRepairInterval{ 1000 };
+constexpr Millis kRepairInterval{ 250 };
 // How long ago a voter with another disk may have been heard to be admitted.
 constexpr Millis kUnrecognizedMaxAge{ 5000 };
 // Contact older than the longest election by this much is stale.
@@ -107,6 +107,9 @@
   }
   threads_.emplace_back([this] { RunFollower(); });
   threads_.emplace_back([this] { RunRegistration(); });
+  if (settings_.voter_ && settings_.seeded_) {
+    threads_.emplace_back([this] { RunAdmission(); });
+  }
   return Done{};
 }
 
@@ -522,47 +525,56 @@
 ReplicaService::RepairVoters()
 {
   const auto now = MonotonicNow();
-  if (core_->Role() != RaftRole::Leader ||
-      now - lastRepairAt_ < kRepairInterval) {
+  if (now - lastRepairAt_ < kRepairInterval) {
     return;
   }
   lastRepairAt_ = now;
+  if (settings_.seeded_) {
+    ReportGroupSize();
+  }
+  if (core_->Role() != RaftRole::Leader) {
+    return;
+  }
+  for (const auto& voter : core_->UnrecognizedVoters()) {
+    NoteCandidate(voter.node_, voter.disk_);
+  }
   std::map<std::string, UnrecognizedDisk> unrecognized;
   {
     const std::lock_guard lock(controlMutex_);
-    for (const auto& voter : core_->UnrecognizedVoters()) {
-      unrecognized_[voter.node_] = { voter.disk_, now };
-    }
+    std::erase_if(unrecognized_, [now](const auto& aEntry) {
+      return now - aEntry.second.heardAt_ > kUnrecognizedMaxAge;
+    });
     unrecognized = unrecognized_;
   }
-  for (const auto& [name, unrecognizedDisk] : unrecognized) {
+  if (!settings_.seeded_) {
+    ReadmitListedVoters(unrecognized);
+    return;
+  }
+  // One change at a time, and additions first: the group is never smaller than
+  // one voter below what it needs.
+  if (!GrowSeededGroup(unrecognized)) {
+    RemoveLostVoter(unrecognized);
+  }
+}
+
+void
+ReplicaService::ReadmitListedVoters(
+  const std::map<std::string, UnrecognizedDisk>& aHeard)
+{
+  RemoveLostVoter(aHeard);
+  const auto& voters = core_->Voters().voters_;
+  for (const auto& [name, heard] : aHeard) {
     const auto& node = name;
-    const bool isSetUp =
-      settings_.seeded_.has_value() || settings_.voters_.contains(node);
-    if (!isSetUp || now - unrecognizedDisk.heardAt_ > kUnrecognizedMaxAge) {
-      continue;
-    }
-    const auto& voters = core_->Voters().voters_;
-    const auto known =
-      std::find_if(voters.begin(), voters.end(), [&](const VoterId& aVoter) {
+    const bool isVoter =
+      std::any_of(voters.begin(), voters.end(), [&](const auto& aVoter) {
         return aVoter.node_ == node;
       });
-    if (known == voters.end() && settings_.seeded_) {
-      continue;
-    }
-    if (known == voters.end()) {
+    if (!isVoter && settings_.voters_.contains(node)) {
       LogInfo("admitting a voter with a new disk",
-              { { "voter", node }, { "disk", unrecognizedDisk.disk_ } });
-      Enqueue(ChangeVoters{ { node, unrecognizedDisk.disk_ }, true });
-    } else if (known->disk_ != unrecognizedDisk.disk_) {
-      LogWarning("removing a voter that lost its disk",
-                 { { "voter", node }, { "disk", known->disk_ } });
-      Enqueue(ChangeVoters{ *known, false });
+              { { "voter", node }, { "disk", heard.disk_ } });
+      Enqueue(ChangeVoters{ { node, heard.disk_ }, true });
     }
   }
-  if (settings_.seeded_) {
-    GrowSeededGroup(unrecognized);
-  }
 }
 
 void
@@ -571,6 +583,7 @@
   const auto now = MonotonicNow();
   const std::lock_guard lock(controlMutex_);
   control_.term_ = core_->Term();
+  control_.wantedVoters_ = WantedVoters();
   control_.lastIndex_ = core_->LastIndex();
   if (core_->Role() == RaftRole::Learner) {
     // A learner follows by pulls as well; RunFollower publishes.
--- a/packages/daemon/replica_service_base.h
+++ b/packages/daemon/replica_service_base.h
@@ -48,6 +48,9 @@
   std::uint64_t term_ = 0;
   std::uint64_t lastIndex_ = 0;
   std::vector<VoterId> voters_;
+  /// Voters that the group needs to bear the tolerated losses; 0 where the
+  /// settings list the voters.
+  std::size_t wantedVoters_ = 0;
 
   bool operator==(const ControlStatus&) const = default;
 };
@@ -118,7 +121,7 @@
   PeerRaft HandleRaft(const PeerRaft& aRequest) override;
   PeerPullReply HandlePull(const PeerPull& aRequest) override;
   CommandResult HandlePropose(const PeerPropose& aRequest) override;
-  PeerStatus HandleStatus() override;
+  PeerStatus HandleStatus(const PeerStatusRequest& aRequest) override;
 
 private:
   /// A message from a peer that waits for the core's answer.
@@ -187,6 +190,9 @@
   void RunVoter();
   void RunFollower();
   void RunRegistration();
+  /// Asks the leader for a place among the voters while this node has none.
+  void RunAdmission();
+  bool HasVote() const;
   std::vector<PullSource> PullSources() const;
   /// Asks the sources until one is in contact with the leader; false if none
   /// is.
@@ -213,8 +219,20 @@
   bool HoldsClaims() const { return settings_.voter_; }
   void CompactWhenDue();
   void RepairVoters();
-  /// Admits control nodes that found the group, up to the wanted number.
-  void GrowSeededGroup(const std::map<std::string, UnrecognizedDisk>& aHeard);
+  /// Takes note of a node that answers with a disk id that has no vote.
+  void NoteCandidate(const std::string& aNode, const std::string& aDisk);
+  /// Removes one voter that lost its disk. True when there is one.
+  bool RemoveLostVoter(const std::map<std::string, UnrecognizedDisk>& aHeard);
+  /// Admits voters of the settings again that come back with another disk.
+  void ReadmitListedVoters(
+    const std::map<std::string, UnrecognizedDisk>& aHeard);
+  /// Admits one control node that asks for a place, up to the wanted number,
+  /// or makes room for it. True when the voters change.
+  bool GrowSeededGroup(const std::map<std::string, UnrecognizedDisk>& aHeard);
+  /// Voters that a seeded group needs to bear the tolerated losses.
+  std::size_t WantedVoters() const;
+  /// Reports a seeded group that cannot bear the tolerated losses.
+  void ReportGroupSize();
   void PublishControl();
   void FailWaiting();
   void NotifyApplied();
@@ -248,6 +266,7 @@
   mutable std::mutex controlMutex_;
   ControlStatus control_;
   MonotonicTime contactAt_{};
+  /// Nodes that answer, or ask for a place, with a disk id that has no vote.
   std::map<std::string, UnrecognizedDisk> unrecognized_;
 
   std::mutex workMutex_;
@@ -263,6 +282,9 @@
   std::uint64_t nextProposal_ = 1;
   MonotonicTime lastProposalAt_{};
   MonotonicTime lastRepairAt_{};
+  /// When the admission of a node was last begun, by node.
+  std::map<std::string, MonotonicTime> admittedAt_;
+  MonotonicTime sizeReportedAt_{};
 
   std::atomic<bool> stopping_{ false };
   std::atomic<std::uint64_t> nextRequest_{ 1 };
--- a/packages/daemon/test/replica_pull_test.cpp
+++ b/packages/daemon/test/replica_pull_test.cpp
@@ -58,7 +58,7 @@
     return result;
   }
 
-  PeerStatus HandleStatus() override { return {}; }
+  PeerStatus HandleStatus(const PeerStatusRequest&) override { return {}; }
 
   int Pulls() const
   {
--- a/packages/daemon/workload_host.cpp
+++ b/packages/daemon/workload_host.cpp
@@ -17,6 +17,10 @@
 
 namespace {
 
+// A group that forms itself has found its members within this time, if they
+// run.
+constexpr Millis kFormationTime{ 3000 };
+
 std::uint64_t
 WallMs()
 {
@@ -115,11 +119,28 @@
     Abandon("this node no longer leads");
   }
   if (!scheduler_ && control.isLeader_ && beginning_ != control.term_ &&
-      control.term_ != term_) {
+      control.term_ != term_ && MayBegin(control)) {
     BeginTerm(control.term_);
   }
 }
 
+// Nothing is lost by waiting before the first configuration. What is accepted
+// by a group that is still forming bears fewer losses than it should.
+bool
+WorkloadHost::MayBegin(const ControlStatus& aControl)
+{
+  const auto now = MonotonicNow();
+  if (leadsTerm_ != aControl.term_) {
+    leadsTerm_ = aControl.term_;
+    leadsSince_ = now;
+  }
+  return aControl.voters_.size() >= aControl.wantedVoters_ ||
+         now - leadsSince_ >= kFormationTime ||
+         replica_.Read([](const Fleet& aFleet) {
+           return aFleet.GetWorkload().Config().version_ > 0;
+         });
+}
+
 // An empty batch of the own term comes after everything that former leaders
 // have logged and may have acted on.
 void
--- a/packages/daemon/workload_host_base.h
+++ b/packages/daemon/workload_host_base.h
@@ -54,6 +54,8 @@
 private:
   void Tick();
   void FollowLeadership();
+  /// Whether a leader may take requests with the group as it is.
+  bool MayBegin(const ControlStatus& aControl);
   void BeginTerm(std::uint64_t aTerm);
   void Activate(std::uint64_t aTerm);
   void Abandon(std::string_view aReason);
@@ -104,6 +106,9 @@
   std::optional<Scheduler> scheduler_;
   WorkloadConfig config_;
   std::uint64_t term_ = 0;
+  /// The last term in which this node led, and since when.
+  std::uint64_t leadsTerm_ = 0;
+  MonotonicTime leadsSince_{};
   /// Term for which a barrier is on its way; 0 without one.
   std::uint64_t beginning_ = 0;
   /// Changes with each scheduler, so that answers meant for a former one are
