--- a/packages/http/async_listener.cpp
+++ b/packages/http/async_listener.cpp
@@ -21,6 +21,7 @@
 
 // Pause after accept() failed, for example as no descriptor was free.
 constexpr Millis kAcceptPause{ 100 };
+constexpr std::int64_t kServerError = 500;
 
 } // namespace
 
@@ -133,10 +134,22 @@
     auto request = detail::ToRequest(parser_->release());
     working_ = true;
     ++owner_->inWork_;
-    owner_->handler_(std::move(request),
-                     [self = shared_from_this()](HttpAnswer aAnswer) {
-                       self->Write(std::move(aAnswer));
-                     });
+    const auto target = request.target_;
+    // One request that a handler fails on must not end the process.
+    try {
+      owner_->handler_(std::move(request),
+                       [self = shared_from_this()](HttpAnswer aAnswer) {
+                         self->Write(std::move(aAnswer));
+                       });
+    } catch (const std::exception& error) {
+      LogError("a request could not be handled",
+               { { "target", target }, { "error", error.what() } });
+      if (working_ && !response_) {
+        HttpAnswer answer;
+        answer.status_ = kServerError;
+        Write(std::move(answer));
+      }
+    }
   }
 
   void Write(HttpAnswer aAnswer)
--- a/packages/workload/scheduler_worker.cpp
+++ b/packages/workload/scheduler_worker.cpp
@@ -148,6 +148,14 @@
   if (known != nullptr && aReport.worker_.bornMs_ > known->bornMs_) {
     known = nullptr;
   }
+  if (number == 0 && config_.version_ > 0 &&
+      !config_.pools_.contains(aReport.worker_.pool_)) {
+    LogInfo(
+      "ignoring a worker of a pool that is not configured",
+      { { "worker", aReport.worker_.id_ }, { "pool", aReport.worker_.pool_ } });
+    Answer(aToken, RequestOutcome::Accepted);
+    return;
+  }
   auto entry = aReport.worker_;
   if (known == nullptr) {
     entry.number_ = state_.NextWorkerNumber();
