Change: what needs no decision costs the leader nothing, and each decision less

Requests, heartbeats and orders then wait behind each other, time out and are repeated.

Reads of a job's state, and reports of workers that say nothing new, are answered by any control node from its own copy.

--- a/packages/daemon/gateway.cpp
+++ b/packages/daemon/gateway.cpp
@@ -33,6 +33,20 @@
   return aPlane == Plane::Callers ? kCallersWord : kControlWord;
 }
 
+/// The request for another node, which learns where it arrived.
+HttpRequest
+PassedOn(Plane aPlane, HttpRequest aRequest)
+{
+  aRequest.headers_.push_back(
+    { std::string(kPlaneHeader), std::string(WordOf(aPlane)) });
+  std::erase_if(aRequest.headers_, [](const HttpHeader& aHeader) {
+    return aHeader.name_ == "Connection" ||
+           aHeader.name_ == "Transfer-Encoding" ||
+           aHeader.name_ == "Content-Length";
+  });
+  return aRequest;
+}
+
 // Headers that are of this connection only are left out.
 HttpAnswer
 PassOn(const HttpAnswer& aAnswer)
@@ -82,6 +96,7 @@
                  std::string aInternalPort,
                  Metrics& aMetrics,
                  WorkloadHost* aHost,
+                 ReplicaReader* aReader,
                  LeaderSource aLeader,
                  GatewayTiming aTiming)
   : context_(aContext)
@@ -90,6 +105,7 @@
   , internalPort_(std::move(aInternalPort))
   , metrics_(aMetrics)
   , host_(aHost)
+  , reader_(aReader)
   , leader_(std::move(aLeader))
   , timing_(aTiming)
 {
@@ -98,10 +114,47 @@
 void
 Gateway::Handle(Plane aPlane, HttpRequest aRequest, Answer aAnswer)
 {
-  Try(std::make_shared<Pending>(context_,
-                                aPlane,
-                                std::move(aRequest),
-                                Measured(aPlane, std::move(aAnswer))));
+  auto answer = Measured(aPlane, std::move(aAnswer));
+  if (auto here = AnswerHere(aPlane, aRequest)) {
+    answer(std::move(*here));
+    return;
+  }
+  const bool isRead = aPlane == Plane::Callers && aRequest.method_ == "GET";
+  const auto pending = std::make_shared<Pending>(
+    context_, aPlane, std::move(aRequest), std::move(answer));
+  const auto reader = isRead ? leader_.reader_() : std::string();
+  if (reader.empty()) {
+    Try(pending);
+  } else {
+    Read(pending, reader);
+  }
+}
+
+std::optional<HttpAnswer>
+Gateway::AnswerHere(Plane aPlane, const HttpRequest& aRequest)
+{
+  if (reader_ == nullptr || host_ == nullptr || host_->IsActive()) {
+    return std::nullopt;
+  }
+  return aPlane == Plane::Callers ? reader_->AnswerCaller(aRequest)
+                                  : reader_->AnswerControl(aRequest);
+}
+
+void
+Gateway::Read(const PendingPtr& aPending, const std::string& aReader)
+{
+  client_.Call(aReader + ":" + internalPort_,
+               PassedOn(aPending->plane_, aPending->request_),
+               timing_.read_,
+               [this, pending = aPending](const CallResult& aResult) {
+                 const auto* answer = std::get_if<HttpAnswer>(&aResult);
+                 if (answer != nullptr &&
+                     !FindHeader(answer->headers_, kNotLeaderHeader)) {
+                   Finish(pending, PassOn(*answer));
+                 } else {
+                   Try(pending);
+                 }
+               });
 }
 
 Gateway::Answer
@@ -126,6 +179,13 @@
 void
 Gateway::HandleForwarded(const HttpRequest& aRequest, Answer aAnswer)
 {
+  const bool isControl =
+    FindHeader(aRequest.headers_, kPlaneHeader) == kControlWord;
+  const auto plane = isControl ? Plane::Control : Plane::Callers;
+  if (auto here = AnswerHere(plane, aRequest)) {
+    aAnswer(std::move(*here));
+    return;
+  }
   if (host_ == nullptr || !host_->IsActive()) {
     HttpAnswer answer;
     answer.status_ = kNotNow;
@@ -133,10 +193,7 @@
     aAnswer(std::move(answer));
     return;
   }
-  const bool isControl =
-    FindHeader(aRequest.headers_, kPlaneHeader) == kControlWord;
-  GiveToHost(
-    isControl ? Plane::Control : Plane::Callers, aRequest, std::move(aAnswer));
+  GiveToHost(plane, aRequest, std::move(aAnswer));
 }
 
 void
@@ -186,18 +243,10 @@
 void
 Gateway::Forward(const PendingPtr& aPending, const std::string& aLeader)
 {
-  auto request = aPending->request_;
-  request.headers_.push_back(
-    { std::string(kPlaneHeader), std::string(WordOf(aPending->plane_)) });
-  std::erase_if(request.headers_, [](const HttpHeader& aHeader) {
-    return aHeader.name_ == "Connection" ||
-           aHeader.name_ == "Transfer-Encoding" ||
-           aHeader.name_ == "Content-Length";
-  });
   const auto call = ++aPending->call_;
   client_.Call(
     aLeader + ":" + internalPort_,
-    std::move(request),
+    PassedOn(aPending->plane_, aPending->request_),
     timing_.forward_,
     [this, pending = aPending, call, aLeader](const CallResult& aResult) {
       const bool isLast = call == pending->call_;
--- a/packages/daemon/gateway_base.h
+++ b/packages/daemon/gateway_base.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemon/leader_finder_base.h"
+#include "daemon/replica_reader_base.h"
 #include "daemon/workload_host_base.h"
 #include "http/async_client_base.h"
 #include "http/async_listener_base.h"
@@ -33,6 +34,8 @@
   std::function<void(const std::string&)> onAnswer_;
   /// A call to the leader failed.
   std::function<void()> onDoubt_;
+  /// A control node that may answer reads; empty when none is known.
+  std::function<std::string()> reader_ = [] { return std::string(); };
 };
 
 /// How long a gateway waits for what.
@@ -52,6 +55,9 @@
   Millis sentPatience_{ 1500 };
   /// A call to the leader is given up after this time.
   Millis forward_{ 1200 };
+  /// A read that another control node does not answer goes to the leader after
+  /// this time.
+  Millis read_{ 250 };
 
   bool operator==(const GatewayTiming&) const = default;
 };
@@ -62,8 +68,9 @@
 /// are refused truthfully when it takes too long; one that may have reached a
 /// leader is sent again, as every request here may arrive twice, until its
 /// outcome is known or time is up. When another node is found to lead, requests
-/// that the former leader has not answered go to that one at once. Used from
-/// the context's thread only.
+/// that the former leader has not answered go to that one at once. What needs
+/// no decision is answered by any control node. Used from the context's thread
+/// only.
 class Gateway
 {
 public:
@@ -75,6 +82,7 @@
           std::string aInternalPort,
           Metrics& aMetrics,
           WorkloadHost* aHost,
+          ReplicaReader* aReader,
           LeaderSource aLeader,
           GatewayTiming aTiming = {});
 
@@ -92,6 +100,11 @@
   Answer Measured(Plane aPlane, Answer aAnswer);
   void Try(const PendingPtr& aPending);
   void TryLater(const PendingPtr& aPending);
+  /// Answers from this node's copy of the state, when that is enough.
+  std::optional<HttpAnswer> AnswerHere(Plane aPlane,
+                                       const HttpRequest& aRequest);
+  /// Asks a control node that need not lead, and then the leader.
+  void Read(const PendingPtr& aPending, const std::string& aReader);
   void Forward(const PendingPtr& aPending, const std::string& aLeader);
   /// Sends the request to the new leader when another one is found meanwhile.
   void WatchLeader(const PendingPtr& aPending, const std::string& aSentTo);
@@ -106,6 +119,7 @@
   std::string internalPort_;
   Metrics& metrics_;
   WorkloadHost* host_;
+  ReplicaReader* reader_;
   LeaderSource leader_;
   GatewayTiming timing_;
 };
--- a/packages/daemon/leader_finder.cpp
+++ b/packages/daemon/leader_finder.cpp
@@ -156,6 +156,18 @@
   return all[next_++ % all.size()];
 }
 
+std::string
+LeaderFinder::NextReader()
+{
+  for (std::size_t tries = 0; tries < nodes_.size(); ++tries) {
+    const auto& node = nodes_[nextReader_++ % nodes_.size()];
+    if (node != leader_ && !WasSilent(node)) {
+      return node;
+    }
+  }
+  return "";
+}
+
 void
 LeaderFinder::Ask()
 {
--- a/packages/daemon/leader_finder_base.h
+++ b/packages/daemon/leader_finder_base.h
@@ -50,6 +50,10 @@
   /// Node id of the leader; empty while it is unknown.
   const std::string& Leader() const { return leader_; }
 
+  /// The next of the control nodes that need not lead, in turn; empty when none
+  /// is known.
+  std::string NextReader();
+
   /// When the leader last answered; the start of this process before.
   MonotonicTime ConfirmedAt() const { return confirmedAt_; }
 
@@ -83,6 +87,7 @@
   MonotonicTime silentAt_{};
   MonotonicTime confirmedAt_{};
   std::size_t next_ = 0;
+  std::size_t nextReader_ = 0;
   bool asking_ = false;
   bool stopped_ = false;
 };
--- /dev/null
+++ b/packages/daemon/replica_reader.cpp
@@ -0,0 +1,94 @@
+#include "daemon/replica_reader_base.h"
+
+#include "platform/platform_config_func.h"
+#include "platform/platform_requests_func.h"
+
+#include <algorithm>
+
+namespace acaciahill {
+
+ReplicaReader::ReplicaReader(const ReplicaService& aReplica, Millis aFreshFor)
+  : replica_(aReplica)
+  , freshFor_(aFreshFor)
+{
+}
+
+bool
+ReplicaReader::IsFresh() const
+{
+  const auto control = replica_.Control();
+  return !control.stale_ && control.age_ <= freshFor_;
+}
+
+void
+ReplicaReader::RefreshConfig()
+{
+  const auto document = replica_.Read([this](const Fleet& aFleet) {
+    const auto& config = aFleet.GetWorkload().Config();
+    return config.version_ > config_.version_ ? config : ConfigDocument{};
+  });
+  if (document.version_ > config_.version_) {
+    if (auto config = platform::DecodeConfig(document.text_); IsOk(config)) {
+      config_ = ValueOf(std::move(config));
+    }
+  }
+}
+
+std::optional<HttpAnswer>
+ReplicaReader::AnswerCaller(const HttpRequest& aRequest)
+{
+  if (aRequest.method_ != "GET" || !IsFresh()) {
+    return std::nullopt;
+  }
+  RefreshConfig();
+  const auto call = platform::DecodeCallerCall(aRequest, config_);
+  const auto* asked = std::get_if<platform::StateCall>(&call);
+  if (asked == nullptr) {
+    return std::nullopt;
+  }
+  return replica_.Read([asked](const Fleet& aFleet) {
+    const auto* job = aFleet.GetWorkload().FindJob(asked->job_);
+    return job == nullptr || job->spec_.queue_ != asked->queue_
+             ? std::nullopt
+             : std::optional(platform::EncodeJobState(job->phase_));
+  });
+}
+
+std::optional<HttpAnswer>
+ReplicaReader::AnswerControl(const HttpRequest& aRequest) const
+{
+  if (aRequest.method_ != "PUT" || !IsFresh()) {
+    return std::nullopt;
+  }
+  const auto call = platform::DecodeControlCall(aRequest);
+  const auto* report = std::get_if<platform::ReportCall>(&call);
+  if (report == nullptr) {
+    return std::nullopt;
+  }
+  const bool isKnown = replica_.Read([report](const Fleet& aFleet) {
+    return IsKnownReport(aFleet.GetWorkload(), report->report_);
+  });
+  return isKnown ? std::optional(
+                     platform::EncodeOutcome(RequestOutcome::Accepted, {}))
+                 : std::nullopt;
+}
+
+bool
+IsKnownReport(const Workload& aState, const WorkerReport& aReport)
+{
+  const auto& workers = aState.Workers();
+  const auto last =
+    std::find_if(workers.rbegin(), workers.rend(), [&](const auto& aEntry) {
+      return aEntry.second.id_ == aReport.worker_.id_;
+    });
+  if (last == workers.rend()) {
+    return false;
+  }
+  // Numbers and noted ends are the leader's own.
+  auto reported = aReport.worker_;
+  reported.number_ = last->second.number_;
+  reported.notedEnds_ = last->second.notedEnds_;
+  return reported == last->second;
+}
+
+} // namespace acaciahill
--- a/packages/daemon/replica_service.cpp
+++ b/packages/daemon/replica_service.cpp
@@ -30,6 +30,14 @@
   return result;
 }
 
+/// Only the leader acts on the command before the next heartbeat.
+bool
+IsOfLeaderOnly(const Command& aCommand)
+{
+  return IsClaimCommand(aCommand) ||
+         std::holds_alternative<ChangeWorkload>(aCommand);
+}
+
 template<typename T>
 bool
 IsSave(const T& aAction)
@@ -267,11 +275,11 @@
       : static_cast<std::uint64_t>((now - lastProposalAt_).count());
   const auto proposal = nextProposal_++;
   proposed_.emplace(proposal, aCommand);
-  // No node but the leader acts on claims, and a message to each voter for each
-  // commit doubles what a claim costs the leader.
+  // No node but the leader acts on claims and jobs, and a message to each voter
+  // for each commit doubles what a change of them costs the leader.
   auto stepped = core_->Step(ProposeInput{ proposal,
                                            EncodeEnvelope(envelope),
-                                           !IsClaimCommand(envelope.command_) },
+                                           !IsOfLeaderOnly(envelope.command_) },
                              now);
   if (core_->Role() == RaftRole::Leader) {
     lastProposalAt_ = now;
--- a/packages/daemon/test/gateway_test.cpp
+++ b/packages/daemon/test/gateway_test.cpp
@@ -32,6 +32,7 @@
   Answers,
   Hangs,
   LostLeadership,
+  Refuses, ///< Says that it does not lead, and has taken nothing.
 };
 
 /// Fake nodes that may lead, and a gateway in front of them.
@@ -59,16 +60,26 @@
     return { [this] { return leader_; },
              [this] { return silentFor_; },
              [this](const std::string& aNode) { confirmed_.push_back(aNode); },
-             [] {} };
+             [] {},
+             [this] { return reader_; } };
   }
 
   /// Passes one request on; the answer is there when one came in time.
-  std::optional<HttpAnswer> Ask(Plane aPlane, GatewayTiming aTiming)
+  std::optional<HttpAnswer> Ask(Plane aPlane,
+                                GatewayTiming aTiming,
+                                const std::string& aMethod = "POST")
   {
-    Gateway gateway(
-      context_, client_, "entry", port_, metrics_, nullptr, Source(), aTiming);
+    Gateway gateway(context_,
+                    client_,
+                    "entry",
+                    port_,
+                    metrics_,
+                    nullptr,
+                    nullptr,
+                    Source(),
+                    aTiming);
     HttpRequest request;
-    request.method_ = "POST";
+    request.method_ = aMethod;
     request.target_ = "/q/1";
     std::optional<HttpAnswer> answer;
     gateway.Handle(aPlane, std::move(request), [&](HttpAnswer aAnswer) {
@@ -91,6 +102,8 @@
   }
 
   std::string leader_;
+  /// A node that may answer reads.
+  std::string reader_;
   Millis silentFor_{ 0 };
   std::vector<std::string> confirmed_;
 
@@ -111,6 +124,10 @@
         ElectLater(kTwo);
         leader_.clear();
         break;
+      case Mood::Refuses:
+        answer.status_ = 503;
+        answer.headers_ = { { kNotLeaderHeader, "yes" } };
+        break;
       case Mood::Answers:
         answer.body_ = aNode;
         break;
@@ -224,3 +241,37 @@
     }
   }
 }
+
+// Guards against a leader that answers every look at a job itself.
+TEST_CASE("reads are answered by control nodes that need not lead")
+{
+  struct Row
+  {
+    const char* name_;
+    Mood second_;
+    std::string reader_;
+    std::string method_;
+    Plane plane_;
+    std::string body_;
+  };
+  const std::vector<Row> rows{
+    { "a read", Mood::Answers, kTwo, "GET", Plane::Callers, kTwo },
+    { "the reader hangs", Mood::Hangs, kTwo, "GET", Plane::Callers, kOne },
+    { "it does not know", Mood::Refuses, kTwo, "GET", Plane::Callers, kOne },
+    { "no reader is known", Mood::Answers, "", "GET", Plane::Callers, kOne },
+    { "a job", Mood::Answers, kTwo, "POST", Plane::Callers, kOne },
+    { "a cancel", Mood::Answers, kTwo, "DELETE", Plane::Callers, kOne },
+    { "an operator's read", Mood::Answers, kTwo, "GET", Plane::Control, kOne },
+  };
+  for (const auto& row : rows) {
+    INFO(row.name_);
+    GatewayBench bench({ { kOne, Mood::Answers }, { kTwo, row.second_ } });
+    bench.leader_ = kOne;
+    bench.reader_ = row.reader_;
+    const auto answer = bench.Ask(
+      row.plane_, { kNever, kNever, kNever, kNever, kNever }, row.method_);
+    REQUIRE(answer);
+    CHECK(answer->status_ == 200);
+    CHECK(answer->body_ == row.body_);
+  }
+}
--- a/packages/daemon/workload_orders.cpp
+++ b/packages/daemon/workload_orders.cpp
@@ -23,7 +23,7 @@
 // The scheduler looks at all workers and waiting steps for each of its
 // decisions, and these look at what came in within this time together. A start
 // takes some tens of milliseconds.
-constexpr Millis kRunPause{ 5 };
+constexpr Millis kRunPause{ 10 };
 
 } // namespace
 
@@ -161,10 +161,9 @@
        platform::EncodeOrder(aAction),
        aAction.wait_ + kRenewalMargin,
        [this, aAction](const CallResult& aResult) {
-         scheduler_->HandleRenewal(aAction,
-                                   platform::DecodeOrderAnswer(aResult),
-                                   platform::DecodeLists(aResult),
-                                   MonotonicNow());
+         const auto answer = platform::DecodeRenewalAnswer(aResult);
+         scheduler_->HandleRenewal(
+           aAction, answer.order_, answer.lists_, MonotonicNow());
        });
 }
 
--- a/packages/daemon/workload_service.cpp
+++ b/packages/daemon/workload_service.cpp
@@ -82,6 +82,7 @@
   if (settings_.isControl_) {
     replica_ = &registry_.Find<ReplicaService>(kReplicaServiceName);
     host_.emplace(settings_, *replica_, metrics_, context_, client_);
+    reader_.emplace(*replica_, settings_.control_.raft_.electionMin_);
   } else {
     finder_.emplace(
       context_, client_, NodesOf(settings_.seeds_), settings_.internalPort_);
@@ -92,6 +93,7 @@
                    settings_.internalPort_,
                    metrics_,
                    host_ ? &*host_ : nullptr,
+                   reader_ ? &*reader_ : nullptr,
                    KnownLeader());
   for (auto& port : PortsToServe()) {
     const bool isCallers = port.address_ == settings_.listenCallers_;
@@ -127,12 +129,14 @@
                                MonotonicNow() - startedAt);
              },
              [](const std::string&) {},
-             [] {} };
+             [] {},
+             [] { return std::string(); } };
   }
   return { [this] { return finder_->Leader(); },
            [this] { return MonotonicNow() - finder_->ConfirmedAt(); },
            [this](const std::string& aLeader) { finder_->Confirm(aLeader); },
-           [this] { finder_->Doubt(); } };
+           [this] { finder_->Doubt(); },
+           [this] { return finder_->NextReader(); } };
 }
 
 std::vector<WorkloadService::Port>
--- a/packages/http/async_client.cpp
+++ b/packages/http/async_client.cpp
@@ -53,6 +53,7 @@
     while (!connections.empty()) {
       auto last = std::move(connections.back());
       connections.pop_back();
+      --idleCount_;
       if (last.since_ >= oldest) {
         return std::move(last.stream_);
       }
@@ -64,15 +65,32 @@
   void KeepIdle(const std::string& aAddress,
                 std::unique_ptr<beast::tcp_stream> aStream)
   {
+    if (idleCount_ >= limits_.idleInAll_) {
+      DropOld();
+    }
     auto& connections = idle_[aAddress];
-    if (connections.size() < limits_.idlePerAddress_) {
+    if (connections.size() < limits_.idlePerAddress_ &&
+        idleCount_ < limits_.idleInAll_) {
       connections.push_back({ std::move(aStream), MonotonicNow() });
+      ++idleCount_;
     }
   }
 
+  /// Closes connections that are too old to be used again.
+  void DropOld()
+  {
+    const auto oldest = MonotonicNow() - limits_.idleAge_;
+    std::erase_if(idle_, [&](auto& aEntry) {
+      idleCount_ -= std::erase_if(
+        aEntry.second, [&](const auto& aOne) { return aOne.since_ < oldest; });
+      return aEntry.second.empty();
+    });
+  }
+
   asio::io_context& context_;
   ClientLimits limits_;
   std::map<std::string, std::vector<IdleConnection>> idle_;
+  std::size_t idleCount_ = 0;
 };
 
 /// One call. It lives as long as an operation of it is open.
--- a/packages/workload/scheduler.cpp
+++ b/packages/workload/scheduler.cpp
@@ -55,6 +55,7 @@
           run.fills_ = spec.fills_;
           run.targetMs_ = spec.targetMs_;
           run.stopWanted_ = IsOver(job.phase_);
+          unsettled_.insert(task.worker_);
           view->used_ = Sum(view->used_, ReservedBy(run));
           view->runs_.emplace(TaskKey{ id, number, step, index }, run);
         }
@@ -314,6 +315,7 @@
       placementDue_ = false;
       Place(aNow);
     }
+    ForgetSettled();
     StopWanted(aNow);
     RenewDue(aNow);
     LookAtDoubts(aNow);
--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -189,6 +189,8 @@
                  const std::optional<std::int64_t>& aClockMs,
                  MonotonicTime aNow);
   void Supersede(std::uint32_t aFormer, std::uint32_t aNew);
+  /// Drops workers without a run that is in doubt or is to be stopped.
+  void ForgetSettled();
   void RenewDue(MonotonicTime aNow);
   void LookAtDoubts(MonotonicTime aNow);
   void ExpireLeases(MonotonicTime aNow);
@@ -273,7 +275,7 @@
   bool IsUnlocked(const OccurrenceEntry& aOccurrence,
                   const StepSpec& aStep) const;
   void Place(MonotonicTime aNow);
-  void PlacePool(const std::string& aPool,
+  void PlacePool(const std::vector<std::uint32_t>& aWorkers,
                  std::set<ReadyStep>& aReady,
                  MonotonicTime aNow);
   /// The step has waiting tasks beside others that have begun.
@@ -292,9 +294,9 @@
   bool IsUsable(const WorkerEntry& aWorker,
                 const WorkerView& aView,
                 MonotonicTime aNow) const;
-  /// Numbers of the workers of a pool that may get tasks now.
-  std::vector<std::uint32_t> UsableWorkers(const std::string& aPool,
-                                           MonotonicTime aNow) const;
+  /// Numbers of the workers that may get tasks now, by pool.
+  std::map<std::string, std::vector<std::uint32_t>> UsableWorkers(
+    MonotonicTime aNow) const;
   std::map<std::uint32_t, std::uint32_t> WorkersOfStep(
     const std::vector<TaskEntry>& aTasks) const;
   void Assign(const TaskKey& aTask,
@@ -356,6 +358,9 @@
   MonotonicTime authorityAt_;
 
   std::map<std::uint32_t, WorkerView> views_;
+  /// Workers that may have runs which are in doubt or are to be stopped. Others
+  /// need not be looked through at each decision.
+  std::set<std::uint32_t> unsettled_;
   /// Former lives whose runs are closed once the new one has answered, by the
   /// number of the new one.
   std::map<std::uint32_t, std::uint32_t> superseded_;
--- a/packages/workload/scheduler_demand.cpp
+++ b/packages/workload/scheduler_demand.cpp
@@ -138,8 +138,9 @@
     return;
   }
   waitingReportedAt_ = aNow;
+  auto usable = UsableWorkers(aNow);
   for (const auto& [pool, ready] : ready_) {
-    const auto workers = UsableWorkers(pool, aNow);
+    const auto& workers = usable[pool];
     for (const auto& each : ready) {
       const auto* job = state_.FindJob(each.job_);
       if (job == nullptr || IsOver(job->phase_) ||
--- a/packages/workload/scheduler_lists.cpp
+++ b/packages/workload/scheduler_lists.cpp
@@ -132,6 +132,7 @@
     } else {
       run.phase_ = RunPhase::Unsure;
       run.stopWanted_ = true;
+      unsettled_.insert(aWorker);
     }
   }
   for (const auto& [task, run] : never) {
--- a/packages/workload/scheduler_place.cpp
+++ b/packages/workload/scheduler_place.cpp
@@ -154,14 +154,14 @@
          !aView.evacuating_ && aNow >= aView.avoidUntil_;
 }
 
-std::vector<std::uint32_t>
-Scheduler::UsableWorkers(const std::string& aPool, MonotonicTime aNow) const
+std::map<std::string, std::vector<std::uint32_t>>
+Scheduler::UsableWorkers(MonotonicTime aNow) const
 {
-  std::vector<std::uint32_t> workers;
+  std::map<std::string, std::vector<std::uint32_t>> workers;
   for (const auto& [number, view] : views_) {
     const auto& worker = *state_.FindWorker(number);
-    if (worker.pool_ == aPool && IsUsable(worker, view, aNow)) {
-      workers.push_back(number);
+    if (IsUsable(worker, view, aNow)) {
+      workers[worker.pool_].push_back(number);
     }
   }
   return workers;
@@ -170,9 +170,17 @@
 void
 Scheduler::Place(MonotonicTime aNow)
 {
+  const bool hasWaiting =
+    std::any_of(ready_.begin(), ready_.end(), [](const auto& aEntry) {
+      return !aEntry.second.empty();
+    });
+  if (!hasWaiting) {
+    return;
+  }
+  auto workers = UsableWorkers(aNow);
   for (auto& [pool, ready] : ready_) {
     if (!ready.empty()) {
-      PlacePool(pool, ready, aNow);
+      PlacePool(workers[pool], ready, aNow);
     }
   }
 }
@@ -186,11 +194,10 @@
 }
 
 void
-Scheduler::PlacePool(const std::string& aPool,
+Scheduler::PlacePool(const std::vector<std::uint32_t>& aWorkers,
                      std::set<ReadyStep>& aReady,
                      MonotonicTime aNow)
 {
-  const auto workers = UsableWorkers(aPool, aNow);
   // When a pool holds less than is asked for, serving all in the order of their
   // objectives makes all late. Those that can meet theirs go first, and of them
   // those that have begun.
@@ -204,7 +211,7 @@
          step != aReady.end() && misses < kMisses;) {
       if (isLate(*step) != late) {
         ++step;
-      } else if (PlaceStep(*step, workers, aNow)) {
+      } else if (PlaceStep(*step, aWorkers, aNow)) {
         step = aReady.erase(step);
       } else if (step->isFirst_ && IsPartlyPlaced(*step)) {
         // From now on it is served as a job that has begun.
--- a/packages/workload/scheduler_run.cpp
+++ b/packages/workload/scheduler_run.cpp
@@ -127,6 +127,7 @@
     if (aEnd != RunEnd::Done) {
       if (run != nullptr) {
         run->stopWanted_ = true;
+        unsettled_.insert(task->worker_);
       }
     } else if (run != nullptr) {
       CloseRun(task->worker_, other, aRun, RunEnd::Done, {}, aNow);
@@ -270,6 +271,7 @@
         ++view.fenceStep_;
         run->phase_ = RunPhase::Unsure;
         run->since_ = aNow;
+        unsettled_.insert(worker);
       }
       return;
     case OrderOutcome::NoRoom:
@@ -326,8 +328,8 @@
 void
 Scheduler::StopWanted(MonotonicTime aNow)
 {
-  for (auto& [number, view] : views_) {
-    for (auto& [task, run] : view.runs_) {
+  for (const auto number : unsettled_) {
+    for (auto& [task, run] : views_.at(number).runs_) {
       const bool isSent = run.phase_ != RunPhase::Logged;
       if (!run.stopWanted_ || !isSent || run.stopOpen_ || run.stoppedAt_ ||
           aNow - run.stopSentAt_ < kStopRetry) {
@@ -348,6 +350,7 @@
     auto run = view.runs_.lower_bound(TaskKey{ aJob, 0, 0, 0 });
     for (; run != view.runs_.end() && run->first.job_ == aJob; ++run) {
       run->second.stopWanted_ = true;
+      unsettled_.insert(number);
     }
   }
 }
@@ -371,6 +374,7 @@
       if (isNear ? run.lasts_ || step.checkpoints_
                  : run.lasts_ && HasPlaceElsewhere(task, number, aNow)) {
         run.stopWanted_ = true;
+        unsettled_.insert(number);
       }
     }
   }
@@ -419,7 +423,7 @@
   const auto& job = *state_.FindJob(aTask.job_);
   const auto& tasks =
     job.occurrences_.at(aTask.occurrence_).steps_[aTask.step_];
-  auto workers = UsableWorkers(state_.FindWorker(aWorker)->pool_, aNow);
+  auto workers = UsableWorkers(aNow)[state_.FindWorker(aWorker)->pool_];
   std::erase(workers, aWorker);
   return ChooseWorker(
            job.spec_.steps_[aTask.step_], workers, WorkersOfStep(tasks)) != 0;
--- a/packages/workload/scheduler_upkeep.cpp
+++ b/packages/workload/scheduler_upkeep.cpp
@@ -187,6 +187,7 @@
                     { "vm", vm },
                     { "away", AwayOf(task) } });
           run.stopWanted_ = true;
+          unsettled_.insert(number);
         }
       }
     }
--- a/packages/workload/scheduler_worker.cpp
+++ b/packages/workload/scheduler_worker.cpp
@@ -12,11 +12,13 @@
 
 namespace {
 
-// Wait of a renewal at the worker; it answers earlier when a run ends.
+// Wait of a renewal at the worker; it answers earlier when a run ends. A worker
+// that falls silent is noticed at its end, which matters less without tasks.
 constexpr Millis kRenewalWait{ 500 };
+constexpr Millis kIdleRenewalWait{ 1000 };
 // Pause after a renewal that told of ends, so that the next answer tells of
-// several at once.
-constexpr Millis kRenewalPause{ 15 };
+// several at once: a renewal costs more than an end.
+constexpr Millis kRenewalPause{ 40 };
 // Pauses after a renewal without an answer.
 constexpr Millis kFirstRetryPause{ 10 };
 constexpr Millis kLongestRetryPause{ 800 };
@@ -267,6 +269,20 @@
   }
 }
 
+void
+Scheduler::ForgetSettled()
+{
+  std::erase_if(unsettled_, [this](std::uint32_t aWorker) {
+    const auto* view = FindView(aWorker);
+    return view == nullptr ||
+           std::none_of(
+             view->runs_.begin(), view->runs_.end(), [](const auto& aEntry) {
+               return aEntry.second.stopWanted_ ||
+                      aEntry.second.phase_ == RunPhase::Unsure;
+             });
+  });
+}
+
 void
 Scheduler::RenewDue(MonotonicTime aNow)
 {
@@ -278,7 +294,9 @@
     const bool waits = view.confirmed_ && view.missedRenewals_ == 0;
     actions_.emplace_back(RenewLease{ MakeTarget(number, aNow),
                                       view.committedEnds_,
-                                      waits ? kRenewalWait : Millis(0),
+                                      !waits               ? Millis(0)
+                                      : view.runs_.empty() ? kIdleRenewalWait
+                                                           : kRenewalWait,
                                       false,
                                       aNow });
   }
@@ -289,7 +307,8 @@
 void
 Scheduler::LookAtDoubts(MonotonicTime aNow)
 {
-  for (auto& [number, view] : views_) {
+  for (const auto number : unsettled_) {
+    auto& view = views_.at(number);
     const bool hasDoubt =
       std::any_of(view.runs_.begin(), view.runs_.end(), [](const auto& aEntry) {
         const auto& run = aEntry.second;
