Change: the leader gives its orders through the other control nodes

Change: from 120 workers on, orders go in batches to another control node, in the worker's zone where there is one, which calls the workers and returns their answers over a call that is always open. Authority and fences stay the leader's; an agent drops orders that reach it late by its own clock, which runs on while it is suspended. A worker that an agent does not reach is called directly.

--- a/packages/daemon/replica_service.cpp
+++ b/packages/daemon/replica_service.cpp
@@ -19,6 +19,8 @@
 constexpr Millis kRepairInterval{ 250 };
 // How long ago a voter with another disk may have been heard to be admitted.
 constexpr Millis kUnrecognizedMaxAge{ 5000 };
+// Number of the proposals that change the voters; commands count from 1.
+constexpr std::uint64_t kVoterChange = 0;
 // Contact older than the longest election by this much is stale.
 constexpr Millis kStaleMargin{ 1000 };
 
@@ -232,7 +234,8 @@
     std::move(stepped.begin(), stepped.end(), std::back_inserter(aActions));
   } else if (const auto* change = std::get_if<ChangeVoters>(&aWork)) {
     auto stepped = core_->Step(
-      ChangeVoterInput{ 0, change->voter_, change->add_ }, MonotonicNow());
+      ChangeVoterInput{ kVoterChange, change->voter_, change->add_ },
+      MonotonicNow());
     std::move(stepped.begin(), stepped.end(), std::back_inserter(aActions));
   }
 }
@@ -345,13 +348,19 @@
     Restore(restore->snapshot_);
   } else if (const auto* accepted = std::get_if<ProposalAccepted>(&aAction)) {
     const auto found = proposed_.find(accepted->proposal_);
-    if (found != proposed_.end()) {
+    if (accepted->proposal_ == kVoterChange) {
+      LogInfo("the voters change",
+              { { "index", accepted->index_ },
+                { "voters", core_->Voters().voters_.size() } });
+    } else if (found != proposed_.end()) {
       pending_[accepted->index_] = { accepted->term_, found->second };
       proposed_.erase(found);
     }
   } else if (const auto* refused = std::get_if<ProposalRefused>(&aAction)) {
     const auto found = proposed_.find(refused->proposal_);
-    if (found != proposed_.end()) {
+    if (refused->proposal_ == kVoterChange) {
+      LogInfo("a change of the voters has to wait or was given up");
+    } else if (found != proposed_.end()) {
       found->second->onResult_(
         Failed(ErrorKind::NotLeader, "this node does not lead"));
       proposed_.erase(found);
--- a/packages/daemon/test/replica_seeds_test.cpp
+++ b/packages/daemon/test/replica_seeds_test.cpp
@@ -9,8 +9,10 @@
 
 #include <algorithm>
 #include <chrono>
+#include <fstream>
 #include <functional>
 #include <memory>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -144,9 +146,20 @@
     return voting;
   }
 
+  /// True once there are that many voters, each under the disk that its node
+  /// has now.
   bool HasVoters(std::size_t aCount, Millis aWithin)
   {
-    return Waits([&] { return Voters().size() == aCount; }, aWithin);
+    return Waits(
+      [&] {
+        const auto voters = Voters();
+        return voters.size() == aCount &&
+               std::all_of(
+                 voters.begin(), voters.end(), [this](const auto& aVoter) {
+                   return HasDisk(aVoter);
+                 });
+      },
+      aWithin);
   }
 
   /// True once the group stores a change.
@@ -191,6 +204,19 @@
   }
 
 private:
+  /// The node's folder is the one that the voter's id was made for.
+  bool HasDisk(const VoterId& aVoter) const
+  {
+    const auto node =
+      std::find_if(nodes_.begin(), nodes_.end(), [&aVoter](const auto& aOne) {
+        return aOne->address_ == aVoter.node_;
+      });
+    std::ifstream file((*node)->folder_.path() + "/data/disk_id");
+    std::ostringstream content;
+    content << file.rdbuf();
+    return content.str().find(aVoter.disk_) != std::string::npos;
+  }
+
   struct Node
   {
     std::string address_;
--- a/packages/daemon/workload_host.cpp
+++ b/packages/daemon/workload_host.cpp
@@ -42,6 +42,12 @@
   , metrics_(aMetrics)
   , context_(aContext)
   , client_(aClient)
+  , relay_(aContext,
+           aClient,
+           aSettings.control_.node_,
+           aSettings.control_.zone_,
+           aSettings.internalPort_,
+           aMetrics)
   , timer_(aContext)
   , runTimer_(aContext)
 {
@@ -177,6 +183,7 @@
   term_ = aTerm;
   ++generation_;
   config_ = {};
+  relay_.Begin(aTerm);
   scheduler_.emplace(
     std::move(state), settings_.scheduler_, aTerm, MonotonicNow());
   RefreshConfig();
@@ -194,6 +201,7 @@
                { "reason", aReason },
                { "waiting_requests", waiting_.size() } });
   scheduler_.reset();
+  relay_.End();
   term_ = 0;
   ++generation_;
   auto waiting = std::move(waiting_);
--- a/packages/daemon/workload_host_base.h
+++ b/packages/daemon/workload_host_base.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "daemon/order_relay_base.h"
 #include "daemon/replica_service_base.h"
 #include "daemon/workload_settings_type.h"
 #include "http/async_client_base.h"
@@ -83,9 +84,14 @@
   void CarryOut(const ListVms& aAction);
   void CarryOut(const BeginUpkeep& aAction);
   void CarryOut(const MoveVm& aAction);
+  /// Gives an order to a worker; the function is not called once this
+  /// leadership is over.
+  void GiveOrder(WorkerOrder aOrder, OrderRelay::OnAnswer aOnAnswer);
+  /// Tells the relay which control nodes there are.
+  void RefreshAgents();
   void ReadVmPage(const std::string& aToken,
                   std::shared_ptr<std::vector<VmListing>> aSoFar);
-  /// Calls a worker or the platform; the function is not called once this
+  /// Calls the platform; the function is not called once this
   /// leadership is over.
   void Call(const std::string& aAddress,
             HttpRequest aRequest,
@@ -97,6 +103,8 @@
   Metrics& metrics_;
   boost::asio::io_context& context_;
   AsyncClient& client_;
+  OrderRelay relay_;
+  MonotonicTime agentsAt_{};
   boost::asio::steady_timer timer_;
   boost::asio::steady_timer runTimer_;
   bool runDue_ = false;
--- a/packages/daemon/workload_orders.cpp
+++ b/packages/daemon/workload_orders.cpp
@@ -14,11 +14,8 @@
 
 namespace {
 
-// Workers answer orders within a few ms. One without an answer for this time
-// may be carried out later.
-constexpr Millis kOrderTimeout{ 300 };
-// Added to the wait of a renewal for its way there and back.
-constexpr Millis kRenewalMargin{ 400 };
+// Control nodes come and go.
+constexpr Millis kAgentsInterval{ 500 };
 constexpr Millis kVmTimeout{ 1500 };
 // The scheduler looks at all workers and waiting steps for each of its
 // decisions, and these look at what came in within this time together. A start
@@ -52,6 +49,9 @@
 WorkloadHost::RunNow()
 {
   ranAt_ = MonotonicNow();
+  if (scheduler_) {
+    RefreshAgents();
+  }
   const auto control = replica_.Control();
   if (scheduler_ && control.isLeader_ && control.term_ == term_) {
     scheduler_->ConfirmAuthority(MonotonicNow() - control.age_);
@@ -59,6 +59,7 @@
   while (scheduler_) {
     const auto actions = scheduler_->TakeActions(MonotonicNow());
     if (actions.empty()) {
+      relay_.Flush();
       return;
     }
     const auto generation = generation_;
@@ -130,53 +131,82 @@
                });
 }
 
+void
+WorkloadHost::GiveOrder(WorkerOrder aOrder, OrderRelay::OnAnswer aOnAnswer)
+{
+  const auto number =
+    std::visit([](const auto& aOne) { return aOne.target_.worker_; }, aOrder);
+  const auto* worker = scheduler_->State().FindWorker(number);
+  relay_.Give(std::move(aOrder),
+              worker == nullptr ? "" : worker->zone_,
+              [this, onAnswer = std::move(aOnAnswer)](const auto& aAnswer,
+                                                      const auto& aLists) {
+                onAnswer(aAnswer, aLists);
+                Run();
+              });
+}
+
 void
 WorkloadHost::CarryOut(const StartRun& aAction)
 {
-  Call(aAction.target_.address_,
-       platform::EncodeOrder(aAction),
-       kOrderTimeout,
-       [this, aAction](const CallResult& aResult) {
-         scheduler_->HandleStart(
-           aAction, platform::DecodeOrderAnswer(aResult), MonotonicNow());
-       });
+  GiveOrder(aAction, [this, aAction](const auto& aAnswer, const auto&) {
+    scheduler_->HandleStart(aAction, aAnswer, MonotonicNow());
+  });
 }
 
 void
 WorkloadHost::CarryOut(const StopRun& aAction)
 {
-  Call(aAction.target_.address_,
-       platform::EncodeOrder(aAction),
-       kOrderTimeout,
-       [this, aAction](const CallResult& aResult) {
-         scheduler_->HandleStop(
-           aAction, platform::DecodeOrderAnswer(aResult), MonotonicNow());
-       });
+  GiveOrder(aAction, [this, aAction](const auto& aAnswer, const auto&) {
+    scheduler_->HandleStop(aAction, aAnswer, MonotonicNow());
+  });
 }
 
 void
 WorkloadHost::CarryOut(const RenewLease& aAction)
 {
-  Call(aAction.target_.address_,
-       platform::EncodeOrder(aAction),
-       aAction.wait_ + kRenewalMargin,
-       [this, aAction](const CallResult& aResult) {
-         const auto answer = platform::DecodeRenewalAnswer(aResult);
-         scheduler_->HandleRenewal(
-           aAction, answer.order_, answer.lists_, MonotonicNow());
-       });
+  GiveOrder(aAction, [this, aAction](const auto& aAnswer, const auto& aLists) {
+    scheduler_->HandleRenewal(aAction, aAnswer, aLists, MonotonicNow());
+  });
 }
 
 void
 WorkloadHost::CarryOut(const PaceRun& aAction)
 {
-  Call(aAction.target_.address_,
-       platform::EncodeOrder(aAction),
-       kOrderTimeout,
-       [this, aAction](const CallResult& aResult) {
-         scheduler_->HandlePace(
-           aAction, platform::DecodeOrderAnswer(aResult), MonotonicNow());
-       });
+  GiveOrder(aAction, [this, aAction](const auto& aAnswer, const auto&) {
+    scheduler_->HandlePace(aAction, aAnswer, MonotonicNow());
+  });
+}
+
+// The leader's calls cost more than its decisions from about this many workers
+// on; below it the way over another node only takes time.
+void
+WorkloadHost::RefreshAgents()
+{
+  constexpr std::size_t kWorkersToRelay = 120;
+  const auto now = MonotonicNow();
+  if (now - agentsAt_ < kAgentsInterval) {
+    return;
+  }
+  agentsAt_ = now;
+  std::vector<AgentNode> agents;
+  if (scheduler_->Views().size() >= kWorkersToRelay) {
+    agents = replica_.Read([](const Fleet& aFleet) {
+      std::vector<AgentNode> nodes;
+      for (const auto& [id, node] : aFleet.Nodes()) {
+        nodes.push_back({ id, node.zone_ });
+      }
+      return nodes;
+    });
+    const auto voters = replica_.Control().voters_;
+    std::erase_if(agents, [&voters](const auto& aAgent) {
+      return std::none_of(
+        voters.begin(), voters.end(), [&aAgent](const auto& aVoter) {
+          return aVoter.node_ == aAgent.node_;
+        });
+    });
+  }
+  relay_.SetAgents(agents);
 }
 
 void
--- a/packages/daemon/workload_service.cpp
+++ b/packages/daemon/workload_service.cpp
@@ -82,6 +82,7 @@
   if (settings_.isControl_) {
     replica_ = &registry_.Find<ReplicaService>(kReplicaServiceName);
     host_.emplace(settings_, *replica_, metrics_, context_, client_);
+    agent_.emplace(context_, client_);
     reader_.emplace(*replica_, settings_.control_.raft_.electionMin_);
   } else {
     finder_.emplace(
@@ -183,6 +184,10 @@
 WorkloadService::AnswerInternal(const HttpRequest& aRequest,
                                 AsyncListener::Answer aAnswer)
 {
+  if (agent_ && aRequest.target_ == kOrdersPath) {
+    agent_->Handle(aRequest, std::move(aAnswer));
+    return;
+  }
   if (aRequest.target_ != kGroupPath) {
     gateway_->HandleForwarded(aRequest, std::move(aAnswer));
     return;
@@ -245,6 +250,9 @@
     if (host_) {
       host_->Stop();
     }
+    if (agent_) {
+      agent_->Stop();
+    }
     if (finder_) {
       finder_->Stop();
     }
--- a/packages/daemon/workload_service_base.h
+++ b/packages/daemon/workload_service_base.h
@@ -73,6 +73,7 @@
   std::optional<LeaderFinder> finder_;
   std::optional<WorkloadHost> host_;
   std::optional<ReplicaReader> reader_;
+  std::optional<OrderAgent> agent_;
   std::optional<Gateway> gateway_;
   std::vector<std::unique_ptr<AsyncListener>> listeners_;
   std::atomic<bool> stopping_{ false };
--- a/packages/http/async_client.cpp
+++ b/packages/http/async_client.cpp
@@ -80,11 +80,14 @@
   void DropOld()
   {
     const auto oldest = MonotonicNow() - limits_.idleAge_;
-    std::erase_if(idle_, [&](auto& aEntry) {
-      idleCount_ -= std::erase_if(
-        aEntry.second, [&](const auto& aOne) { return aOne.since_ < oldest; });
-      return aEntry.second.empty();
-    });
+    for (auto& [address, connections] : idle_) {
+      idleCount_ -=
+        std::erase_if(connections, [oldest](const IdleConnection& aOne) {
+          return aOne.since_ < oldest;
+        });
+    }
+    std::erase_if(idle_,
+                  [](const auto& aEntry) { return aEntry.second.empty(); });
   }
 
   asio::io_context& context_;
