Fix: a call that timed out is reset, so that it does not arrive later

Its call was held up by a partition, timed out and was closed in order; a closed connection goes on sending what it holds when the partition heals. The fence of such a call holds only for VMs that a later leader has called about.

Change: connections of the client are reset when they end. Orders that reach an agent too late are answered as not given, so that their tasks need not wait.

Test, failed before (the peer saw an orderly end): "a call that timed out resets its connection".

--- a/packages/daemon/order_agent.cpp
+++ b/packages/daemon/order_agent.cpp
@@ -117,6 +117,10 @@
     LogWarning("orders came too late to be given",
                { { "orders", batch.orders_.size() },
                  { "late_ms", OrderClockMs() - batch.untilMs_ } });
+    for (const auto& each : batch.orders_) {
+      Take({ each.id_, { OrderOutcome::TooLate, std::nullopt }, std::nullopt },
+           term_);
+    }
     return;
   }
   for (const auto& each : batch.orders_) {
--- a/packages/daemon/order_relay.cpp
+++ b/packages/daemon/order_relay.cpp
@@ -13,6 +13,9 @@
 
 // Added to the time for an order for its way over the agent.
 constexpr Millis kRelayMargin{ 100 };
+// An agent gives orders that reach it within this time. It is less than the
+// leader waits for any answer.
+constexpr Millis kOnTheWay{ 300 };
 // An agent answers each call within 0.2 s.
 constexpr Millis kCallTimeout{ 450 };
 // An agent that did not answer, or refused, is not used for this time.
@@ -165,7 +168,7 @@
   batch.orders_ = std::exchange(aAgent.queued_, {});
   // Its clock was read before its answer arrived here, so that this is early.
   batch.untilMs_ =
-    aAgent.clockMs_ + (now - aAgent.answeredAt_ + kRelayMargin).count();
+    aAgent.clockMs_ + (now - aAgent.answeredAt_ + kOnTheWay).count();
   HttpRequest request;
   request.method_ = "POST";
   request.target_ = kOrdersPath;
--- a/packages/http/async_client.cpp
+++ b/packages/http/async_client.cpp
@@ -136,9 +136,12 @@
           self->Finish(CallFailure::NotSent);
           return;
         }
+        auto& socket = self->stream_->socket();
         beast::error_code ignored;
-        self->stream_->socket().set_option(asio::ip::tcp::no_delay(true),
-                                           ignored);
+        socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        // A call that was given up must not arrive later: a closed connection
+        // would go on sending what a partition holds up, a reset one does not.
+        socket.set_option(asio::socket_base::linger(true, 0), ignored);
         self->Write();
       });
   }
--- a/packages/http/async_client_base.h
+++ b/packages/http/async_client_base.h
@@ -29,8 +29,9 @@
 };
 
 /// Makes HTTP/1.1 calls from the thread that runs the context and keeps
-/// connections for later ones. A connection that failed or timed out is never
-/// used again. No call is sent twice.
+/// connections for later ones. A connection that failed or timed out is reset
+/// and never used again, so that bytes which have not arrived never do. No call
+/// is sent twice.
 class AsyncClient
 {
 public:
--- /dev/null
+++ b/packages/http/test/async_http_test.cpp
@@ -0,0 +1,124 @@
+#include "http/async_client_base.h"
+#include "http/async_listener_base.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <optional>
+#include <stdexcept>
+
+using namespace acaciahill;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto kTestTime = 3s;
+
+HttpRequest
+Get(const std::string& aTarget)
+{
+  return { "GET", aTarget, { { "Host", "test" } }, {}, true, false };
+}
+
+/// Takes one connection, reads what comes and never answers.
+class SilentPeer
+{
+public:
+  explicit SilentPeer(asio::io_context& aContext)
+    : acceptor_(aContext, { asio::ip::make_address("127.0.0.1"), 0 })
+    , socket_(aContext)
+  {
+    acceptor_.async_accept(socket_, [this](boost::system::error_code aError) {
+      if (!aError) {
+        ReadOn();
+      }
+    });
+  }
+
+  std::string Address() const
+  {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+
+  /// How the connection ended; nothing while it is open.
+  std::optional<boost::system::error_code> end_;
+
+private:
+  void ReadOn()
+  {
+    socket_.async_read_some(
+      asio::buffer(bytes_),
+      [this](boost::system::error_code aError, std::size_t) {
+        if (aError) {
+          end_ = aError;
+        } else {
+          ReadOn();
+        }
+      });
+  }
+
+  asio::ip::tcp::acceptor acceptor_;
+  asio::ip::tcp::socket socket_;
+  std::array<char, 4096> bytes_{};
+};
+
+} // namespace
+
+// Guards against an order that was given up and arrives when a partition heals:
+// a connection that is closed in order goes on sending what was held up.
+TEST_CASE("a call that timed out resets its connection")
+{
+  asio::io_context context;
+  SilentPeer peer(context);
+  AsyncClient client(context);
+  std::optional<CallResult> result;
+  client.Call(peer.Address(), Get("/"), 200ms, [&](CallResult aResult) {
+    result = std::move(aResult);
+  });
+  context.run_for(kTestTime);
+  REQUIRE(result);
+  CHECK(std::get<CallFailure>(*result) == CallFailure::Timeout);
+  REQUIRE(peer.end_);
+  CHECK(*peer.end_ == asio::error::connection_reset);
+}
+
+// Guards against one request that ends the process.
+TEST_CASE("a request on which the handler throws is answered, and the next too")
+{
+  asio::io_context context;
+  std::string address;
+  AsyncListener listener(
+    context,
+    [](const HttpRequest& aRequest, const AsyncListener::Answer& aAnswer) {
+      if (aRequest.target_ == "/odd") {
+        throw std::out_of_range("odd");
+      }
+      HttpAnswer answer;
+      answer.status_ = 200;
+      aAnswer(std::move(answer));
+    },
+    HttpLimits{ 16384, 65536 });
+  {
+    asio::ip::tcp::acceptor free(context,
+                                 { asio::ip::make_address("127.0.0.1"), 0 });
+    address = "127.0.0.1:" + std::to_string(free.local_endpoint().port());
+  }
+  REQUIRE(IsOk(listener.Start(address)));
+  AsyncClient client(context);
+  std::vector<std::int64_t> statuses;
+  const auto ask = [&](const std::string& aTarget, auto aNext) {
+    client.Call(
+      address, Get(aTarget), 1000ms, [&, aNext](const CallResult& aResult) {
+        const auto* answer = std::get_if<HttpAnswer>(&aResult);
+        statuses.push_back(answer == nullptr ? 0 : answer->status_);
+        aNext();
+      });
+  };
+  ask("/odd", [&] { ask("/plain", [&] { context.stop(); }); });
+  context.run_for(kTestTime);
+  CHECK(statuses == std::vector<std::int64_t>{ 500, 200 });
+}
