--- a/packages/consensus/raft_base.h
+++ b/packages/consensus/raft_base.h
@@ -37,6 +37,11 @@
   std::uint64_t SnapshotIndex() const { return log_.LastSnapshot().lastIndex_; }
   /// The voters in force (the last set in the log).
   const VoterSet& Voters() const { return log_.Voters(); }
+  /// A change of the voters is on its way, so that another one is refused.
+  bool IsChanging() const;
+  /// This member holds everything that the leader had committed when it sent
+  /// its last request to it. True on the leader.
+  bool HoldsCommitted() const;
   /// True when this member leads and has heard a quorum within an election
   /// timeout (electionMin_, counted from the sending of the answered request).
   /// No other leader can be elected while it is true.
@@ -174,6 +179,9 @@
   RaftLog log_;
   std::string leader_;
   std::uint64_t commitIndex_ = 0;
+  /// The leader's commit index in its last request; above the own one while
+  /// this member catches up.
+  std::uint64_t leaderCommit_ = 0;
 
   /// Time and actions of the step being handled.
   MonotonicTime now_;
--- a/packages/consensus/raft_change.cpp
+++ b/packages/consensus/raft_change.cpp
@@ -29,9 +29,7 @@
 {
   // Two sets that differ by one voter always share a member of their quorums.
   // This needs the last change and an entry of the own term to be committed.
-  if (role_ != RaftRole::Leader || pendingAdd_ ||
-      log_.VotersIndex() > commitIndex_ ||
-      log_.TermAt(commitIndex_) != Term()) {
+  if (role_ != RaftRole::Leader || IsChanging()) {
     return false;
   }
   const auto& voters = Voters().voters_;
@@ -45,6 +43,13 @@
            });
 }
 
+bool
+RaftCore::IsChanging() const
+{
+  return pendingAdd_ || log_.VotersIndex() > commitIndex_ ||
+         log_.TermAt(commitIndex_) != Term();
+}
+
 void
 RaftCore::RemoveVoter(const ChangeVoterInput& aInput)
 {
--- a/packages/consensus/raft_follower.cpp
+++ b/packages/consensus/raft_follower.cpp
@@ -10,6 +10,7 @@
   if (!AcceptLeader(aMessage, aRequest.round_)) {
     return;
   }
+  leaderCommit_ = aRequest.commitIndex_;
   const auto previous = aRequest.previousIndex_;
   if (previous > log_.LastIndex()) {
     ReplyFailure(aMessage.from_, log_.LastIndex() + 1, aRequest.round_);
@@ -38,6 +39,7 @@
     return;
   }
   const auto& snapshot = aRequest.snapshot_;
+  leaderCommit_ = std::max(leaderCommit_, snapshot.lastIndex_ + 1);
   const bool isGenesis = snapshot.lastIndex_ == 0 && LastIndex() == 0 &&
                          log_.LastSnapshot().voters_.voters_.empty();
   if (!isGenesis && snapshot.lastIndex_ <= commitIndex_) {
@@ -58,6 +60,14 @@
   ReplySuccess(aMessage.from_, snapshot.lastIndex_, aRequest.round_);
 }
 
+bool
+RaftCore::HoldsCommitted() const
+{
+  return role_ == RaftRole::Leader ||
+         (role_ == RaftRole::Follower && !leader_.empty() &&
+          commitIndex_ >= leaderCommit_);
+}
+
 /// False when the message is from an earlier term, which is answered, or when
 /// this member leads in the same term.
 bool
--- a/packages/daemon/gateway.cpp
+++ b/packages/daemon/gateway.cpp
@@ -146,8 +146,11 @@
   client_.Call(aReader + ":" + internalPort_,
                PassedOn(aPending->plane_, aPending->request_),
                timing_.read_,
-               [this, pending = aPending](const CallResult& aResult) {
+               [this, pending = aPending, aReader](const CallResult& aResult) {
                  const auto* answer = std::get_if<HttpAnswer>(&aResult);
+                 if (answer == nullptr) {
+                   leader_.onSilentReader_(aReader);
+                 }
                  if (answer != nullptr &&
                      !FindHeader(answer->headers_, kNotLeaderHeader)) {
                    Finish(pending, PassOn(*answer));
--- a/packages/daemon/gateway_base.h
+++ b/packages/daemon/gateway_base.h
@@ -36,6 +36,9 @@
   std::function<void()> onDoubt_;
   /// A control node that may answer reads; empty when none is known.
   std::function<std::string()> reader_ = [] { return std::string(); };
+  /// Such a node did not answer.
+  std::function<void(const std::string&)> onSilentReader_ =
+    [](const std::string&) {};
 };
 
 /// How long a gateway waits for what.
--- a/packages/daemon/leader_finder.cpp
+++ b/packages/daemon/leader_finder.cpp
@@ -168,6 +168,13 @@
   return "";
 }
 
+void
+LeaderFinder::NoteSilence(const std::string& aNode)
+{
+  silent_ = aNode;
+  silentAt_ = MonotonicNow();
+}
+
 void
 LeaderFinder::Ask()
 {
@@ -196,8 +203,7 @@
 void
 LeaderFinder::TakeSilence(const std::string& aAsked)
 {
-  silent_ = aAsked;
-  silentAt_ = MonotonicNow();
+  NoteSilence(aAsked);
   if (leader_ == aAsked) {
     LogInfo("lost the leader", { { "leader", leader_ }, { "now", "" } });
     leader_.clear();
--- a/packages/daemon/leader_finder_base.h
+++ b/packages/daemon/leader_finder_base.h
@@ -54,6 +54,9 @@
   /// is known.
   std::string NextReader();
 
+  /// A control node did not answer; it is left out for some time.
+  void NoteSilence(const std::string& aNode);
+
   /// When the leader last answered; the start of this process before.
   MonotonicTime ConfirmedAt() const { return confirmedAt_; }
 
--- a/packages/daemon/order_agent.cpp
+++ b/packages/daemon/order_agent.cpp
@@ -118,7 +118,7 @@
                { { "orders", batch.orders_.size() },
                  { "late_ms", OrderClockMs() - batch.untilMs_ } });
     for (const auto& each : batch.orders_) {
-      Take({ each.id_, { OrderOutcome::TooLate, std::nullopt }, std::nullopt },
+      Take({ each.id_, { OrderOutcome::NotGiven, std::nullopt }, std::nullopt },
            term_);
     }
     return;
--- a/packages/daemon/order_relay.cpp
+++ b/packages/daemon/order_relay.cpp
@@ -21,7 +21,7 @@
 // An agent that did not answer, or refused, is not used for this time.
 constexpr Millis kRest{ 2000 };
 // A worker that no agent reached is called directly for this time.
-constexpr Millis kDirectTime{ 5000 };
+constexpr Millis kDirectTime{ 15000 };
 constexpr Millis kWatchInterval{ 50 };
 constexpr std::int64_t kOk = 200;
 
@@ -66,52 +66,50 @@
 void
 OrderRelay::SetAgents(const std::vector<AgentNode>& aAgents)
 {
-  std::erase_if(agents_, [&aAgents](const auto& aEntry) {
-    return std::none_of(
-      aAgents.begin(), aAgents.end(), [&aEntry](const auto& aNode) {
-        return aNode.node_ == aEntry.first;
-      });
-  });
+  for (auto& [node, agent] : agents_) {
+    agent.isListed_ = false;
+  }
   for (const auto& each : aAgents) {
     if (each.node_ == node_) {
       continue;
     }
     auto& agent = agents_[each.node_];
     agent.zone_ = each.zone_;
-    if (!agent.isKnown_ && agent.openCalls_ == 0 &&
-        MonotonicNow() >= agent.restsUntil_) {
+    agent.isListed_ = true;
+    if (agent.openCalls_ == 0 && MonotonicNow() >= agent.restsUntil_) {
       // Its answer tells that it is there, and its clock.
       Send(each.node_, agent);
     }
   }
 }
 
-OrderRelay::Agent*
+std::map<std::string, OrderRelay::Agent>::iterator
 OrderRelay::AgentFor(std::uint32_t aWorker, const std::string& aZone)
 {
   const auto now = MonotonicNow();
   if (const auto found = direct_.find(aWorker); found != direct_.end()) {
     if (now < found->second) {
-      return nullptr;
+      return agents_.end();
     }
     direct_.erase(found);
   }
-  std::vector<Agent*> near;
-  std::vector<Agent*> all;
-  for (auto& [node, agent] : agents_) {
-    if (agent.isKnown_ && now >= agent.restsUntil_) {
-      all.push_back(&agent);
+  std::vector<std::map<std::string, Agent>::iterator> near;
+  std::vector<std::map<std::string, Agent>::iterator> all;
+  for (auto each = agents_.begin(); each != agents_.end(); ++each) {
+    const auto& agent = each->second;
+    if (agent.isListed_ && agent.isKnown_ && now >= agent.restsUntil_) {
+      all.push_back(each);
       if (agent.zone_ == aZone) {
-        near.push_back(&agent);
+        near.push_back(each);
       }
     }
   }
   // A worker beside the leader is not called by way of another zone.
   if (near.empty() && aZone == zone_) {
-    return nullptr;
+    return agents_.end();
   }
   const auto& from = near.empty() ? all : near;
-  return from.empty() ? nullptr : from[aWorker % from.size()];
+  return from.empty() ? agents_.end() : from[aWorker % from.size()];
 }
 
 void
@@ -121,19 +119,21 @@
 {
   const auto worker =
     std::visit([](const auto& aOne) { return aOne.target_.worker_; }, aOrder);
-  auto* agent = AgentFor(worker, aWorkerZone);
+  const auto agent = AgentFor(worker, aWorkerZone);
+  const bool isDirect = agent == agents_.end();
   metrics_.Count("acaciahill_orders_total",
-                 { { "way", agent == nullptr ? "direct" : "relayed" } });
-  if (agent == nullptr) {
+                 { { "way", isDirect ? "direct" : "relayed" } });
+  if (isDirect) {
     GiveDirectly(aOrder, std::move(aOnAnswer));
     return;
   }
   const auto id = nextId_++;
   open_.emplace(id,
                 Open{ std::move(aOnAnswer),
+                      agent->first,
                       worker,
                       MonotonicNow() + OrderTimeout(aOrder) + kRelayMargin });
-  agent->queued_.push_back({ id, std::move(aOrder) });
+  agent->second.queued_.push_back({ id, std::move(aOrder) });
 }
 
 void
@@ -166,6 +166,10 @@
   OrderBatch batch;
   batch.term_ = term_;
   batch.orders_ = std::exchange(aAgent.queued_, {});
+  // Some may have been given up while they waited.
+  std::erase_if(batch.orders_, [this](const RelayedOrder& aOrder) {
+    return !open_.contains(aOrder.id_);
+  });
   // Its clock was read before its answer arrived here, so that this is early.
   batch.untilMs_ =
     aAgent.clockMs_ + (now - aAgent.answeredAt_ + kOnTheWay).count();
@@ -189,11 +193,7 @@
 void
 OrderRelay::TakeAnswers(const std::string& aNode, const CallResult& aResult)
 {
-  const auto found = agents_.find(aNode);
-  if (found == agents_.end()) {
-    return;
-  }
-  auto& agent = found->second;
+  auto& agent = agents_[aNode];
   --agent.openCalls_;
   const auto* answer = std::get_if<HttpAnswer>(&aResult);
   const auto decoded = answer != nullptr && answer->status_ == kOk
@@ -207,6 +207,7 @@
     }
     agent.isKnown_ = false;
     agent.restsUntil_ = MonotonicNow() + kRest;
+    FailOrdersOf(aNode);
     return;
   }
   const auto& batch = ValueOf(decoded);
@@ -226,6 +227,24 @@
   }
 }
 
+void
+OrderRelay::FailOrdersOf(const std::string& aAgent)
+{
+  std::vector<std::uint64_t> failed;
+  for (const auto& [id, open] : open_) {
+    if (open.agent_ == aAgent) {
+      failed.push_back(id);
+    }
+  }
+  const auto current = std::weak_ptr(generation_);
+  for (const auto id : failed) {
+    if (current.expired()) {
+      return;
+    }
+    Finish({ id, {}, std::nullopt });
+  }
+}
+
 void
 OrderRelay::Finish(const RelayedAnswer& aAnswer)
 {
@@ -244,8 +263,9 @@
 OrderRelay::Watch()
 {
   timer_.expires_after(kWatchInterval);
-  timer_.async_wait([this](const boost::system::error_code& aError) {
-    if (aError) {
+  timer_.async_wait([this, current = std::weak_ptr(generation_)](
+                      const boost::system::error_code& aError) {
+    if (aError || current.expired()) {
       return;
     }
     const auto now = MonotonicNow();
@@ -255,7 +275,6 @@
         late.push_back(id);
       }
     }
-    const auto current = std::weak_ptr(generation_);
     for (const auto id : late) {
       Finish({ id, {}, std::nullopt });
       if (current.expired()) {
--- a/packages/daemon/order_relay_base.h
+++ b/packages/daemon/order_relay_base.h
@@ -71,15 +71,22 @@
     MonotonicTime restsUntil_{};
     int openCalls_ = 0;
     bool isKnown_ = false;
+    /// It is to get orders. Answers of others are still taken.
+    bool isListed_ = false;
   };
   struct Open
   {
     OnAnswer onAnswer_;
+    std::string agent_;
     std::uint32_t worker_ = 0;
     MonotonicTime until_{};
   };
 
-  Agent* AgentFor(std::uint32_t aWorker, const std::string& aZone);
+  /// The agent for a worker; agents_.end() for a direct call.
+  std::map<std::string, Agent>::iterator AgentFor(std::uint32_t aWorker,
+                                                  const std::string& aZone);
+  /// The agent failed: what it was given may have been carried out.
+  void FailOrdersOf(const std::string& aAgent);
   void GiveDirectly(const WorkerOrder& aOrder, OnAnswer aOnAnswer);
   void Send(const std::string& aNode, Agent& aAgent);
   void TakeAnswers(const std::string& aNode, const CallResult& aResult);
--- a/packages/daemon/replica_follower.cpp
+++ b/packages/daemon/replica_follower.cpp
@@ -75,7 +75,7 @@
 {
   const std::lock_guard lock(controlMutex_);
   const auto& voters = control_.voters_;
-  return settings_.voter_ &&
+  return settings_.voter_ && !isOrphaned_ &&
          std::find(voters.begin(), voters.end(), self_) != voters.end();
 }
 
--- a/packages/daemon/replica_reader.cpp
+++ b/packages/daemon/replica_reader.cpp
@@ -17,7 +17,7 @@
 ReplicaReader::IsFresh() const
 {
   const auto control = replica_.Control();
-  return !control.stale_ && control.age_ <= freshFor_;
+  return control.holdsCommitted_ && control.age_ <= freshFor_;
 }
 
 void
@@ -81,7 +81,8 @@
     std::find_if(workers.rbegin(), workers.rend(), [&](const auto& aEntry) {
       return aEntry.second.id_ == aReport.worker_.id_;
     });
-  if (last == workers.rend()) {
+  // A new leader learns from the next report when a draining worker leaves.
+  if (last == workers.rend() || aReport.worker_.draining_) {
     return false;
   }
   // Numbers and noted ends are the leader's own.
--- a/packages/daemon/replica_requests.cpp
+++ b/packages/daemon/replica_requests.cpp
@@ -115,12 +115,14 @@
 
 void
 ReplicaService::ProposeAsync(const Command& aCommand,
-                             std::function<void(CommandResult)> aOnResult)
+                             std::function<void(CommandResult)> aOnResult,
+                             bool aAnnounces)
 {
   auto waiting = std::make_shared<WaitingCommand>();
   waiting->envelope_ = { requestPrefix_ + std::to_string(nextRequest_++),
                          0,
                          aCommand };
+  waiting->announces_ = aAnnounces;
   waiting->onResult_ = std::move(aOnResult);
   Enqueue(waiting);
 }
--- a/packages/daemon/replica_seeds.cpp
+++ b/packages/daemon/replica_seeds.cpp
@@ -21,6 +21,9 @@
 constexpr int kLostHeartbeats = 3;
 // A node may be admitted for this time after it last asked for a place.
 constexpr Millis kCandidateMaxAge{ 3000 };
+// A node whose admission failed is left out for this time: the leader may not
+// reach it, and others must not wait for it.
+constexpr Millis kAdmissionPause{ 5000 };
 constexpr Millis kAdmissionInterval{ 300 };
 constexpr Millis kAdmissionTimeout{ 1000 };
 constexpr Millis kSizeReportInterval{ 5000 };
@@ -97,28 +100,28 @@
       return aVoter.node_ == aNode;
     });
   };
-  // The node that was tried least recently: one that the leader cannot reach
-  // must not keep out the others.
-  const UnrecognizedDisk* candidate = nullptr;
-  std::string node;
-  for (const auto& [name, heard] : aHeard) {
-    if (!isVoter(name) && now - heard.heardAt_ <= kCandidateMaxAge &&
-        (candidate == nullptr || admittedAt_[name] < admittedAt_[node])) {
-      candidate = &heard;
-      node = name;
-    }
-  }
-  if (candidate == nullptr) {
+  const auto hasFailed = [&](const std::string& aNode) {
+    const auto failed = admissionFailedAt_.find(aNode);
+    return failed != admissionFailedAt_.end() &&
+           now - failed->second <= kAdmissionPause;
+  };
+  const auto candidate =
+    std::find_if(aHeard.begin(), aHeard.end(), [&](const auto& aEntry) {
+      return !isVoter(aEntry.first) && !hasFailed(aEntry.first) &&
+             now - aEntry.second.heardAt_ <= kCandidateMaxAge;
+    });
+  if (candidate == aHeard.end()) {
     return false;
   }
+  const auto& [node, heard] = *candidate;
   if (voters.size() < WantedVoters()) {
     LogInfo("admitting a control node as a voter",
             { { "candidate", node },
-              { "disk", candidate->disk_ },
+              { "disk", heard.disk_ },
               { "voters", voters.size() },
               { "wanted", WantedVoters() } });
-    admittedAt_[node] = now;
-    Enqueue(ChangeVoters{ { node, candidate->disk_ }, true });
+    lastAdmission_ = node;
+    Enqueue(ChangeVoters{ { node, heard.disk_ }, true });
     return true;
   }
   const auto silentFor = std::chrono::duration_cast<Millis>(
--- a/packages/daemon/replica_service.cpp
+++ b/packages/daemon/replica_service.cpp
@@ -21,6 +21,8 @@
 constexpr Millis kUnrecognizedMaxAge{ 5000 };
 // Number of the proposals that change the voters; commands count from 1.
 constexpr std::uint64_t kVoterChange = 0;
+// Several elections.
+constexpr Millis kOrphanedAfter{ 5000 };
 // Contact older than the longest election by this much is stale.
 constexpr Millis kStaleMargin{ 1000 };
 
@@ -32,14 +34,6 @@
   return result;
 }
 
-/// Only the leader acts on the command before the next heartbeat.
-bool
-IsOfLeaderOnly(const Command& aCommand)
-{
-  return IsClaimCommand(aCommand) ||
-         std::holds_alternative<ChangeWorkload>(aCommand);
-}
-
 template<typename T>
 bool
 IsSave(const T& aAction)
@@ -278,12 +272,13 @@
       : static_cast<std::uint64_t>((now - lastProposalAt_).count());
   const auto proposal = nextProposal_++;
   proposed_.emplace(proposal, aCommand);
-  // No node but the leader acts on claims and jobs, and a message to each voter
-  // for each commit doubles what a change of them costs the leader.
-  auto stepped = core_->Step(ProposeInput{ proposal,
-                                           EncodeEnvelope(envelope),
-                                           !IsOfLeaderOnly(envelope.command_) },
-                             now);
+  // No node but the leader acts on claims and on most changes of jobs, and a
+  // message to each voter for each commit doubles what they cost the leader.
+  auto stepped = core_->Step(
+    ProposeInput{ proposal,
+                  EncodeEnvelope(envelope),
+                  aCommand->announces_ && !IsClaimCommand(envelope.command_) },
+    now);
   if (core_->Role() == RaftRole::Leader) {
     lastProposalAt_ = now;
   }
@@ -360,6 +355,7 @@
     const auto found = proposed_.find(refused->proposal_);
     if (refused->proposal_ == kVoterChange) {
       LogInfo("a change of the voters has to wait or was given up");
+      admissionFailedAt_[lastAdmission_] = MonotonicNow();
     } else if (found != proposed_.end()) {
       found->second->onResult_(
         Failed(ErrorKind::NotLeader, "this node does not lead"));
@@ -567,9 +563,9 @@
     ReadmitListedVoters(unrecognized);
     return;
   }
-  // One change at a time, and additions first: the group is never smaller than
-  // one voter below what it needs.
-  if (!GrowSeededGroup(unrecognized)) {
+  // One change at a time, and additions first, so that the group stays near the
+  // size that it needs.
+  if (!core_->IsChanging() && !GrowSeededGroup(unrecognized)) {
     RemoveLostVoter(unrecognized);
   }
 }
@@ -602,15 +598,23 @@
   control_.term_ = core_->Term();
   control_.wantedVoters_ = WantedVoters();
   control_.lastIndex_ = core_->LastIndex();
-  if (core_->Role() == RaftRole::Learner) {
-    // A learner follows by pulls as well; RunFollower publishes.
+  if (!core_->Leader().empty()) {
+    ledAt_ = now;
+  }
+  // A voter that finds no leader for that long may have been replaced, and its
+  // log does not say so.
+  isOrphaned_ = settings_.seeded_ && now - ledAt_ > kOrphanedAfter;
+  if (core_->Role() == RaftRole::Learner || isOrphaned_) {
+    // Such a node follows by pulls as well; RunFollower publishes.
     control_.isLeader_ = false;
+    control_.holdsCommitted_ = false;
     control_.voters_ = core_->Voters().voters_;
     return;
   }
   control_.leader_ = core_->Leader();
   control_.isLeader_ = core_->Role() == RaftRole::Leader;
   control_.commitIndex_ = core_->CommitIndex();
+  control_.holdsCommitted_ = core_->HoldsCommitted();
   control_.voters_ = core_->Voters().voters_;
   if (const auto contact = core_->LastContact(now)) {
     contactAt_ = std::max(contactAt_, *contact);
--- a/packages/daemon/replica_service_base.h
+++ b/packages/daemon/replica_service_base.h
@@ -44,6 +44,9 @@
   /// True once the node has caught up with the log after its start.
   bool caughtUp_ = false;
   std::uint64_t commitIndex_ = 0;
+  /// The node has a vote, and holds everything that its leader had committed
+  /// when it last heard from it.
+  bool holdsCommitted_ = false;
   /// Term and index of the last log entry; 0 on nodes that are no voters.
   std::uint64_t term_ = 0;
   std::uint64_t lastIndex_ = 0;
@@ -102,8 +105,11 @@
   /// is called once, on another thread, when the command is applied (after all
   /// before it in the log) or is known not to have been accepted; errors as in
   /// Propose.
+  /// Other nodes learn of the commit at once, and not with the next heartbeat,
+  /// when aAnnounces is set.
   void ProposeAsync(const Command& aCommand,
-                    std::function<void(CommandResult)> aOnResult);
+                    std::function<void(CommandResult)> aOnResult,
+                    bool aAnnounces = false);
 
   /// The state's logical time, continued by this node's monotonic clock since
   /// the last command that it applied.
@@ -135,6 +141,8 @@
   struct WaitingCommand
   {
     CommandEnvelope envelope_;
+    /// Other nodes act on it before the next heartbeat.
+    bool announces_ = true;
     /// Called once, on the voter thread.
     std::function<void(CommandResult)> onResult_;
   };
@@ -282,11 +290,16 @@
   std::uint64_t nextProposal_ = 1;
   MonotonicTime lastProposalAt_{};
   MonotonicTime lastRepairAt_{};
-  /// When the admission of a node was last begun, by node.
-  std::map<std::string, MonotonicTime> admittedAt_;
+  /// The node that was last to be admitted, and when that failed, by node.
+  std::string lastAdmission_;
+  std::map<std::string, MonotonicTime> admissionFailedAt_;
+  /// When this member last knew a leader.
+  MonotonicTime ledAt_{};
   MonotonicTime sizeReportedAt_{};
 
   std::atomic<bool> stopping_{ false };
+  /// No leader was found for so long that the vote may be gone.
+  std::atomic<bool> isOrphaned_{ false };
   std::atomic<std::uint64_t> nextRequest_{ 1 };
   std::string requestPrefix_;
   std::vector<std::thread> threads_;
--- a/packages/daemon/test/replica_reader_test.cpp
+++ b/packages/daemon/test/replica_reader_test.cpp
@@ -54,6 +54,15 @@
   auto entry = Report().worker_;
   entry.number_ = 3;
   state.Apply({ 1, { WorkerJoined{ entry }, EndsNoted{ 3, 17 } } });
+  {
+    auto draining = Workload{};
+    auto leaving = entry;
+    leaving.draining_ = true;
+    draining.Apply({ 1, { WorkerJoined{ leaving } } });
+    auto report = Report();
+    report.worker_.draining_ = true;
+    CHECK(!IsKnownReport(draining, report));
+  }
   for (const auto& row : rows) {
     INFO(row.name_);
     auto report = Report();
--- a/packages/daemon/test/replica_seeds_test.cpp
+++ b/packages/daemon/test/replica_seeds_test.cpp
@@ -292,6 +292,43 @@
   }
 }
 
+// Guards against a node that was replaced while it was away, and refuses every
+// leader as its own log still gives it a vote.
+TEST_CASE("a voter that was replaced while it was away follows again")
+{
+  Group group(6, 3, 2);
+  REQUIRE(group.HasVoters(5, kCatchUp));
+  const auto voting = group.VotingNodes();
+  REQUIRE(voting.size() == 5);
+  const auto away =
+    *std::find_if(voting.begin(), voting.end(), [&](std::size_t aNode) {
+      return !group.Replica(aNode).Control().isLeader_;
+    });
+  group.Stop(away);
+  REQUIRE(Group::Waits(
+    [&] {
+      const auto now = group.VotingNodes();
+      return now.size() == 5 &&
+             std::find(now.begin(), now.end(), away) == now.end();
+    },
+    kCatchUp));
+  // Nobody that is left has told it of its removal.
+  for (std::size_t i = 0; i < 6; ++i) {
+    group.Stop(i);
+  }
+  for (std::size_t i = 0; i < 6; ++i) {
+    group.Start(i);
+  }
+  REQUIRE(group.HasVoters(5, 2 * kCatchUp));
+  REQUIRE(group.Stores("later", kCatchUp));
+  CHECK(Group::Waits(
+    [&] {
+      return group.Replica(away).Read(
+        [](const Fleet& aFleet) { return aFleet.Nodes().contains("later"); });
+    },
+    2 * kCatchUp));
+}
+
 // Guards against a place that stays with a node that is gone for good while the
 // next losses come.
 TEST_CASE("a voter that is gone is replaced within the time to catch up")
--- a/packages/daemon/workload_host.cpp
+++ b/packages/daemon/workload_host.cpp
@@ -249,8 +249,36 @@
   return token;
 }
 
+// What was decided of a request on which the scheduler failed may not be in the
+// log: this leadership cannot go on from it.
+template<typename F>
+void
+WorkloadHost::Guarded(F aFunction)
+{
+  try {
+    aFunction();
+  } catch (const std::exception& error) {
+    LogError("the scheduler failed on a request",
+             { { "error", error.what() } });
+    Abandon("the scheduler failed on a request");
+    throw;
+  }
+}
+
 void
 WorkloadHost::HandleCaller(const HttpRequest& aRequest, Answer aAnswer)
+{
+  Guarded([&] { TakeCaller(aRequest, std::move(aAnswer)); });
+}
+
+void
+WorkloadHost::HandleControl(const HttpRequest& aRequest, Answer aAnswer)
+{
+  Guarded([&] { TakeControl(aRequest, std::move(aAnswer)); });
+}
+
+void
+WorkloadHost::TakeCaller(const HttpRequest& aRequest, Answer aAnswer)
 {
   const auto call = platform::DecodeCallerCall(aRequest, config_);
   const auto now = MonotonicNow();
@@ -273,7 +301,7 @@
 }
 
 void
-WorkloadHost::HandleControl(const HttpRequest& aRequest, Answer aAnswer)
+WorkloadHost::TakeControl(const HttpRequest& aRequest, Answer aAnswer)
 {
   auto call = platform::DecodeControlCall(aRequest);
   const auto now = MonotonicNow();
--- a/packages/daemon/workload_host_base.h
+++ b/packages/daemon/workload_host_base.h
@@ -53,6 +53,10 @@
   void HandleControl(const HttpRequest& aRequest, Answer aAnswer);
 
 private:
+  template<typename F>
+  void Guarded(F aFunction);
+  void TakeCaller(const HttpRequest& aRequest, Answer aAnswer);
+  void TakeControl(const HttpRequest& aRequest, Answer aAnswer);
   void Tick();
   void FollowLeadership();
   /// Whether a leader may take requests with the group as it is.
@@ -105,6 +109,7 @@
   AsyncClient& client_;
   OrderRelay relay_;
   MonotonicTime agentsAt_{};
+  bool relays_ = false;
   boost::asio::steady_timer timer_;
   boost::asio::steady_timer runTimer_;
   bool runDue_ = false;
--- a/packages/daemon/workload_orders.cpp
+++ b/packages/daemon/workload_orders.cpp
@@ -8,6 +8,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
+
 // Carries out what the scheduler decided.
 
 namespace acaciahill {
@@ -78,6 +80,12 @@
   metrics_.Count("acaciahill_workload_events_total",
                  {},
                  static_cast<double>(aAction.events_.events_.size()));
+  // Other nodes answer reads by the configuration in force.
+  const auto& events = aAction.events_.events_;
+  const bool changesConfig =
+    std::any_of(events.begin(), events.end(), [](const auto& aEvent) {
+      return std::holds_alternative<ConfigAccepted>(aEvent);
+    });
   replica_.ProposeAsync(
     ChangeWorkload{ EncodeBatch(aAction.events_) },
     [this, generation = generation_, batch = aAction.batch_](
@@ -95,7 +103,8 @@
         scheduler_->HandleCommit(batch, MonotonicNow());
         Run();
       });
-    });
+    },
+    changesConfig);
 }
 
 void
@@ -184,13 +193,16 @@
 WorkloadHost::RefreshAgents()
 {
   constexpr std::size_t kWorkersToRelay = 120;
+  constexpr std::size_t kWorkersToCall = 90;
   const auto now = MonotonicNow();
   if (now - agentsAt_ < kAgentsInterval) {
     return;
   }
   agentsAt_ = now;
+  const auto workers = scheduler_->Views().size();
+  relays_ = workers >= (relays_ ? kWorkersToCall : kWorkersToRelay);
   std::vector<AgentNode> agents;
-  if (scheduler_->Views().size() >= kWorkersToRelay) {
+  if (relays_) {
     agents = replica_.Read([](const Fleet& aFleet) {
       std::vector<AgentNode> nodes;
       for (const auto& [id, node] : aFleet.Nodes()) {
--- a/packages/daemon/workload_service.cpp
+++ b/packages/daemon/workload_service.cpp
@@ -83,7 +83,7 @@
     replica_ = &registry_.Find<ReplicaService>(kReplicaServiceName);
     host_.emplace(settings_, *replica_, metrics_, context_, client_);
     agent_.emplace(context_, client_);
-    reader_.emplace(*replica_, settings_.control_.raft_.electionMin_);
+    reader_.emplace(*replica_, 2 * settings_.control_.raft_.heartbeat_);
   } else {
     finder_.emplace(
       context_, client_, NodesOf(settings_.seeds_), settings_.internalPort_);
@@ -131,13 +131,15 @@
              },
              [](const std::string&) {},
              [] {},
-             [] { return std::string(); } };
+             [] { return std::string(); },
+             [](const std::string&) {} };
   }
   return { [this] { return finder_->Leader(); },
            [this] { return MonotonicNow() - finder_->ConfirmedAt(); },
            [this](const std::string& aLeader) { finder_->Confirm(aLeader); },
            [this] { finder_->Doubt(); },
-           [this] { return finder_->NextReader(); } };
+           [this] { return finder_->NextReader(); },
+           [this](const std::string& aNode) { finder_->NoteSilence(aNode); } };
 }
 
 std::vector<WorkloadService::Port>
--- a/packages/workload/order_codec.cpp
+++ b/packages/workload/order_codec.cpp
@@ -207,7 +207,10 @@
 void
 serialize(Archive& aArchive, WorkerLists& aValue)
 {
-  aArchive(aValue.clockMs_, aValue.bornMs_, aValue.running_, aValue.ended_);
+  auto unread = static_cast<std::uint64_t>(aValue.unreadEnds_);
+  aArchive(
+    aValue.clockMs_, aValue.bornMs_, aValue.running_, aValue.ended_, unread);
+  aValue.unreadEnds_ = static_cast<std::size_t>(unread);
 }
 
 template<typename Archive>
--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -163,6 +163,9 @@
     bool toSpare_ = false;
   };
 
+  /// Numbers of the workers that may get tasks, by pool.
+  using UsableByPool = std::map<std::string, std::vector<std::uint32_t>>;
+
   // scheduler.cpp: events, batches, time.
   void Decide(WorkloadEvent aEvent, MonotonicTime aNow);
   void AnswerOnCommit(RequestToken aToken, RequestOutcome aOutcome);
@@ -252,7 +255,7 @@
   /// Another worker of the pool can take the task of this one now.
   bool HasPlaceElsewhere(const TaskKey& aTask,
                          std::uint32_t aWorker,
-                         MonotonicTime aNow) const;
+                         const UsableByPool& aUsable) const;
   std::uint32_t AwayOf(const TaskKey& aTask) const;
   void PaceFilling(std::uint32_t aWorker, MonotonicTime aNow);
 
@@ -295,8 +298,7 @@
                 const WorkerView& aView,
                 MonotonicTime aNow) const;
   /// Numbers of the workers that may get tasks now, by pool.
-  std::map<std::string, std::vector<std::uint32_t>> UsableWorkers(
-    MonotonicTime aNow) const;
+  UsableByPool UsableWorkers(MonotonicTime aNow) const;
   std::map<std::uint32_t, std::uint32_t> WorkersOfStep(
     const std::vector<TaskEntry>& aTasks) const;
   void Assign(const TaskKey& aTask,
@@ -308,8 +310,8 @@
   // scheduler_demand.cpp: what pools ask for.
   const std::vector<std::string>& QueuesOf(const std::string& aPool) const;
   std::int64_t WaitingMilliCores(const std::string& aPool) const;
-  /// Workers over which the steps of a pool that have waiting tasks, or tasks
-  /// on workers that are being emptied, have to be spread.
+  /// Workers over which the steps of a pool that last have to be spread, when
+  /// some of their tasks wait or are on workers that are being emptied.
   std::size_t SpreadOf(const std::string& aPool) const;
   void CountArrival(const JobSpec& aSpec, MonotonicTime aNow);
   void ObserveDemand(MonotonicTime aNow);
@@ -376,6 +378,7 @@
   std::vector<SchedulerAction> actions_;
 
   std::map<std::pair<TaskKey, std::uint32_t>, MonotonicTime> straySentAt_;
+  std::set<std::string> ignored_;
   std::map<std::string, VmView> vms_;
   std::map<std::string, OpenMove> moves_;
   DemandMeter demand_;
--- a/packages/workload/scheduler_demand.cpp
+++ b/packages/workload/scheduler_demand.cpp
@@ -108,7 +108,8 @@
       return;
     }
     const auto& step = job->spec_.steps_[aStep];
-    if (step.maxPerWorker_ > 0) {
+    // The parts of a step that ends can run one after another.
+    if (step.lasts_ && step.maxPerWorker_ > 0) {
       spread = std::max<std::size_t>(
         spread, (step.tasks_ + step.maxPerWorker_ - 1) / step.maxPerWorker_);
     }
@@ -122,9 +123,7 @@
     const auto& worker = *state_.FindWorker(number);
     if (worker.pool_ == aPool && (worker.draining_ || view.evacuating_)) {
       for (const auto& [task, run] : view.runs_) {
-        if (run.lasts_) {
-          count(task.job_, task.step_);
-        }
+        count(task.job_, task.step_);
       }
     }
   }
--- a/packages/workload/scheduler_lists.cpp
+++ b/packages/workload/scheduler_lists.cpp
@@ -112,7 +112,7 @@
                         const RenewLease& aOrder,
                         MonotonicTime aNow)
 {
-  if (aLists.ended_.size() >= kEndsInList) {
+  if (aLists.ended_.size() + aLists.unreadEnds_ >= kEndsInList) {
     return;
   }
   std::set<std::pair<TaskKey, std::uint32_t>> listed;
--- a/packages/workload/scheduler_place.cpp
+++ b/packages/workload/scheduler_place.cpp
@@ -154,10 +154,10 @@
          !aView.evacuating_ && aNow >= aView.avoidUntil_;
 }
 
-std::map<std::string, std::vector<std::uint32_t>>
+Scheduler::UsableByPool
 Scheduler::UsableWorkers(MonotonicTime aNow) const
 {
-  std::map<std::string, std::vector<std::uint32_t>> workers;
+  UsableByPool workers;
   for (const auto& [number, view] : views_) {
     const auto& worker = *state_.FindWorker(number);
     if (IsUsable(worker, view, aNow)) {
@@ -205,14 +205,31 @@
   const auto isLate = [now](const ReadyStep& aStep) {
     return aStep.latestStartMs_ < now;
   };
-  for (const bool late : { false, true }) {
+  // Tasks that last are few and have no objective of their own to meet: they go
+  // before all others, and none of those hides them.
+  enum class Turn : std::uint8_t
+  {
+    Lasting,
+    OnTime,
+    Late
+  };
+  const auto turnOf = [&](const ReadyStep& aStep) {
+    const auto* job = state_.FindJob(aStep.job_);
+    if (job != nullptr && !IsOver(job->phase_) &&
+        job->spec_.steps_[aStep.step_].lasts_) {
+      return Turn::Lasting;
+    }
+    return isLate(aStep) ? Turn::Late : Turn::OnTime;
+  };
+  for (const auto turn : { Turn::Lasting, Turn::OnTime, Turn::Late }) {
     int misses = 0;
     for (auto step = aReady.begin();
-         step != aReady.end() && misses < kMisses;) {
-      if (isLate(*step) != late) {
+         step != aReady.end() && (misses < kMisses || turn == Turn::Lasting);) {
+      if (turnOf(*step) != turn) {
         ++step;
       } else if (PlaceStep(*step, aWorkers, aNow)) {
         step = aReady.erase(step);
+        misses = 0;
       } else if (step->isFirst_ && IsPartlyPlaced(*step)) {
         // From now on it is served as a job that has begun.
         const auto begun = *step;
--- a/packages/workload/scheduler_run.cpp
+++ b/packages/workload/scheduler_run.cpp
@@ -360,6 +360,14 @@
 void
 Scheduler::EvacuateLeaving(MonotonicTime aNow)
 {
+  const bool isAnyLeaving =
+    std::any_of(views_.begin(), views_.end(), [](const auto& aEntry) {
+      return aEntry.second.leavesAt_ && !aEntry.second.runs_.empty();
+    });
+  if (!isAnyLeaving) {
+    return;
+  }
+  const auto usable = UsableWorkers(aNow);
   for (auto& [number, view] : views_) {
     if (!view.leavesAt_) {
       continue;
@@ -367,12 +375,12 @@
     const bool isNear = aNow + kLeaveMargin >= *view.leavesAt_;
     for (auto& [task, run] : view.runs_) {
       const auto* job = state_.FindJob(task.job_);
-      if (IsOver(job->phase_)) {
+      if (IsOver(job->phase_) || run.stopWanted_) {
         continue;
       }
       const auto& step = job->spec_.steps_[task.step_];
       if (isNear ? run.lasts_ || step.checkpoints_
-                 : run.lasts_ && HasPlaceElsewhere(task, number, aNow)) {
+                 : run.lasts_ && HasPlaceElsewhere(task, number, usable)) {
         run.stopWanted_ = true;
         unsettled_.insert(number);
       }
@@ -418,12 +426,16 @@
 bool
 Scheduler::HasPlaceElsewhere(const TaskKey& aTask,
                              std::uint32_t aWorker,
-                             MonotonicTime aNow) const
+                             const UsableByPool& aUsable) const
 {
   const auto& job = *state_.FindJob(aTask.job_);
   const auto& tasks =
     job.occurrences_.at(aTask.occurrence_).steps_[aTask.step_];
-  auto workers = UsableWorkers(aNow)[state_.FindWorker(aWorker)->pool_];
+  const auto usable = aUsable.find(state_.FindWorker(aWorker)->pool_);
+  if (usable == aUsable.end()) {
+    return false;
+  }
+  auto workers = usable->second;
   std::erase(workers, aWorker);
   return ChooseWorker(
            job.spec_.steps_[aTask.step_], workers, WorkersOfStep(tasks)) != 0;
--- a/packages/workload/scheduler_type.h
+++ b/packages/workload/scheduler_type.h
@@ -80,6 +80,8 @@
   std::optional<std::uint64_t> bornMs_;
   std::vector<RunningTask> running_;
   std::vector<EndedRun> ended_;
+  /// Rows of the list of ends that could not be read.
+  std::size_t unreadEnds_ = 0;
 
   bool operator==(const WorkerLists&) const = default;
 };
@@ -96,7 +98,8 @@
   Refused,   ///< It cannot read the order.
   Unwell,    ///< It takes no orders now and has done nothing.
   OtherLife, ///< Another worker answered at the address.
-  Unknown,   ///< No answer: it may be carried out, also later.
+  NotGiven, ///< It was too late when it was to be sent; the worker has no part.
+  Unknown,  ///< No answer: it may be carried out, also later.
 };
 
 /// The answer to an order.
--- a/packages/workload/scheduler_upkeep.cpp
+++ b/packages/workload/scheduler_upkeep.cpp
@@ -26,6 +26,20 @@
 // cannot be emptied soon do not make it late.
 constexpr std::uint64_t kWaveShare = 60;
 
+/// Logical time at which the wave is planned to be done.
+std::uint64_t
+PlannedEnd(const UpkeepWave& aWave)
+{
+  return aWave.startedAtMs_ +
+         (aWave.dueAtMs_ - aWave.startedAtMs_) * kWaveShare / 100;
+}
+
+bool
+ShareIsOver(const UpkeepWave& aWave, std::uint64_t aNowMs)
+{
+  return PlannedEnd(aWave) <= aNowMs;
+}
+
 /// VMs that go down at once: few enough to leave the pools their headroom, and
 /// enough to be done in time.
 std::size_t
@@ -33,11 +47,10 @@
 {
   const auto most =
     static_cast<std::uint64_t>(std::max<std::int64_t>(1, aWave.cap_));
-  const auto due = aWave.startedAtMs_ +
-                   (aWave.dueAtMs_ - aWave.startedAtMs_) * kWaveShare / 100;
-  if (due <= aNowMs) {
+  if (ShareIsOver(aWave, aNowMs)) {
     return most;
   }
+  const auto due = PlannedEnd(aWave);
   const auto work = aWave.pendingVms_.size() * kUpkeepMs;
   return std::clamp<std::uint64_t>(
     (work + (due - aNowMs) - 1) / (due - aNowMs), 1, most);
@@ -167,6 +180,9 @@
 Scheduler::AdvanceWave(const UpkeepWave& aWave, MonotonicTime aNow)
 {
   const auto cap = AtOnce(aWave, LogicalNow(aNow));
+  // A wave that runs late does not wait for room: the budgets alone bind then.
+  const bool isLate = ShareIsOver(aWave, LogicalNow(aNow));
+  const auto usable = UsableWorkers(aNow);
   auto down = CountDown(aWave);
   auto turns = cap + kEmptiedAhead;
   for (const auto& vm : CandidatesOf(aWave)) {
@@ -180,7 +196,8 @@
       worker->evacuating_ = true;
       for (auto& [task, run] : worker->runs_) {
         if (run.lasts_ && !run.stopWanted_ && run.phase_ == RunPhase::Running &&
-            MayTakeAway(task) && HasPlaceElsewhere(task, number, aNow)) {
+            MayTakeAway(task) &&
+            (isLate || HasPlaceElsewhere(task, number, usable))) {
           LogInfo("moving a task off a VM before its upkeep",
                   { { "task", TaskText(task) },
                     { "run", run.run_ },
--- a/packages/workload/scheduler_worker.cpp
+++ b/packages/workload/scheduler_worker.cpp
@@ -31,6 +31,8 @@
 constexpr Millis kLeaseMargin{ 100 };
 // Looks beside the open renewal, at most this often for one worker.
 constexpr Millis kLookInterval{ 50 };
+// Ids of ignored workers that are remembered, so that each is logged once.
+constexpr std::size_t kMostIgnored = 1000;
 // Bits of a fence below the term: the worker's number, and its step. Numbers in
 // JSON are exact up to 53 bits, which leaves 21 for the term.
 constexpr std::uint64_t kWorkerBits = 20;
@@ -152,9 +154,12 @@
   }
   if (number == 0 && config_.version_ > 0 &&
       !config_.pools_.contains(aReport.worker_.pool_)) {
-    LogInfo(
-      "ignoring a worker of a pool that is not configured",
-      { { "worker", aReport.worker_.id_ }, { "pool", aReport.worker_.pool_ } });
+    if (ignored_.size() < kMostIgnored &&
+        ignored_.insert(aReport.worker_.id_).second) {
+      LogInfo("ignoring a worker of a pool that is not configured",
+              { { "worker", aReport.worker_.id_ },
+                { "pool", aReport.worker_.pool_ } });
+    }
     Answer(aToken, RequestOutcome::Accepted);
     return;
   }
@@ -371,7 +376,8 @@
     deposed_ = true;
     return true;
   }
-  if (aAnswer.outcome_ != OrderOutcome::Unknown) {
+  if (aAnswer.outcome_ != OrderOutcome::Unknown &&
+      aAnswer.outcome_ != OrderOutcome::NotGiven) {
     view->heardAt_ = aNow;
   }
   return false;
@@ -393,7 +399,8 @@
     return;
   }
   const bool isOvertaken = aAnswer.outcome_ == OrderOutcome::Fenced;
-  if (!aLists && (aOrder.isLook_ || isOvertaken)) {
+  const bool isNotGiven = aAnswer.outcome_ == OrderOutcome::NotGiven;
+  if (!aLists && (aOrder.isLook_ || isOvertaken || isNotGiven)) {
     return;
   }
   if (!aLists) {
