Add: the leader reports how long requests wait for it

Nothing told a full leader from a full pool. The longest delay of its ticks is in the log every 2 s and in a metric.

--- a/packages/daemon/order_agent.cpp
+++ b/packages/daemon/order_agent.cpp
@@ -108,9 +108,13 @@
     LogInfo("giving orders for a leader", { { "term", batch.term_ } });
     term_ = batch.term_;
     answers_.clear();
+    waiting_ = std::move(aAnswer);
+    // The leader gives its first orders when it knows that this node is there.
+    Reply();
+  } else {
+    waiting_ = std::move(aAnswer);
+    ReplyWithin(answers_.empty() ? kLongestWait : kGather);
   }
-  waiting_ = std::move(aAnswer);
-  ReplyWithin(answers_.empty() ? kLongestWait : kGather);
   // Orders that were held up on their way may have been given up, and others
   // given since.
   if (!batch.orders_.empty() && OrderClockMs() > batch.untilMs_) {
--- a/packages/daemon/workload_host.cpp
+++ b/packages/daemon/workload_host.cpp
@@ -21,6 +21,8 @@
 // run.
 constexpr Millis kFormationTime{ 3000 };
 
+constexpr Millis kLoadReport{ 2000 };
+
 std::uint64_t
 WallMs()
 {
@@ -90,9 +92,11 @@
   }
   FollowLeadership();
   if (scheduler_) {
+    ReportLoad();
     scheduler_->Tick(MonotonicNow(), WallMs());
     Run();
   }
+  tickDueAt_ = MonotonicNow() + Scheduler::kTick;
   timer_.expires_after(Scheduler::kTick);
   timer_.async_wait([this](const boost::system::error_code& aError) {
     if (!aError) {
@@ -101,6 +105,29 @@
   });
 }
 
+// How late ticks come tells how long all that arrives here waits for this
+// thread.
+void
+WorkloadHost::ReportLoad()
+{
+  const auto now = MonotonicNow();
+  const auto lag = tickDueAt_ == MonotonicTime{} ? Millis(0) : now - tickDueAt_;
+  longestLag_ = std::max(longestLag_, lag);
+  if (now - loadReportedAt_ < kLoadReport) {
+    return;
+  }
+  metrics_.Set("acaciahill_leader_lag_seconds",
+               {},
+               std::chrono::duration<double>(longestLag_).count());
+  LogInfo("load of the leader",
+          { { "longest_lag_ms", longestLag_.count() },
+            { "waiting_requests", waiting_.size() },
+            { "workers", scheduler_->Views().size() },
+            { "jobs", scheduler_->State().Jobs().size() } });
+  loadReportedAt_ = now;
+  longestLag_ = Millis(0);
+}
+
 // While a machine is suspended another leader may take over, and the steady
 // clock does not show it.
 bool
@@ -187,6 +214,10 @@
   scheduler_.emplace(
     std::move(state), settings_.scheduler_, aTerm, MonotonicNow());
   RefreshConfig();
+  // The first orders are many, and wait for the agents to answer.
+  agentsAt_ = {};
+  RefreshAgents();
+  ranAt_ = MonotonicNow();
   Run();
 }
 
--- a/packages/daemon/workload_host_base.h
+++ b/packages/daemon/workload_host_base.h
@@ -58,6 +58,8 @@
   void TakeCaller(const HttpRequest& aRequest, Answer aAnswer);
   void TakeControl(const HttpRequest& aRequest, Answer aAnswer);
   void Tick();
+  /// Measures how long what arrives waits, and reports it now and then.
+  void ReportLoad();
   void FollowLeadership();
   /// Whether a leader may take requests with the group as it is.
   bool MayBegin(const ControlStatus& aControl);
@@ -112,6 +114,9 @@
   bool relays_ = false;
   boost::asio::steady_timer timer_;
   boost::asio::steady_timer runTimer_;
+  MonotonicTime tickDueAt_{};
+  Millis longestLag_{ 0 };
+  MonotonicTime loadReportedAt_{};
   bool runDue_ = false;
   MonotonicTime ranAt_{};
   bool stopped_ = false;
--- a/packages/workload/scheduler_worker.cpp
+++ b/packages/workload/scheduler_worker.cpp
@@ -317,8 +317,9 @@
     const bool hasDoubt =
       std::any_of(view.runs_.begin(), view.runs_.end(), [](const auto& aEntry) {
         const auto& run = aEntry.second;
+        // The first renewal of a leader tells of the runs that it took over.
         return run.phase_ == RunPhase::Unsure &&
-               (run.stoppedAt_ || !run.stopWanted_);
+               (run.stoppedAt_ || (!run.stopWanted_ && run.startFence_ > 0));
       });
     if (hasDoubt && !view.lookOpen_ && view.missedRenewals_ == 0 &&
         aNow - view.lookedAt_ >= kLookInterval) {
