--- a/packages/daemon/replica_seeds.cpp
+++ b/packages/daemon/replica_voters.cpp
@@ -26,10 +26,69 @@
 constexpr Millis kAdmissionPause{ 5000 };
 constexpr Millis kAdmissionInterval{ 300 };
 constexpr Millis kAdmissionTimeout{ 1000 };
+constexpr Millis kRepairInterval{ 250 };
+// How long ago a voter with another disk may have been heard to be admitted.
+constexpr Millis kUnrecognizedMaxAge{ 5000 };
 constexpr Millis kSizeReportInterval{ 5000 };
 
 } // namespace
 
+void
+ReplicaService::RepairVoters()
+{
+  const auto now = MonotonicNow();
+  if (now - lastRepairAt_ < kRepairInterval) {
+    return;
+  }
+  lastRepairAt_ = now;
+  if (settings_.seeded_) {
+    ReportGroupSize();
+  }
+  if (core_->Role() != RaftRole::Leader) {
+    return;
+  }
+  for (const auto& voter : core_->UnrecognizedVoters()) {
+    NoteCandidate(voter.node_, voter.disk_);
+  }
+  std::map<std::string, UnrecognizedDisk> unrecognized;
+  {
+    const std::lock_guard lock(controlMutex_);
+    std::erase_if(unrecognized_, [now](const auto& aEntry) {
+      return now - aEntry.second.heardAt_ > kUnrecognizedMaxAge;
+    });
+    unrecognized = unrecognized_;
+  }
+  if (!settings_.seeded_) {
+    ReadmitListedVoters(unrecognized);
+    return;
+  }
+  // One change at a time, and additions first, so that the group stays near the
+  // size that it needs.
+  if (!core_->IsChanging() && !GrowSeededGroup(unrecognized)) {
+    RemoveLostVoter(unrecognized);
+  }
+}
+
+void
+ReplicaService::ReadmitListedVoters(
+  const std::map<std::string, UnrecognizedDisk>& aHeard)
+{
+  RemoveLostVoter(aHeard);
+  const auto& voters = core_->Voters().voters_;
+  for (const auto& [name, heard] : aHeard) {
+    const auto& node = name;
+    const bool isVoter =
+      std::any_of(voters.begin(), voters.end(), [&](const auto& aVoter) {
+        return aVoter.node_ == node;
+      });
+    if (!isVoter && settings_.voters_.contains(node)) {
+      LogInfo("admitting a voter with a new disk",
+              { { "voter", node }, { "disk", heard.disk_ } });
+      Enqueue(ChangeVoters{ { node, heard.disk_ }, true });
+    }
+  }
+}
+
 // Only the leader admits nodes, so that each asks the leader itself. Its pulls
 // may go to another voter for as long as that one is in contact.
 void
