--- /dev/null
+++ b/packages/daemon/test/order_agent_test.cpp
@@ -0,0 +1,114 @@
+#include "daemon/test/order_relay_bench.h"
+
+using namespace acaciahill;
+using namespace acaciahill::testing;
+using namespace std::chrono_literals;
+
+// Guards against old orders that are given after newer ones.
+TEST_CASE("orders that reach an agent after their time are not given")
+{
+  struct Row
+  {
+    const char* name_;
+    Millis late_;
+    std::size_t given_;
+  };
+  const std::vector<Row> rows{
+    { "in time", -1000ms, 1 },
+    { "late", 50ms, 0 },
+    { "an hour late", 1h, 0 },
+  };
+  for (const auto& row : rows) {
+    INFO(row.name_);
+    RelayBench bench(kOneAgent);
+    bench.CallAgent(
+      kNear,
+      { kTerm, OrderClockMs() - row.late_.count(), { { 1, bench.Stop(1) } } });
+    bench.RunFor(50ms);
+    CHECK(bench.orders_.size() == row.given_);
+    // The leader still hears that the agent is there, and its clock.
+    bench.agents_.at(kNear).agent_->Stop();
+    REQUIRE(bench.agentAnswers_.size() == 1);
+    const auto answers = DecodeAnswers(bench.agentAnswers_[0].body_);
+    REQUIRE(IsOk(answers));
+    CHECK(ValueOf(answers).answers_.size() == row.given_);
+    CHECK(ValueOf(answers).clockMs_ <= OrderClockMs());
+  }
+}
+
+// Guards against orders of a leader that does not know of the next one.
+TEST_CASE("an agent refuses calls of a former leader")
+{
+  RelayBench bench(kOneAgent);
+  const auto call = [&](std::uint64_t aTerm, std::uint32_t aWorker) {
+    bench.CallAgent(
+      kNear,
+      { aTerm, OrderClockMs() + 1000, { { aWorker, bench.Stop(aWorker) } } });
+  };
+  call(kTerm, 1);
+  REQUIRE(bench.RunUntil([&] { return bench.agentAnswers_.size() == 1; }));
+  CHECK(bench.agentAnswers_[0].status_ == 200);
+  call(kTerm - 1, 2);
+  REQUIRE(bench.agentAnswers_.size() == 2);
+  CHECK(bench.agentAnswers_[1].status_ == 409);
+  bench.RunFor(50ms);
+  CHECK(bench.orders_.size() == 1);
+  call(kTerm, 3);
+  REQUIRE(bench.RunUntil([&] { return bench.agentAnswers_.size() == 3; }));
+  CHECK(bench.agentAnswers_[2].status_ == 200);
+  CHECK(bench.orders_.size() == 2);
+}
+
+// Guards against numbers of one leader's orders that another one's have too.
+TEST_CASE("a leader gets no answers to the orders of a former one")
+{
+  RelayBench bench(kOneAgent);
+  bench.workerHolds_ = true;
+  bench.CallAgent(kNear,
+                  { kTerm, OrderClockMs() + 1000, { { 1, bench.Stop(1) } } });
+  REQUIRE(bench.RunUntil([&] { return bench.orders_.size() == 1; }));
+  bench.CallAgent(kNear, { kTerm + 1, 0, {} });
+  bench.Release();
+  REQUIRE(bench.RunUntil([&] { return bench.agentAnswers_.size() == 2; }));
+  for (const auto& each : bench.agentAnswers_) {
+    const auto answers = DecodeAnswers(each.body_);
+    REQUIRE(IsOk(answers));
+    CHECK(ValueOf(answers).answers_.empty());
+  }
+}
+
+// Guards against answers that are lost between two calls of the leader.
+TEST_CASE("answers that come while no call waits go with the next one")
+{
+  RelayBench bench(kOneAgent);
+  bench.workerHolds_ = true;
+  bench.CallAgent(kNear,
+                  { kTerm, OrderClockMs() + 1000, { { 8, bench.Stop(1) } } });
+  REQUIRE(bench.RunUntil([&] { return bench.agentAnswers_.size() == 1; }));
+  bench.Release();
+  bench.RunFor(20ms);
+  bench.CallAgent(kNear, { kTerm, 0, {} });
+  REQUIRE(
+    bench.RunUntil([&] { return bench.agentAnswers_.size() == 2; }, 100ms));
+  const auto answers = DecodeAnswers(bench.agentAnswers_[1].body_);
+  REQUIRE(IsOk(answers));
+  REQUIRE(ValueOf(answers).answers_.size() == 1);
+  CHECK(ValueOf(answers).answers_[0].id_ == 8);
+  CHECK(ValueOf(answers).answers_[0].answer_.outcome_ == OrderOutcome::Taken);
+}
+
+// Guards against a leader that hangs on bytes it did not write.
+TEST_CASE("an agent refuses calls that it cannot read")
+{
+  RelayBench bench(kOneAgent);
+  for (const std::string body : { "", "{}", "\1\2\0\0\0" }) {
+    HttpRequest request;
+    request.body_ = body;
+    std::optional<HttpAnswer> answer;
+    bench.agents_.at(kNear).agent_->Handle(
+      request, [&](HttpAnswer aAnswer) { answer = std::move(aAnswer); });
+    REQUIRE(answer);
+    CHECK(answer->status_ == 400);
+  }
+  CHECK(bench.orders_.empty());
+}
--- /dev/null
+++ b/packages/daemon/test/order_relay_bench.h
@@ -0,0 +1,293 @@
+#pragma once
+
+#include "daemon/order_relay_base.h"
+#include "kernel/address_func.h"
+#include "kernel/os_clock_func.h"
+#include "platform/standin/worker_answer_func.h"
+#include "support/process_harness.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace acaciahill::testing {
+
+using namespace std::chrono_literals;
+
+/// All nodes use one port; each has a loopback address of its own.
+inline constexpr const char* kLeader = "127.0.0.1";
+inline constexpr const char* kNear = "127.0.0.2";
+inline constexpr const char* kFar = "127.0.0.3";
+inline constexpr const char* kWorkerNode = "127.0.0.9";
+/// An address at which nothing listens.
+inline constexpr const char* kAbsent = "127.0.0.4";
+/// The agents of most cases.
+inline const std::vector<AgentNode> kOneAgent{ { kNear, "zone-n" } };
+inline constexpr std::uint64_t kTerm = 5;
+/// What the worker tells of itself.
+inline constexpr std::int64_t kWorkerClockMs = 1700000000000;
+inline constexpr std::uint64_t kBornMs = 1600000000000;
+/// Bounds a test whose answer never comes.
+inline constexpr Millis kTestTime{ 5000 };
+/// Without an answer an order's outcome is unknown after its own time of 0.3 s
+/// and that of the way over an agent, 0.1 s; the rest is for slow machines.
+inline constexpr Millis kOrderTime{ 400 };
+inline constexpr Millis kSlack{ 300 };
+
+/// How a fake agent treats calls.
+enum class Mood : std::uint8_t
+{
+  Gives,
+  Hangs,
+  Refuses,
+  Repeats, ///< Answers for itself, and each order twice.
+  Garbles,
+};
+
+/// One agent on its own address, and what reached it.
+struct FakeAgent
+{
+  std::unique_ptr<OrderAgent> agent_;
+  std::unique_ptr<AsyncListener> listener_;
+  Mood mood_ = Mood::Gives;
+  int calls_ = 0;
+  /// Numbers of orders in the calls that had some.
+  std::vector<std::size_t> batches_;
+};
+
+/// What an order's function was called with.
+struct Told
+{
+  OrderAnswer answer_;
+  std::optional<WorkerLists> lists_;
+  Millis after_;
+};
+
+/// A relay with agents, and a worker that is called.
+class RelayBench
+{
+public:
+  explicit RelayBench(std::vector<AgentNode> aNodes)
+    : client_(context_)
+    , relay_(context_, client_, kLeader, "zone-l", port_, metrics_)
+    , nodes_(std::move(aNodes))
+    , worker_(
+        context_,
+        [this](const HttpRequest& aRequest, AsyncListener::Answer aAnswer) {
+          ServeWorker(aRequest, std::move(aAnswer));
+        },
+        kLimits)
+  {
+    REQUIRE(IsOk(worker_.Start(WorkerAddress())));
+    for (const auto& [node, zone] : nodes_) {
+      if (node == kAbsent || node == kLeader) {
+        continue;
+      }
+      auto& one = agents_[node];
+      one.agent_ = std::make_unique<OrderAgent>(context_, client_);
+      one.listener_ = std::make_unique<AsyncListener>(
+        context_,
+        [this, &one](const HttpRequest& aRequest,
+                     AsyncListener::Answer aAnswer) {
+          ServeAgent(one, aRequest, std::move(aAnswer));
+        },
+        kLimits);
+      REQUIRE(IsOk(one.listener_->Start(JoinAddress(node, port_))));
+    }
+  }
+
+  std::string WorkerAddress() const { return JoinAddress(kWorkerNode, port_); }
+
+  /// Begins a leadership and waits until the agents are known.
+  void Lead()
+  {
+    relay_.Begin(kTerm);
+    relay_.SetAgents(nodes_);
+    RunUntilCalled(1);
+    // An agent that stops does not let the first call wait for its time.
+    for (auto& [node, one] : agents_) {
+      one.agent_->Stop();
+    }
+    RunUntilCalled(2);
+  }
+
+  /// Waits until each agent was called so often.
+  void RunUntilCalled(int aCalls)
+  {
+    REQUIRE(RunUntil([this, aCalls] {
+      return std::all_of(
+        agents_.begin(), agents_.end(), [aCalls](const auto& aEntry) {
+          return aEntry.second.calls_ >= aCalls;
+        });
+    }));
+  }
+
+  bool RunUntil(const std::function<bool()>& aCondition,
+                Millis aTimeout = kTestTime)
+  {
+    const auto end = MonotonicNow() + aTimeout;
+    while (!aCondition() && MonotonicNow() < end) {
+      context_.restart();
+      context_.run_one_for(5ms);
+    }
+    return aCondition();
+  }
+
+  void RunFor(Millis aTime)
+  {
+    RunUntil([] { return false; }, aTime);
+  }
+
+  OrderTarget Target(std::uint32_t aWorker) const
+  {
+    return { aWorker, "life-1", WorkerAddress(), 1, 1000 };
+  }
+
+  StopRun Stop(std::uint32_t aWorker) const
+  {
+    return { Target(aWorker), { 1, 0, 0, aWorker }, 1 };
+  }
+
+  /// Gives an order; what its function is called with goes to the list.
+  void Give(const WorkerOrder& aOrder, const std::string& aZone)
+  {
+    relay_.Give(
+      aOrder,
+      aZone,
+      [this, givenAt = MonotonicNow()](const auto& aAnswer,
+                                       const auto& aLists) {
+        told_.push_back({ aAnswer, aLists, MonotonicNow() - givenAt });
+        if (onTold_) {
+          onTold_();
+        }
+      });
+  }
+
+  /// Gives a stop and flushes. How the worker took it; nothing at the deadline.
+  std::optional<OrderOutcome> Ask(std::uint32_t aWorker,
+                                  const std::string& aZone)
+  {
+    const auto before = told_.size();
+    Give(Stop(aWorker), aZone);
+    relay_.Flush();
+    if (!RunUntil([&] { return told_.size() > before; })) {
+      return std::nullopt;
+    }
+    return told_.back().answer_.outcome_;
+  }
+
+  /// Numbers of orders in the calls that an agent got.
+  const std::vector<std::size_t>& Batches(const std::string& aNode)
+  {
+    return agents_.at(aNode).batches_;
+  }
+
+  /// One call of a leader to an agent, past the relay.
+  void CallAgent(const std::string& aNode, const OrderBatch& aBatch)
+  {
+    HttpRequest request;
+    request.method_ = "POST";
+    request.target_ = kOrdersPath;
+    request.body_ = EncodeOrders(aBatch);
+    agents_.at(aNode).agent_->Handle(request, [this](HttpAnswer aAnswer) {
+      agentAnswers_.push_back(std::move(aAnswer));
+    });
+  }
+
+  /// The worker answers the orders that it has held.
+  void Release()
+  {
+    workerHolds_ = false;
+    for (auto& each : std::exchange(held_, {})) {
+      each.second(
+        platform::standin::TakenAnswer(each.first, kWorkerClockMs, kBornMs));
+    }
+  }
+
+  static constexpr HttpLimits kLimits{ 16384, 65536 };
+
+  boost::asio::io_context context_;
+  const std::string port_{ std::to_string(FreePort()) };
+  Metrics metrics_;
+  AsyncClient client_;
+  OrderRelay relay_;
+  std::vector<AgentNode> nodes_;
+  std::map<std::string, FakeAgent> agents_;
+  std::vector<Told> told_;
+  /// Called with each answer.
+  std::function<void()> onTold_;
+  /// Paths of the orders that reached the worker.
+  std::vector<std::string> orders_;
+  bool workerHolds_ = false;
+  std::vector<HttpAnswer> agentAnswers_;
+
+private:
+  void ServeWorker(const HttpRequest& aRequest, AsyncListener::Answer aAnswer)
+  {
+    orders_.push_back(aRequest.target_);
+    if (workerHolds_) {
+      held_.emplace_back(aRequest.target_, std::move(aAnswer));
+      return;
+    }
+    aAnswer(platform::standin::TakenAnswer(
+      aRequest.target_, kWorkerClockMs, kBornMs));
+  }
+
+  void ServeAgent(FakeAgent& aAgent,
+                  const HttpRequest& aRequest,
+                  AsyncListener::Answer aAnswer)
+  {
+    const auto decoded = DecodeOrders(aRequest.body_);
+    ++aAgent.calls_;
+    const auto batch = IsOk(decoded) ? ValueOf(decoded) : OrderBatch{};
+    if (!batch.orders_.empty()) {
+      aAgent.batches_.push_back(batch.orders_.size());
+    }
+    HttpAnswer answer;
+    answer.status_ = 200;
+    switch (aAgent.mood_) {
+      case Mood::Gives:
+        aAgent.agent_->Handle(aRequest, std::move(aAnswer));
+        return;
+      case Mood::Hangs:
+        hanging_.push_back(std::move(aAnswer));
+        return;
+      case Mood::Refuses:
+        answer.status_ = 409;
+        break;
+      case Mood::Garbles:
+        answer.body_ = "{}";
+        break;
+      case Mood::Repeats: {
+        if (batch.orders_.empty()) {
+          aAgent.agent_->Handle(aRequest, std::move(aAnswer));
+          return;
+        }
+        AnswerBatch answers{ batch.term_, OrderClockMs(), {} };
+        for (const auto& each : batch.orders_) {
+          const RelayedAnswer taken{ each.id_,
+                                     { OrderOutcome::Taken, std::nullopt },
+                                     std::nullopt };
+          answers.answers_.insert(answers.answers_.end(), 2, taken);
+        }
+        answer.body_ = EncodeAnswers(answers);
+        break;
+      }
+    }
+    aAnswer(std::move(answer));
+  }
+
+  AsyncListener worker_;
+  std::vector<AsyncListener::Answer> hanging_;
+  std::vector<std::pair<std::string, AsyncListener::Answer>> held_;
+};
+
+} // namespace acaciahill::testing
