Fix: bytes of orders with more than their form are refused

Bytes beyond the end were passed over, and outcomes and ends that are not known were read; the scheduler would have taken such an outcome of a start for a refusal, and begun another run.

--- a/packages/workload/order_codec.cpp
+++ b/packages/workload/order_codec.cpp
@@ -93,7 +93,12 @@
   } catch (const std::exception& error) {
     return error.what();
   }
-  return aValue.form_ == kOrderForm ? "" : "its form is not known";
+  if (aValue.form_ != kOrderForm) {
+    return "its form is not known";
+  }
+  return stream.peek() == std::istringstream::traits_type::eof()
+           ? ""
+           : "it goes on beyond its end";
 }
 
 } // namespace
@@ -121,6 +126,17 @@
   aArchive(aValue.job_, aValue.occurrence_, aValue.step_, aValue.index_);
 }
 
+/// A value of an enumeration up to its last one.
+template<typename Archive, typename Enumeration>
+void
+Known(Archive& aArchive, Enumeration& aValue, Enumeration aLast)
+{
+  aArchive(aValue);
+  if (aValue > aLast) {
+    throw cereal::Exception("a value is not known");
+  }
+}
+
 } // namespace order_codec
 
 namespace detail {
@@ -183,7 +199,8 @@
 void
 serialize(Archive& aArchive, OrderAnswer& aValue)
 {
-  aArchive(aValue.outcome_, aValue.clockMs_);
+  order_codec::Known(aArchive, aValue.outcome_, OrderOutcome::Unknown);
+  aArchive(aValue.clockMs_);
 }
 
 template<typename Archive>
@@ -200,7 +217,9 @@
 {
   aArchive(aValue.number_);
   order_codec::Key(aArchive, aValue.task_);
-  aArchive(aValue.run_, aValue.end_, aValue.checkpoint_);
+  aArchive(aValue.run_);
+  order_codec::Known(aArchive, aValue.end_, RunEnd::Lost);
+  aArchive(aValue.checkpoint_);
 }
 
 template<typename Archive>
