Fix: a damaged size in the orders of a leader takes no memory

A list was made as long as its size said before its bytes were read: one changed byte took 0.5 GB for a list of payloads (117 bytes of orders) and 1.8 GB for the most in the new case "a damaged size takes no memory", which failed before; the address sanitizer ended "damaged bytes give an error" for the same reason. The form stays the same.

--- a/packages/workload/order_codec.cpp
+++ b/packages/workload/order_codec.cpp
@@ -2,9 +2,7 @@
 
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/optional.hpp>
-#include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
-#include <cereal/types/vector.hpp>
 
 #include <algorithm>
 #include <sstream>
@@ -103,15 +101,83 @@
 
 } // namespace
 
+namespace order_codec {
+
+/// Bytes of a text that are read at once.
+constexpr std::size_t kPiece = 65536;
+
+/// A text or a list. The size that stands before it takes no memory by itself:
+/// it may be damaged.
+template<typename Value>
+struct Sized
+{
+  Value& value_;
+};
+
+template<typename Value>
+Sized<Value>
+BySize(Value& aValue)
+{
+  return { aValue };
+}
+
+} // namespace order_codec
+
 // NOLINTBEGIN(readability-identifier-naming): names that cereal looks up.
 
+namespace order_codec {
+
+template<typename Archive>
+void
+serialize(Archive& aArchive, Sized<std::string>& aText)
+{
+  auto& text = aText.value_;
+  cereal::size_type size = text.size();
+  aArchive(cereal::make_size_tag(size));
+  if constexpr (Archive::is_loading::value) {
+    text.clear();
+    while (text.size() < size) {
+      const auto at = text.size();
+      const auto piece = std::min(kPiece, static_cast<std::size_t>(size - at));
+      text.resize(at + piece);
+      aArchive(cereal::binary_data(text.data() + at, piece));
+    }
+  } else {
+    aArchive(cereal::binary_data(text.data(), text.size()));
+  }
+}
+
+template<typename Archive, typename Value>
+void
+serialize(Archive& aArchive, Sized<std::vector<Value>>& aList)
+{
+  auto& list = aList.value_;
+  cereal::size_type size = list.size();
+  aArchive(cereal::make_size_tag(size));
+  if constexpr (Archive::is_loading::value) {
+    list.clear();
+  }
+  for (cereal::size_type i = 0; i < size; ++i) {
+    if constexpr (Archive::is_loading::value) {
+      list.emplace_back();
+    }
+    if constexpr (std::is_same_v<Value, std::string>) {
+      aArchive(BySize(list[i]));
+    } else {
+      aArchive(list[i]);
+    }
+  }
+}
+
+} // namespace order_codec
+
 template<typename Archive>
 void
 serialize(Archive& aArchive, OrderTarget& aValue)
 {
   aArchive(aValue.worker_,
-           aValue.id_,
-           aValue.address_,
+           order_codec::BySize(aValue.id_),
+           order_codec::BySize(aValue.address_),
            aValue.fence_,
            aValue.leaseEndMs_);
 }
@@ -147,7 +213,8 @@
 {
   aArchive(aValue.target_);
   order_codec::Key(aArchive, aValue.task_);
-  aArchive(aValue.run_, aValue.payload_, aValue.checkpoint_);
+  aArchive(
+    aValue.run_, aValue.payload_, order_codec::BySize(aValue.checkpoint_));
 }
 
 } // namespace detail
@@ -188,9 +255,9 @@
   aArchive(aValue.form_,
            aValue.term_,
            aValue.untilMs_,
-           aValue.payloads_,
-           aValue.ids_,
-           aValue.orders_);
+           order_codec::BySize(aValue.payloads_),
+           order_codec::BySize(aValue.ids_),
+           order_codec::BySize(aValue.orders_));
 }
 
 } // namespace detail
@@ -208,7 +275,10 @@
 serialize(Archive& aArchive, RunningTask& aValue)
 {
   order_codec::Key(aArchive, aValue.task_);
-  aArchive(aValue.run_, aValue.checkpoint_, aValue.percent_, aValue.gauge_);
+  aArchive(aValue.run_,
+           order_codec::BySize(aValue.checkpoint_),
+           aValue.percent_,
+           aValue.gauge_);
 }
 
 template<typename Archive>
@@ -219,7 +289,7 @@
   order_codec::Key(aArchive, aValue.task_);
   aArchive(aValue.run_);
   order_codec::Known(aArchive, aValue.end_, RunEnd::Lost);
-  aArchive(aValue.checkpoint_);
+  aArchive(order_codec::BySize(aValue.checkpoint_));
 }
 
 template<typename Archive>
@@ -227,8 +297,11 @@
 serialize(Archive& aArchive, WorkerLists& aValue)
 {
   auto unread = static_cast<std::uint64_t>(aValue.unreadEnds_);
-  aArchive(
-    aValue.clockMs_, aValue.bornMs_, aValue.running_, aValue.ended_, unread);
+  aArchive(aValue.clockMs_,
+           aValue.bornMs_,
+           order_codec::BySize(aValue.running_),
+           order_codec::BySize(aValue.ended_),
+           unread);
   aValue.unreadEnds_ = static_cast<std::size_t>(unread);
 }
 
@@ -248,7 +321,7 @@
   aArchive(aValue.form_,
            aValue.batch_.term_,
            aValue.batch_.clockMs_,
-           aValue.batch_.answers_);
+           order_codec::BySize(aValue.batch_.answers_));
 }
 
 } // namespace detail
--- a/packages/workload/test/order_codec_test.cpp
+++ b/packages/workload/test/order_codec_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <sys/resource.h>
+
 #include <optional>
 #include <string>
 #include <utility>
@@ -338,3 +340,37 @@
     REQUIRE(IsBadRequest(*read));
   }
 }
+
+// Guards against a few damaged bytes that take a node's memory.
+TEST_CASE("a damaged size takes no memory")
+{
+  const auto peakKb = [] {
+    rusage usage{};
+    REQUIRE(getrusage(RUSAGE_SELF, &usage) == 0);
+    return usage.ru_maxrss;
+  };
+  constexpr std::int64_t kMostKb = 65536;
+  const auto orders = EncodeOrders(SampleOrders());
+  const auto answers = EncodeAnswers(SampleAnswers());
+  // The lists of payloads and of answers stand after two numbers of 8 bytes.
+  const auto listAt = kFormAt + kFormSize + 16;
+  // The size of the first payload follows on the list's.
+  const auto textAt = listAt + 8;
+  for (std::size_t byte = 3; byte < 8; ++byte) {
+    INFO("byte " << byte);
+    const auto before = peakKb();
+    std::optional<Result<OrderBatch>> read;
+    REQUIRE_NOTHROW(
+      read.emplace(DecodeOrders(Changed(orders, listAt + byte, { '\1' }))));
+    CHECK(IsBadRequest(*read));
+    // 256 MB and more of text.
+    REQUIRE_NOTHROW(
+      read.emplace(DecodeOrders(Changed(orders, textAt + byte, { '\20' }))));
+    CHECK(IsBadRequest(*read));
+    std::optional<Result<AnswerBatch>> readAnswers;
+    REQUIRE_NOTHROW(readAnswers.emplace(
+      DecodeAnswers(Changed(answers, listAt + byte, { '\1' }))));
+    CHECK(IsBadRequest(*readAnswers));
+    CHECK(peakKb() - before < kMostKb);
+  }
+}
