--- a/packages/daemon/test/replica_voters_test.cpp
+++ b/packages/daemon/test/replica_voters_test.cpp
@@ -236,8 +236,8 @@
       const auto& seed = nodes_[i]->address_;
       first.voters_.voters_.push_back({ seed, DiskOf(seed) });
     }
-    REQUIRE(IsOk(
-      ValueOf(std::move(opened)).store_->Save(SaveSnapshot{ first, true })));
+    const auto folder = ValueOf(std::move(opened));
+    REQUIRE(IsOk(folder.store_->Save(SaveSnapshot{ first, true })));
   }
 
   const int toleratedLosses_;
