Fix: a voter that starts is not taken to be replaced

Until it knew a leader it followed by pulls, like one that was replaced while it was away: the time since it last knew one was counted from the clock's start.

--- a/packages/daemon/replica_service.cpp
+++ b/packages/daemon/replica_service.cpp
@@ -166,6 +166,7 @@
                                                 std::move(stored.entries_) },
                                      MonotonicNow());
   store_ = std::move(store);
+  ledAt_ = MonotonicNow();
   PublishControl();
   return Done{};
 }
--- a/packages/daemon/replica_service_base.h
+++ b/packages/daemon/replica_service_base.h
@@ -293,7 +293,7 @@
   /// The node that was last to be admitted, and when that failed, by node.
   std::string lastAdmission_;
   std::map<std::string, MonotonicTime> admissionFailedAt_;
-  /// When this member last knew a leader.
+  /// When this member last knew a leader; the start of the process before.
   MonotonicTime ledAt_{};
   MonotonicTime sizeReportedAt_{};
 
