--- a/packages/daemon/order_relay.cpp
+++ b/packages/daemon/order_relay.cpp
@@ -207,7 +207,7 @@
     }
     agent.isKnown_ = false;
     agent.restsUntil_ = MonotonicNow() + kRest;
-    FailOrdersOf(aNode);
+    FailOrders([&aNode](const Open& aOpen) { return aOpen.agent_ == aNode; });
     return;
   }
   const auto& batch = ValueOf(decoded);
@@ -227,22 +227,23 @@
   }
 }
 
-void
-OrderRelay::FailOrdersOf(const std::string& aAgent)
+bool
+OrderRelay::FailOrders(const std::function<bool(const Open&)>& aCondition)
 {
   std::vector<std::uint64_t> failed;
   for (const auto& [id, open] : open_) {
-    if (open.agent_ == aAgent) {
+    if (aCondition(open)) {
       failed.push_back(id);
     }
   }
   const auto current = std::weak_ptr(generation_);
   for (const auto id : failed) {
+    Finish({ id, {}, std::nullopt });
     if (current.expired()) {
-      return;
+      return false;
     }
-    Finish({ id, {}, std::nullopt });
   }
+  return true;
 }
 
 void
@@ -268,18 +269,11 @@
     if (aError || current.expired()) {
       return;
     }
-    const auto now = MonotonicNow();
-    std::vector<std::uint64_t> late;
-    for (const auto& [id, open] : open_) {
-      if (open.until_ <= now) {
-        late.push_back(id);
-      }
-    }
-    for (const auto id : late) {
-      Finish({ id, {}, std::nullopt });
-      if (current.expired()) {
-        return;
-      }
+    const bool goesOn = FailOrders([now = MonotonicNow()](const Open& aOpen) {
+      return aOpen.until_ <= now;
+    });
+    if (!goesOn) {
+      return;
     }
     Watch();
   });
--- a/packages/daemon/order_relay_base.h
+++ b/packages/daemon/order_relay_base.h
@@ -85,8 +85,9 @@
   /// The agent for a worker; agents_.end() for a direct call.
   std::map<std::string, Agent>::iterator AgentFor(std::uint32_t aWorker,
                                                   const std::string& aZone);
-  /// The agent failed: what it was given may have been carried out.
-  void FailOrdersOf(const std::string& aAgent);
+  /// Ends the open orders for which the condition holds: they may have been
+  /// carried out. False when the leadership ended meanwhile.
+  bool FailOrders(const std::function<bool(const Open&)>& aCondition);
   void GiveDirectly(const WorkerOrder& aOrder, OnAnswer aOnAnswer);
   void Send(const std::string& aNode, Agent& aAgent);
   void TakeAnswers(const std::string& aNode, const CallResult& aResult);
