--- a/packages/daemon/replica_reader.cpp
+++ b/packages/daemon/replica_reader.cpp
@@ -3,8 +3,6 @@
 #include "platform/platform_config_func.h"
 #include "platform/platform_requests_func.h"
 
-#include <algorithm>
-
 namespace acaciahill {
 
 ReplicaReader::ReplicaReader(const ReplicaService& aReplica, Millis aFreshFor)
@@ -76,20 +74,16 @@
 bool
 IsKnownReport(const Workload& aState, const WorkerReport& aReport)
 {
-  const auto& workers = aState.Workers();
-  const auto last =
-    std::find_if(workers.rbegin(), workers.rend(), [&](const auto& aEntry) {
-      return aEntry.second.id_ == aReport.worker_.id_;
-    });
+  const auto* known = aState.FindWorkerById(aReport.worker_.id_);
   // A new leader learns from the next report when a draining worker leaves.
-  if (last == workers.rend() || aReport.worker_.draining_) {
+  if (known == nullptr || aReport.worker_.draining_) {
     return false;
   }
   // Numbers and noted ends are the leader's own.
   auto reported = aReport.worker_;
-  reported.number_ = last->second.number_;
-  reported.notedEnds_ = last->second.notedEnds_;
-  return reported == last->second;
+  reported.number_ = known->number_;
+  reported.notedEnds_ = known->notedEnds_;
+  return reported == *known;
 }
 
 } // namespace acaciahill
--- a/packages/workload/scheduler_worker.cpp
+++ b/packages/workload/scheduler_worker.cpp
@@ -38,20 +38,6 @@
 constexpr std::uint64_t kWorkerBits = 20;
 constexpr std::uint64_t kStepBits = 12;
 
-/// Number of the last worker for which the condition holds; 0 without one.
-/// Lives of one worker follow on each other, and the last has the highest one.
-template<typename Condition>
-std::uint32_t
-LastWorker(const Workload& aState, Condition aCondition)
-{
-  const auto& workers = aState.Workers();
-  const auto found = std::find_if(
-    workers.rbegin(), workers.rend(), [&aCondition](const auto& aEntry) {
-      return aCondition(aEntry.second);
-    });
-  return found == workers.rend() ? 0 : found->first;
-}
-
 } // namespace
 
 WorkerView*
@@ -78,15 +64,19 @@
 std::uint32_t
 Scheduler::FindWorkerById(const std::string& aId) const
 {
-  return LastWorker(state_,
-                    [&aId](const auto& aWorker) { return aWorker.id_ == aId; });
+  const auto* worker = state_.FindWorkerById(aId);
+  return worker == nullptr ? 0 : worker->number_;
 }
 
 std::uint32_t
 Scheduler::FindWorkerOfVm(const std::string& aVm) const
 {
-  return LastWorker(state_,
-                    [&aVm](const auto& aWorker) { return aWorker.vm_ == aVm; });
+  const auto& workers = state_.Workers();
+  const auto found =
+    std::find_if(workers.rbegin(), workers.rend(), [&aVm](const auto& aEntry) {
+      return aEntry.second.vm_ == aVm;
+    });
+  return found == workers.rend() ? 0 : found->first;
 }
 
 // A higher term, a later life under one id and an order without an answer each
--- a/packages/workload/workload.cpp
+++ b/packages/workload/workload.cpp
@@ -66,6 +66,18 @@
   return found == workers_.end() ? nullptr : &found->second;
 }
 
+// Lives of one worker follow on each other; the last one has the highest
+// number.
+const WorkerEntry*
+Workload::FindWorkerById(const std::string& aId) const
+{
+  const auto found =
+    std::find_if(workers_.rbegin(), workers_.rend(), [&](const auto& aEntry) {
+      return aEntry.second.id_ == aId;
+    });
+  return found == workers_.rend() ? nullptr : &found->second;
+}
+
 void
 Workload::Take(const ConfigAccepted& aEvent)
 {
--- a/packages/workload/workload_base.h
+++ b/packages/workload/workload_base.h
@@ -33,6 +33,8 @@
   const JobEntry* FindJob(JobId aJob) const;
   const TaskEntry* FindTask(const TaskKey& aTask) const;
   const WorkerEntry* FindWorker(std::uint32_t aNumber) const;
+  /// The last life of a worker; null when there is none.
+  const WorkerEntry* FindWorkerById(const std::string& aId) const;
 
   /// The whole state in binary form.
   std::string Encode() const;
