Fix: an answer that comes late no longer becomes the next request's answer

Cause: a target's connection went back to the pool after any whole answer. Only a target that names the request in its answer can be told apart.

Change: a connection is reused only after an answer that echoed its Acaciahill-Request-Id, and an answer on a reused connection without it, with another one or with two is malformed, so that the outcome is unknown. An unused new connection is not pooled any more.

"only whole answers reach the caller" took a reuse after any whole answer for right; it now asks for it after an echo and for a new connection without one, and the other tests of reuse use echoing targets. In the proofs every other target echoes; the seed of proof_data_answers can be set.

--- a/packages/relay/target_client.cpp
+++ b/packages/relay/target_client.cpp
@@ -36,6 +36,8 @@
 {
   const TargetAttempt& attempt_;
   StreamSocket socket_;
+  /// The connection has carried an earlier request.
+  bool reused_ = false;
   std::string head_;
   std::size_t written_ = 0;
   bool writeFailed_ = false;
@@ -84,24 +86,20 @@
       }
       socket = ValueOf(connected);
     }
-    Exchange exchange{ aAttempt,
-                       socket,
-                       {},
-                       0,
-                       false,
-                       false,
-                       AnswerParser(settings_.limits_, aAttempt.isHeadRequest_),
-                       {},
-                       {},
-                       {},
-                       {} };
+    Exchange exchange{
+      aAttempt, socket,
+      reused,   {},
+      0,        false,
+      false,    AnswerParser(settings_.limits_, aAttempt.isHeadRequest_),
+      {},       {},
+      {},       {}
+    };
     if (!WriteFirstBytes(exchange)) {
       if (exchange.end_ == AttemptEnd::NotSent && reused) {
         // No byte was sent, so the request can go out on another connection.
         continue;
       }
-      if (exchange.end_ == AttemptEnd::Expired &&
-          !aAttempt.dedicatedConnection_) {
+      if (exchange.end_ == AttemptEnd::Expired && reused) {
         KeepIdle(aAttempt.address_, socket);
       }
       return { *exchange.end_, {}, {}, exchange.detail_ };
@@ -117,10 +115,9 @@
     }
     if (outcome.end_ == AttemptEnd::Answered) {
       outcome.answer_ = exchange.parser_.TakeAnswer();
-      ClassifyOutcome(outcome, aAttempt.requestId_);
-      if (outcome.end_ != AttemptEnd::Malformed && outcome.answer_.keepAlive_ &&
-          exchange.IsWritten() && exchange.buffer_.empty() &&
-          !aAttempt.dedicatedConnection_) {
+      const bool isOwn = CheckRequestId(outcome, aAttempt.requestId_, reused);
+      if (isOwn && outcome.answer_.keepAlive_ && exchange.IsWritten() &&
+          exchange.buffer_.empty() && !aAttempt.dedicatedConnection_) {
         KeepIdle(aAttempt.address_, socket);
       }
     }
@@ -128,17 +125,32 @@
   }
 }
 
-void
-TargetClient::ClassifyOutcome(TargetOutcome& aOutcome,
-                              const std::string& aRequestId)
+bool
+TargetClient::CheckRequestId(TargetOutcome& aOutcome,
+                             const std::string& aRequestId,
+                             bool aReused)
 {
-  const auto& answer = aOutcome.answer_;
-  const auto echoedId = FindHeader(answer.headers_, "Acaciahill-Request-Id");
-  if (echoedId && *echoedId != aRequestId) {
+  constexpr std::string_view kHeader = "Acaciahill-Request-Id";
+  const auto& headers = aOutcome.answer_.headers_;
+  const auto echoedId = FindHeader(headers, kHeader);
+  const bool isOther =
+    echoedId && (*echoedId != aRequestId || CountHeader(headers, kHeader) > 1);
+  const bool isUnproved = !echoedId && aReused;
+  if (isOther || isUnproved) {
     aOutcome.end_ = AttemptEnd::Malformed;
-    aOutcome.detail_ = "the answer names another request";
-    return;
+    aOutcome.detail_ = isOther
+                         ? "the answer names another request"
+                         : "the answer on a reused connection names no request";
+    return false;
   }
+  ReadStatedOutcome(aOutcome);
+  return echoedId.has_value();
+}
+
+void
+TargetClient::ReadStatedOutcome(TargetOutcome& aOutcome)
+{
+  const auto& answer = aOutcome.answer_;
   const bool mayRefuse = answer.status_ == kStatusMisdirected ||
                          answer.status_ == kStatusUnavailable;
   const auto statedOutcome = FindHeader(answer.headers_, "Acaciahill-Outcome");
--- a/packages/relay/target_client_base.h
+++ b/packages/relay/target_client_base.h
@@ -46,7 +46,8 @@
   std::function<HttpRequest(MonotonicTime aNow)> makeRequest_;
   /// Must outlive the call to Send.
   std::string_view body_;
-  /// An answer with another Acaciahill-Request-Id is rejected as malformed.
+  /// An answer with another Acaciahill-Request-Id is rejected as malformed; on
+  /// a reused connection also one without it.
   std::string requestId_;
   bool isHeadRequest_ = false;
   bool repeatable_ = false;
@@ -70,9 +71,11 @@
 };
 
 /// HTTP client with a pool of connections to targets. Each call of Send sends
-/// the request at most once, on one connection. A connection that timed out,
-/// gave a malformed answer or holds bytes after an answer is closed, so that a
-/// late answer cannot be matched to another request. Thread-safe.
+/// the request at most once, on one connection. A connection is reused only
+/// after an answer that echoed its Acaciahill-Request-Id: without that, a
+/// second answer to the same request that arrives late could not be told from
+/// the next one's. A connection that timed out, gave a malformed answer or
+/// holds bytes after an answer is closed. Thread-safe.
 class TargetClient
 {
 public:
@@ -108,8 +111,14 @@
   void RunExchange(Exchange& aExchange, BufferLease& aLease) const;
   void WriteMore(Exchange& aExchange) const;
   void ReadMore(Exchange& aExchange, BufferLease& aLease) const;
-  static void ClassifyOutcome(TargetOutcome& aOutcome,
-                              const std::string& aRequestId);
+  /// Marks the outcome as malformed if its answer may be another request's, and
+  /// reads the stated outcome otherwise. Returns whether the answer echoed the
+  /// request id.
+  static bool CheckRequestId(TargetOutcome& aOutcome,
+                             const std::string& aRequestId,
+                             bool aReused);
+  /// Turns an answer that states that the request did not run into a refusal.
+  static void ReadStatedOutcome(TargetOutcome& aOutcome);
 
   TargetClientSettings settings_;
   const StickyEvent& abort_;
--- a/packages/relay/test/relay_answer_test.cpp
+++ b/packages/relay/test/relay_answer_test.cpp
@@ -156,12 +156,16 @@
          "",
          "500 -",
          true });
-  INFO(row.name_);
-  RawTarget target([&row](RawConnection& aConnection, int aNumber) {
+  // A connection is reused only after an answer that names its request.
+  const bool echoes = GENERATE(true, false);
+  const bool isReused = row.reused_ && echoes;
+  INFO(row.name_ << (echoes ? ", echoing" : ", not echoing"));
+  RawTarget target([&](RawConnection& aConnection, int aNumber) {
     // The first request gets the row's bytes, later ones a complete answer.
     bool isFirst = aNumber == 1;
-    while (aConnection.ReadRequest()) {
-      aConnection.Send(isFirst ? row.bytes_ : Answer("second"));
+    while (const auto request = aConnection.ReadRequest()) {
+      const auto bytes = isFirst ? row.bytes_ : Answer("second");
+      aConnection.Send(echoes ? WithRequestId(bytes, *request) : bytes);
       if (isFirst && !row.reused_) {
         return;
       }
@@ -181,7 +185,7 @@
   const auto next = fixture.Ask(Post("/pools/rota/x", "in"));
   REQUIRE(next);
   CHECK(next->body_ == "second");
-  CHECK(target.Connections() == (row.reused_ ? 1 : 2));
+  CHECK(target.Connections() == (isReused ? 1 : 2));
   CHECK(Eventually([&] {
     const auto loads = fixture.relay_.Loads();
     return loads.at("rota").inFlight_ == 0;
@@ -195,18 +199,21 @@
   // The stray answer is sent with the first answer, or after the caller has got
   // that one.
   const bool isLate = GENERATE(false, true);
+  const bool echoes = GENERATE(false, true);
   Latch firstIsDone;
   Latch strayIsSent;
-  const auto stray = Answer("stray");
   RawTarget target([&](RawConnection& aConnection, int aNumber) {
-    while (aConnection.ReadRequest()) {
+    while (const auto request = aConnection.ReadRequest()) {
+      const auto answer = [&](const char* aBody) {
+        return echoes ? WithRequestId(Answer(aBody), *request) : Answer(aBody);
+      };
       if (aNumber > 1) {
-        aConnection.Send(Answer("own"));
+        aConnection.Send(answer("own"));
         continue;
       }
-      aConnection.Send(Answer("own") + (isLate ? "" : stray));
+      aConnection.Send(answer("own") + (isLate ? "" : answer("stray")));
       if (isLate && firstIsDone.Wait()) {
-        aConnection.Send(stray);
+        aConnection.Send(answer("stray"));
         strayIsSent.Open();
       }
     }
@@ -214,12 +221,51 @@
   RelayFixture fixture({ target.Address() });
   CHECK(fixture.Ask(Get("/pools/rota/1"))->body_ == "own");
   firstIsDone.Open();
-  if (isLate) {
+  if (isLate && echoes) {
     REQUIRE(strayIsSent.Wait());
   }
   CHECK(fixture.Ask(Get("/pools/rota/2"))->body_ == "own");
   CHECK(fixture.Ask(Post("/pools/rota/3", "x"))->body_ == "own");
-  CHECK(target.Connections() == 2);
+  CHECK(target.Connections() == (echoes ? 2 : 3));
+}
+
+// Guards against a second answer to the same request that arrives only once the
+// next request is on its way: a target that answers twice, and whose second
+// answer is delayed.
+TEST_CASE("a second answer behind the next request does not become its answer")
+{
+  struct Row
+  {
+    const char* name_;
+    bool firstEchoes_;
+    bool secondEchoes_;
+    std::string post_;
+    int connections_;
+  };
+  const auto row =
+    GENERATE(Row{ "never echoes", false, false, "200 -", 2 },
+             Row{ "echoes", true, true, "502 unknown", 1 },
+             Row{ "the second lacks the echo", true, false, "502 unknown", 1 });
+  INFO(row.name_);
+  RawTarget target([&](RawConnection& aConnection, int aNumber) {
+    const auto first = aConnection.ReadRequest();
+    if (!first) {
+      return;
+    }
+    const auto answer = Answer(aNumber == 1 ? "first" : "own");
+    const auto named = WithRequestId(answer, *first);
+    aConnection.Send(row.firstEchoes_ ? named : answer);
+    if (aConnection.ReadRequest()) {
+      aConnection.Send(row.secondEchoes_ ? named : answer);
+    }
+    aConnection.ReadRequest();
+  });
+  RelayFixture fixture({ target.Address() });
+  CHECK(fixture.Ask(Get("/pools/rota/1"))->body_ == "first");
+  const auto second = fixture.Ask(Post("/pools/rota/2", "x"));
+  CHECK(Summary(second) == row.post_);
+  CHECK(second->body_ != "first");
+  CHECK(target.Connections() == row.connections_);
 }
 
 // Guards against waiting for, or sending, a body after HEAD; the caller would
@@ -246,9 +292,9 @@
   std::atomic<int> requests{ 0 };
   Latch closed;
   RawTarget target([&](RawConnection& aConnection, int aNumber) {
-    while (aConnection.ReadRequest()) {
+    while (const auto request = aConnection.ReadRequest()) {
       ++requests;
-      aConnection.Send(Answer("ok"));
+      aConnection.Send(WithRequestId(Answer("ok"), *request));
       if (aNumber == 1) {
         if (resets) {
           aConnection.Reset();
@@ -281,7 +327,7 @@
         aConnection.Reset();
         return;
       }
-      aConnection.Send(Answer("ok"));
+      aConnection.Send(WithRequestId(Answer("ok"), *request));
     }
   });
   RelayFixture fixture({ target.Address() });
@@ -303,13 +349,13 @@
   std::set<int> used;
   RawTarget target([&](RawConnection& aConnection, int aNumber) {
     int requests = 0;
-    while (aConnection.ReadRequest()) {
+    while (const auto request = aConnection.ReadRequest()) {
       const std::lock_guard lock(mutex);
       if (++requests == 2) {
         used.insert(aNumber);
       }
       if (aNumber > 1 || requests == 1) {
-        aConnection.Send(Answer("ok"));
+        aConnection.Send(WithRequestId(Answer("ok"), *request));
       }
     }
   });
@@ -342,7 +388,7 @@
   Latch bothArrived;
   RawTarget target([&](RawConnection& aConnection, int aNumber) {
     int requests = 0;
-    while (aConnection.ReadRequest()) {
+    while (const auto request = aConnection.ReadRequest()) {
       if (++requests > 1 && aNumber <= 2) {
         continue;
       }
@@ -351,7 +397,7 @@
         bothArrived.Open();
       }
       bothArrived.Wait();
-      aConnection.Send(Answer("ok"));
+      aConnection.Send(WithRequestId(Answer("ok"), *request));
     }
   });
   RelayFixture fixture({ target.Address() });
@@ -377,8 +423,9 @@
 {
   constexpr int kCallers = 12;
   constexpr int kRequests = 60;
+  const bool echoes = GENERATE(true, false);
   std::atomic<int> seen{ 0 };
-  const auto script = [&seen](RawConnection& aConnection, int) {
+  const auto script = [&](RawConnection& aConnection, int) {
     while (const auto request = aConnection.ReadRequest()) {
       const auto nonce =
         std::string(FindHeader(request->headers_, "X-Nonce").value_or(""));
@@ -395,9 +442,10 @@
         aConnection.Reset();
         return;
       }
-      aConnection.Send(
+      const auto answer =
         Answer(nonce + " " + std::to_string(checksum) +
-               std::string(static_cast<std::size_t>(count % 7) * 3000, '.')));
+               std::string(static_cast<std::size_t>(count % 7) * 3000, '.'));
+      aConnection.Send(echoes ? WithRequestId(answer, *request) : answer);
     }
   };
   RawTarget one(script);
--- a/packages/relay/test/relay_test_support.h
+++ b/packages/relay/test/relay_test_support.h
@@ -247,13 +247,30 @@
          aHeaders + "\r\n" + aBody;
 }
 
-/// Answers every request on every connection with the same bytes.
+/// The bytes of an answer, with the request's id added to its last head. Bytes
+/// without a complete status line stay as they are.
+inline std::string
+WithRequestId(const std::string& aBytes, const HttpRequest& aRequest)
+{
+  const auto head = aBytes.rfind("HTTP/1.1 ");
+  const auto end = head == std::string::npos ? head : aBytes.find("\r\n", head);
+  if (end == std::string::npos) {
+    return aBytes;
+  }
+  auto bytes = aBytes;
+  const auto id = FindHeader(aRequest.headers_, "Acaciahill-Request-Id");
+  return bytes.insert(
+    end + 2, "Acaciahill-Request-Id: " + std::string(id.value_or("")) + "\r\n");
+}
+
+/// Answers every request on every connection with the same bytes, and with the
+/// request's id.
 inline RawTarget::Script
 Always(const std::string& aBytes)
 {
   return [aBytes](RawConnection& aConnection, int) {
-    while (aConnection.ReadRequest()) {
-      aConnection.Send(aBytes);
+    while (const auto request = aConnection.ReadRequest()) {
+      aConnection.Send(WithRequestId(aBytes, *request));
     }
   };
 }
--- a/tests/proof/data_answers_test.cpp
+++ b/tests/proof/data_answers_test.cpp
@@ -3,6 +3,7 @@
 #include <Poco/Net/SocketAddress.h>
 
 #include <chrono>
+#include <cstdlib>
 #include <iostream>
 #include <set>
 #include <thread>
@@ -15,8 +16,7 @@
 namespace {
 
 constexpr int kTargets = 6;
-constexpr std::uint64_t kSeed = 101;
-constexpr std::uint64_t kKeptSeed = 102;
+constexpr std::uint64_t kDefaultSeed = 101;
 constexpr Millis kDeadline{ 1000 };
 constexpr Millis kFaultTime{ 1200 };
 constexpr Millis kCalmTime{ 400 };
@@ -127,6 +127,14 @@
   };
 }
 
+/// The seed of the load; ACACIAHILL_PROOF_SEED replaces the default.
+std::uint64_t
+LoadSeed()
+{
+  const auto* text = std::getenv("ACACIAHILL_PROOF_SEED");
+  return text == nullptr ? kDefaultSeed : std::stoull(text);
+}
+
 const json&
 HealOrder()
 {
@@ -339,10 +347,10 @@
   load.duration_ = (kFaultTime + kCalmTime) * static_cast<int>(Faults().size());
   load.postPercent_ = 60;
   load.deadline_ = kDeadline;
-  load.seed_ = kSeed;
+  load.seed_ = LoadSeed();
   auto keptLoad = load;
   keptLoad.keepAlive_ = true;
-  keptLoad.seed_ = kKeptSeed;
+  keptLoad.seed_ = load.seed_ + 1;
   HistoryRecorder recorder;
   LoadReport report;
   LoadReport kept;
@@ -354,10 +362,10 @@
 
   const auto operations = recorder.Operations();
   const auto runs = cluster.TargetRuns();
-  std::cout << "answers: seed " << kSeed << " " << ToJson(report).dump()
+  std::cout << "answers: seed " << load.seed_ << " " << ToJson(report).dump()
             << " runs " << runs.size() << "\nkept connections: seed "
-            << kKeptSeed << " " << ToJson(kept).dump() << '\n';
-  INFO("seed " << kSeed);
+            << keptLoad.seed_ << " " << ToJson(kept).dump() << '\n';
+  INFO("seed " << load.seed_);
   CheckCallers(operations, runs);
   CHECK(Describe(CheckOnePool(AssignmentsOf(runs), runs)) == kNone);
   // A load that hardly reached the targets, or met no fault, would show
--- a/tests/proof/data_support.h
+++ b/tests/proof/data_support.h
@@ -26,7 +26,9 @@
 }
 
 /// Starts vm-1, vm-2, ... in the zones z1 to z3 in turn, each in a rack of its
-/// own. Without names of nodes they announce to the nodes of their zone.
+/// own. Without names of nodes they announce to the nodes of their zone. Every
+/// other target names the request in its answers, so that the connections to
+/// it are reused.
 inline void
 StartTargets(Cluster& aCluster,
              int aCount,
@@ -44,6 +46,9 @@
     target.arguments_ = {
       "--seed", std::to_string(i), "--service-ms", std::to_string(aServiceMs)
     };
+    if (i % 2 == 0) {
+      target.arguments_.emplace_back("--echo-request-id");
+    }
     aCluster.StartTarget(target);
   }
 }
--- a/tests/support/fake_target.cpp
+++ b/tests/support/fake_target.cpp
@@ -362,6 +362,10 @@
   auto headers = EchoHeaders();
   headers.emplace_back("Content-Type", "application/json");
   headers.emplace_back("X-Nonce", aRequest.Header("x-nonce"));
+  if (settings_.echoesRequestId_) {
+    headers.emplace_back("Acaciahill-Request-Id",
+                         aRequest.Header("acaciahill-request-id"));
+  }
   std::string framing;
   {
     const std::lock_guard lock(mutex_);
--- a/tests/support/fake_target.h
+++ b/tests/support/fake_target.h
@@ -42,6 +42,8 @@
   /// File of JSON lines about each executed request; empty writes none.
   std::string journal_;
   std::uint64_t seed_ = 1;
+  /// Whether answers to requests carry the request's Acaciahill-Request-Id.
+  bool echoesRequestId_ = false;
 };
 
 /// Stand-in for a users' server: announces itself, keeps the assignment that it
--- a/tests/support/fake_target_main.cpp
+++ b/tests/support/fake_target_main.cpp
@@ -36,7 +36,7 @@
     "connections", "connections", text("64"))(
     "service-ms", "time that a request takes", text("5"))(
     "seed", "seed for the choice of announce ports", text("1"))(
-    "help", "print this help");
+    "echo-request-id", "answers name their request")("help", "print this help");
   return options;
 }
 
@@ -76,6 +76,7 @@
   settings.connections_ = number("connections");
   settings.service_ = acaciahill::Millis(number("service-ms"));
   settings.seed_ = std::stoull(text("seed"));
+  settings.echoesRequestId_ = aOptions.count("echo-request-id") > 0;
   return settings;
 }
 
