Fix: permissions run out while a machine is suspended

Report of operators: a process that had been delayed for some seconds acted on a permission that had run out meanwhile.

Cause: MonotonicNow() read the steady clock, which stops while the machine is suspended. Only the tick of the workload host looked at the difference to the boot clock, so that after waking up a handler that ran before the tick could send orders under the former authority, a former leader still answered reads, an entry node still called itself ready, and the relay used evidence about targets that was older than its validity.

Change: MonotonicNow() reads the boot clock, which counts that time, so that every age and deadline holds. The four waits until such a time are waits for a duration now. The check in the host's tick and SleepTime() are not needed any more.

A unit test cannot suspend the machine.

--- a/packages/daemon/order_agent.cpp
+++ b/packages/daemon/order_agent.cpp
@@ -45,7 +45,7 @@
 std::int64_t
 OrderClockMs()
 {
-  return (MonotonicNow().time_since_epoch() + SleepTime()).count();
+  return MonotonicNow().time_since_epoch().count();
 }
 
 void
--- a/packages/daemon/replica_service.cpp
+++ b/packages/daemon/replica_service.cpp
@@ -193,8 +193,9 @@
     std::deque<Work> work;
     {
       std::unique_lock lock(workMutex_);
-      workReady_.wait_until(
-        lock, nextTick, [this] { return stopping_ || !work_.empty(); });
+      workReady_.wait_for(lock, nextTick - MonotonicNow(), [this] {
+        return stopping_ || !work_.empty();
+      });
       work.swap(work_);
     }
     std::vector<RaftAction> actions;
--- a/packages/daemon/workload_host.cpp
+++ b/packages/daemon/workload_host.cpp
@@ -60,7 +60,6 @@
 void
 WorkloadHost::Start()
 {
-  suspendedTime_ = SleepTime();
   Tick();
 }
 
@@ -128,25 +127,9 @@
   longestLag_ = Millis(0);
 }
 
-// Another leader may take over while this machine is suspended, and the steady
-// clock does not advance during that time.
-bool
-WorkloadHost::WasSuspended()
-{
-  constexpr Millis kTolerance{ 100 };
-  const auto offset = SleepTime();
-  const bool slept = offset > suspendedTime_ + kTolerance;
-  suspendedTime_ = offset;
-  return slept;
-}
-
 void
 WorkloadHost::FollowLeadership()
 {
-  if (WasSuspended()) {
-    Abandon("this machine was suspended");
-    barrierTerm_ = 0;
-  }
   const auto control = replica_.Control();
   if (scheduler_ && (!control.isLeader_ || control.term_ != term_)) {
     Abandon("this node no longer leads");
--- a/packages/daemon/workload_host_base.h
+++ b/packages/daemon/workload_host_base.h
@@ -70,7 +70,6 @@
   void ProposeBarrier(std::uint64_t aTerm);
   void Activate(std::uint64_t aTerm);
   void Abandon(std::string_view aReason);
-  bool WasSuspended();
   void RefreshConfig();
   /// Executes the scheduler's actions, at once or after a short delay that
   /// combines several inputs into one run.
@@ -139,7 +138,6 @@
   std::uint64_t generation_ = 0;
   RequestToken nextToken_ = 1;
   std::map<RequestToken, Answer> waiting_;
-  Millis suspendedTime_{ 0 };
 };
 
 } // namespace acaciahill
--- a/packages/kernel/os_clock_func.cpp
+++ b/packages/kernel/os_clock_func.cpp
@@ -10,20 +10,11 @@
 MonotonicTime
 MonotonicNow()
 {
-  return std::chrono::time_point_cast<Millis>(std::chrono::steady_clock::now());
-}
-
-Millis
-SleepTime()
-{
-  const auto read = [](clockid_t aClock) {
-    timespec time{};
-    ::clock_gettime(aClock, &time);
-    return std::chrono::seconds(time.tv_sec) +
-           std::chrono::nanoseconds(time.tv_nsec);
-  };
-  return std::chrono::duration_cast<Millis>(read(CLOCK_BOOTTIME) -
-                                            read(CLOCK_MONOTONIC));
+  timespec time{};
+  ::clock_gettime(CLOCK_BOOTTIME, &time);
+  return MonotonicTime(
+    std::chrono::duration_cast<Millis>(std::chrono::seconds(time.tv_sec) +
+                                       std::chrono::nanoseconds(time.tv_nsec)));
 }
 
 std::chrono::microseconds
--- a/packages/kernel/os_clock_func.h
+++ b/packages/kernel/os_clock_func.h
@@ -6,15 +6,11 @@
 
 namespace acaciahill {
 
-/// The monotonic clock of the operating system.
+/// The monotonic clock of the operating system that continues while the machine
+/// is suspended: what was granted for a time before that has run out after it.
 MonotonicTime
 MonotonicNow();
 
-/// Total time for which the machine has been suspended since boot, which the
-/// monotonic clock does not count.
-Millis
-SleepTime();
-
 /// CPU time of the calling thread.
 std::chrono::microseconds
 ThreadCpuTime();
--- a/packages/relay/caller_server.cpp
+++ b/packages/relay/caller_server.cpp
@@ -349,8 +349,8 @@
 CallerServer::WaitForEnd(MonotonicTime aUntil)
 {
   std::unique_lock lock(mutex_);
-  return ended_.wait_until(
-    lock, aUntil, [this] { return connections_.empty(); });
+  return ended_.wait_for(
+    lock, aUntil - MonotonicNow(), [this] { return connections_.empty(); });
 }
 
 void
--- a/packages/relay/relay.cpp
+++ b/packages/relay/relay.cpp
@@ -102,9 +102,9 @@
       // Arrivals do not end this wait, or a busy node would tick at each one.
       tickerChanged_.wait_for(lock, kTickInterval, [this] { return stopped_; });
     } else {
-      tickerChanged_.wait_until(lock, nextMaintenance, [this] {
-        return stopped_ || router_.Waiting() > 0;
-      });
+      const auto left = nextMaintenance - MonotonicNow();
+      tickerChanged_.wait_for(
+        lock, left, [this] { return stopped_ || router_.Waiting() > 0; });
     }
   }
 }
@@ -147,8 +147,8 @@
   Apply(RouterStop{});
   {
     std::unique_lock lock(mutex_);
-    activeRequestsChanged_.wait_until(
-      lock, until, [this] { return activeRequests_ == 0; });
+    activeRequestsChanged_.wait_for(
+      lock, until - MonotonicNow(), [this] { return activeRequests_ == 0; });
   }
   server_.StopListening();
   server_.WaitForEnd(std::min(until, MonotonicNow() + kCloseGrace));
