Fix: an exception in a completion handler or timer does not end the process

Report of operators: one unexpected error took a whole process down.

Cause: the workload service ran its context without a handler for exceptions. Those of request handlers were caught at the listener, but one that left the handler of a worker's or the platform's answer, or a timer, ended the process; one in the host's tick would also have left the timer unarmed.

Change: RunContext() reports such an exception and runs the other handlers on. A leader continues from the committed state, as after an exception in a request, since its own may hold changes that were not logged. The exceptions are counted in acaciahill_handler_exceptions_total.

Test: "handlers run on after one has thrown"; with a plain run() the test program ends with the exception.

--- a/packages/daemon/workload_host.cpp
+++ b/packages/daemon/workload_host.cpp
@@ -89,11 +89,16 @@
   if (stopped_) {
     return;
   }
-  FollowLeadership();
-  if (scheduler_) {
-    ReportLoad();
-    scheduler_->Tick(MonotonicNow(), WallMs());
-    Run();
+  // The timer is started again after an exception as well.
+  try {
+    FollowLeadership();
+    if (scheduler_) {
+      ReportLoad();
+      scheduler_->Tick(MonotonicNow(), WallMs());
+      Run();
+    }
+  } catch (const std::exception& error) {
+    HandleException(error);
   }
   tickDueAt_ = MonotonicNow() + Scheduler::kTick;
   timer_.expires_after(Scheduler::kTick);
@@ -265,8 +270,13 @@
   return token;
 }
 
-// After an exception the scheduler's state may hold changes that were not
-// logged, so that this leadership cannot continue with it.
+void
+WorkloadHost::HandleException(const std::exception& aError)
+{
+  LogError("exception in the scheduler", { { "error", aError.what() } });
+  Abandon("exception in the scheduler");
+}
+
 template<typename F>
 void
 WorkloadHost::AbandonOnException(F aFunction)
@@ -274,9 +284,7 @@
   try {
     aFunction();
   } catch (const std::exception& error) {
-    LogError("exception in the scheduler while handling a request",
-             { { "error", error.what() } });
-    Abandon("exception in the scheduler");
+    HandleException(error);
     throw;
   }
 }
--- a/packages/daemon/workload_host_base.h
+++ b/packages/daemon/workload_host_base.h
@@ -54,6 +54,10 @@
   void HandleCaller(const HttpRequest& aRequest, Answer aAnswer);
   void HandleControl(const HttpRequest& aRequest, Answer aAnswer);
 
+  /// Continues from the committed state after an exception: the scheduler's
+  /// state may hold changes that were not logged.
+  void HandleException(const std::exception& aError);
+
 private:
   /// Calls the function; when it throws, gives up the leadership and rethrows.
   template<typename F>
--- a/packages/daemon/workload_service.cpp
+++ b/packages/daemon/workload_service.cpp
@@ -1,5 +1,6 @@
 #include "daemon/workload_service_base.h"
 
+#include "http/context_runner_func.h"
 #include "kernel/address_func.h"
 #include "kernel/log_func.h"
 #include "kernel/os_clock_func.h"
@@ -115,7 +116,15 @@
   if (finder_) {
     finder_->Start();
   }
-  thread_ = std::thread([this] { context_.run(); });
+  thread_ = std::thread([this] {
+    RunContext(context_, [this](const std::exception& aError) {
+      LogError("exception in a handler", { { "error", aError.what() } });
+      metrics_.Count("acaciahill_handler_exceptions_total", {});
+      if (host_) {
+        host_->HandleException(aError);
+      }
+    });
+  });
   return Done{};
 }
 
--- a/packages/http/test/async_http_test.cpp
+++ b/packages/http/test/async_http_test.cpp
@@ -1,8 +1,11 @@
 #include "http/async_client_base.h"
 #include "http/async_listener_base.h"
+#include "http/context_runner_func.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <catch2/catch.hpp>
 
@@ -122,3 +125,22 @@
   context.run_for(kTestTime);
   CHECK(statuses == std::vector<std::int64_t>{ 500, 200 });
 }
+
+// Guards against an unexpected error in a completion handler or a timer, which
+// ended the whole process.
+TEST_CASE("handlers run on after one has thrown")
+{
+  asio::io_context context;
+  std::vector<std::string> errors;
+  int ran = 0;
+  asio::steady_timer timer(context, 1ms);
+  timer.async_wait(
+    [](boost::system::error_code) { throw std::out_of_range("timer"); });
+  asio::post(context, [] { throw std::runtime_error("handler"); });
+  asio::post(context, [&ran] { ++ran; });
+  RunContext(context, [&errors](const std::exception& aError) {
+    errors.emplace_back(aError.what());
+  });
+  CHECK(ran == 1);
+  CHECK(errors == std::vector<std::string>{ "handler", "timer" });
+}
