Fix: one job can no longer take all memory of every control node

Report of operators: one malformed message took a whole process down.

Cause: a job's steps were bounded one by one only, so that a body of 512 KB could ask for a milliard tasks; and all overdue occurrences of a recurring job were begun at once, which with an interval of 0 or a start in the past are up to 2^32, or wrapped around. Each control node keeps every task, and the log repeats the same on each of them and at each restart.

Of one job at most 100 occurrences are begun at once and 1,000 occurrences or 100,000 tasks are open; the others follow as these end. Whether one is due is found without a product that overflows.

--- a/packages/workload/scheduler.cpp
+++ b/packages/workload/scheduler.cpp
@@ -15,6 +15,36 @@
 // that more events share one disk sync.
 constexpr std::size_t kMaxBatchesInFlight = 2;
 constexpr Millis kEndedJobsCheckInterval{ 1000 };
+// Occurrences of one job that are begun at once, and that may be unfinished: a
+// job may be overdue by any number of them. Their tasks are kept one by one.
+constexpr std::uint32_t kMaxOccurrencesAtOnce = 100;
+constexpr std::uint64_t kMaxOpenOccurrences = 1000;
+constexpr std::uint64_t kMaxOpenTasks = 100000;
+
+/// Whether an occurrence is due; a product of its number and the interval might
+/// overflow.
+bool
+IsDue(const JobSpec& aSpec, std::uint32_t aOccurrence, std::uint64_t aWallMs)
+{
+  return aSpec.startAtMs_ <= aWallMs &&
+         (aSpec.intervalMs_ == 0 ||
+          (aWallMs - aSpec.startAtMs_) / aSpec.intervalMs_ >= aOccurrence);
+}
+
+/// Number of occurrences of the job that may be begun now.
+std::uint64_t
+RoomForOccurrences(const JobEntry& aJob)
+{
+  std::uint64_t tasks = 0;
+  for (const auto& step : aJob.spec_.steps_) {
+    tasks += step.tasks_;
+  }
+  // One occurrence is always allowed.
+  const auto allowed = std::clamp<std::uint64_t>(
+    kMaxOpenTasks / std::max<std::uint64_t>(1, tasks), 1, kMaxOpenOccurrences);
+  const auto open = aJob.occurrences_.size();
+  return allowed > open ? allowed - open : 0;
+}
 
 } // namespace
 
@@ -256,10 +286,12 @@
   std::vector<OccurrenceBegun> due;
   for (const auto id : recurringJobs_) {
     const auto& job = *state_.FindJob(id);
-    const auto& spec = job.spec_;
-    for (auto next = job.begunOccurrences_;
-         next < spec.repeatCount_ &&
-         spec.startAtMs_ + next * spec.intervalMs_ <= aWallMs;
+    const auto begun = job.begunOccurrences_;
+    const auto last =
+      begun + std::min({ RoomForOccurrences(job),
+                         std::uint64_t{ kMaxOccurrencesAtOnce },
+                         std::uint64_t{ job.spec_.repeatCount_ - begun } });
+    for (auto next = begun; next < last && IsDue(job.spec_, next, aWallMs);
          ++next) {
       due.push_back({ id, next });
     }
