Fix: a restarted worker no longer deposes its own leader

Cause: a worker that restarts under its id and address gets a new number, and with it a higher fence. An order to its former incarnation that arrives after the first one to the new incarnation is refused as fenced. The leader compared the order's fence with that of the former incarnation only, took the refusal for a sign of a later leader, and sent no order any more until another term.

Change: a refusal of a superseded incarnation counts as overtaken by this leader's own orders.

--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -205,6 +205,11 @@
   void CloseRunsOfWorker(std::uint32_t aWorker,
                          RunEnd aEnd,
                          MonotonicTime aNow);
+  /// Whether the worker may have refused an order with this fence because of
+  /// another order of this leader.
+  bool IsOvertaken(const WorkerView& aView,
+                   std::uint64_t aFence,
+                   const WorkerEntry& aWorker) const;
   /// Handles what all answers have in common. True when the worker is gone or
   /// this leader is deposed: the caller must not process the answer further.
   bool HandleCommonOutcome(const OrderTarget& aTarget,
--- a/packages/workload/scheduler_worker.cpp
+++ b/packages/workload/scheduler_worker.cpp
@@ -355,6 +355,16 @@
   }
 }
 
+// An order of this leader with a higher fence may have arrived first: a later
+// one, or one to the worker's next incarnation, which has the same address.
+bool
+Scheduler::IsOvertaken(const WorkerView& aView,
+                       std::uint64_t aFence,
+                       const WorkerEntry& aWorker) const
+{
+  return aView.isSuperseded_ || aFence < FenceOf(aWorker);
+}
+
 bool
 Scheduler::HandleCommonOutcome(const OrderTarget& aTarget,
                                const OrderAnswer& aAnswer,
@@ -370,8 +380,8 @@
     DropWorker(number, "another worker answers at its address", aNow);
     return true;
   }
-  // A later order of this leader with a higher fence may have arrived first.
-  const bool isOvertaken = aTarget.fence_ < FenceOf(*state_.FindWorker(number));
+  const bool isOvertaken =
+    IsOvertaken(*view, aTarget.fence_, *state_.FindWorker(number));
   if (aAnswer.outcome_ == OrderOutcome::Fenced && !isOvertaken) {
     LogWarning(
       "worker has seen a higher fence; this leader sends no more orders",
