Change: VMs move at the rate that the platform accepts

Cause: at most 32 moves could be under way, each for about 1.5 s, which was made for a platform that accepts 64 calls a second. On the large deployment, which accepts 310, a pool got its VMs in steps of 32 each 1.5 s and was full when its turn was over. Nothing read the platform's limit.

Change: platform.vm_calls_per_s (from cloudApi.dutyPerS) is the limit. Moves, their retries and orders of upkeep share one budget, whose steady rate and burst add up to less than the limit in any second, also for two leaders one after the other. It keeps a reserve for upkeep, which has a due time, and slows down for some seconds when a call is refused (429). When several pools lack VMs, the one that lacks the largest share gets the next, so that the first moves are shared fairly. Registered VMs are looked up once a tick and not once a move.

--- a/packages/kernel/settings.cpp
+++ b/packages/kernel/settings.cpp
@@ -22,10 +22,11 @@
   return std::string(aSection) + "." + std::string(aKey);
 }
 
-std::optional<std::int64_t>
-ParseInteger(std::string_view aText)
+template<typename T>
+std::optional<T>
+Parse(std::string_view aText)
 {
-  std::int64_t value = 0;
+  T value = 0;
   const auto* end = aText.data() + aText.size();
   const auto [rest, error] = std::from_chars(aText.data(), end, value);
   if (error != std::errc() || rest != end) {
@@ -34,6 +35,25 @@
   return value;
 }
 
+std::optional<std::int64_t>
+ParseInteger(std::string_view aText)
+{
+  return Parse<std::int64_t>(aText);
+}
+
+/// Describes why a number is out of the rule's range; empty when it is not.
+template<typename T>
+std::string
+CheckRange(const SettingRule& aRule, T aNumber, const std::string& aValue)
+{
+  // Written so that a NaN is out of range.
+  const bool isInRange = aNumber >= static_cast<T>(aRule.min_) &&
+                         aNumber <= static_cast<T>(aRule.max_);
+  return isInRange ? ""
+                   : aValue + " is out of range " + std::to_string(aRule.min_) +
+                       " to " + std::to_string(aRule.max_);
+}
+
 bool
 IsVoterList(std::string_view aText)
 {
@@ -77,14 +97,13 @@
       return aValue.empty() && aRule.required_ ? "must not be empty" : "";
     case SettingType::Integer: {
       const auto value = ParseInteger(aValue);
-      if (!value) {
-        return "'" + aValue + "' is not a whole number";
-      }
-      if (*value < aRule.min_ || *value > aRule.max_) {
-        return aValue + " is out of range " + std::to_string(aRule.min_) +
-               " to " + std::to_string(aRule.max_);
-      }
-      return "";
+      return value ? CheckRange(aRule, *value, aValue)
+                   : "'" + aValue + "' is not a whole number";
+    }
+    case SettingType::Number: {
+      const auto value = Parse<double>(aValue);
+      return value ? CheckRange(aRule, *value, aValue)
+                   : "'" + aValue + "' is not a number";
     }
     case SettingType::Address:
       return IsNumericAddress(aValue)
@@ -216,4 +235,10 @@
   return ParseInteger(Text(aSection, aKey)).value_or(0);
 }
 
+double
+Settings::Number(std::string_view aSection, std::string_view aKey) const
+{
+  return Parse<double>(Text(aSection, aKey)).value_or(0);
+}
+
 } // namespace acaciahill
--- a/packages/kernel/settings_base.h
+++ b/packages/kernel/settings_base.h
@@ -14,6 +14,7 @@
 {
   Text,
   Integer,
+  Number,    ///< A decimal number; min_ and max_ bound it.
   Address,   ///< Numeric IP address and port, as 127.0.0.1:7000.
   VoterList, ///< id@address,id@address,...
   Choice,    ///< One of the words in choices_, separated by '|'.
@@ -50,6 +51,9 @@
   /// The value of an Integer key.
   std::int64_t Integer(std::string_view aSection, std::string_view aKey) const;
 
+  /// The value of a Number key.
+  double Number(std::string_view aSection, std::string_view aKey) const;
+
 private:
   std::map<std::string, std::string, std::less<>> values_;
 };
--- a/packages/workload/pool_balance.cpp
+++ b/packages/workload/pool_balance.cpp
@@ -1,6 +1,7 @@
 #include "workload/pool_balance_func.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace acaciahill {
 
@@ -17,13 +18,6 @@
 // cost about as much as a VM in a pool for two seconds.
 constexpr Millis kSurplusBeforeOff{ 800 };
 
-std::size_t
-ShortageOf(const PoolDemand& aPool)
-{
-  const auto wanted = WantedWorkers(aPool);
-  return wanted > aPool.supply_ ? wanted - aPool.supply_ : 0;
-}
-
 std::size_t
 SurplusOf(const PoolDemand& aPool)
 {
@@ -41,6 +35,48 @@
   return vm;
 }
 
+/// The pool that lacks the largest share of the workers it wants; null when
+/// none lacks any.
+PoolDemand*
+NeediestPool(std::vector<PoolDemand>& aPools)
+{
+  PoolDemand* neediest = nullptr;
+  double lowestShare = 1;
+  for (auto& pool : aPools) {
+    const auto wanted = WantedWorkers(pool);
+    if (pool.supply_ >= wanted) {
+      continue;
+    }
+    const auto share =
+      static_cast<double>(pool.supply_) / static_cast<double>(wanted);
+    if (share < lowestShare) {
+      lowestShare = share;
+      neediest = &pool;
+    }
+  }
+  return neediest;
+}
+
+/// Takes a VM for a pool with too few workers: an idle one of the pool with the
+/// largest surplus, else a switched-off one. Nothing when there is none.
+std::optional<std::string>
+TakeFreeVm(std::vector<PoolDemand>& aPools, std::vector<std::string>& aSpareVms)
+{
+  const auto donor = std::max_element(
+    aPools.begin(), aPools.end(), [](const auto& aOne, const auto& aTwo) {
+      return SurplusOf(aOne) < SurplusOf(aTwo);
+    });
+  if (donor != aPools.end() && SurplusOf(*donor) > 0) {
+    return RemoveIdleVm(*donor);
+  }
+  if (aSpareVms.empty()) {
+    return std::nullopt;
+  }
+  auto vm = std::move(aSpareVms.back());
+  aSpareVms.pop_back();
+  return vm;
+}
+
 } // namespace
 
 std::int64_t
@@ -77,25 +113,15 @@
           const std::string& aSparePool)
 {
   std::vector<VmMove> moves;
-  std::sort(
-    aPools.begin(), aPools.end(), [](const auto& aOne, const auto& aTwo) {
-      return ShortageOf(aOne) > ShortageOf(aTwo);
-    });
-  for (auto& pool : aPools) {
-    auto shortage = ShortageOf(pool);
-    for (auto& donor : aPools) {
-      while (shortage > 0 && &donor != &pool && SurplusOf(donor) > 0) {
-        moves.push_back({ RemoveIdleVm(donor), pool.pool_ });
-        ++pool.supply_;
-        --shortage;
-      }
-    }
-    while (shortage > 0 && !aSpareVms.empty()) {
-      moves.push_back({ std::move(aSpareVms.back()), pool.pool_ });
-      aSpareVms.pop_back();
-      ++pool.supply_;
-      --shortage;
+  // The caller may carry out only the first moves, so those that pools in need
+  // get alternate.
+  while (auto* pool = NeediestPool(aPools)) {
+    auto vm = TakeFreeVm(aPools, aSpareVms);
+    if (!vm) {
+      break;
     }
+    moves.push_back({ std::move(*vm), pool->pool_ });
+    ++pool->supply_;
   }
   if (aSparePool.empty()) {
     return moves;
--- a/packages/workload/pool_balance_func.h
+++ b/packages/workload/pool_balance_func.h
@@ -64,7 +64,9 @@
 /// Plans moves of VMs between pools whose demand peaks at different times. A
 /// pool with too few workers gets idle VMs of pools with a surplus, then
 /// switched-off VMs of the spare pool. VMs of a pool with a lasting surplus are
-/// moved to the spare pool. An empty aSparePool means that there is none.
+/// moved to the spare pool. An empty aSparePool means that there is none. The
+/// caller may carry out only some of the moves, from the first on: the most
+/// urgent ones come first.
 std::vector<VmMove>
 PlanMoves(std::vector<PoolDemand> aPools,
           std::vector<std::string> aSpareVms,
--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -4,6 +4,7 @@
 #include "workload/pool_balance_func.h"
 #include "workload/scheduler_type.h"
 #include "workload/turn_forecast_base.h"
+#include "workload/vm_call_budget_base.h"
 #include "workload/worker_view_type.h"
 #include "workload/workload_base.h"
 
@@ -343,10 +344,14 @@
   // scheduler_pools.cpp: moves of VMs between pools.
   /// Zones that have workers of which none answers.
   std::set<std::string> UnreachableZones() const;
-  bool HasWorker(const std::string& aVm, const std::string& aPool) const;
+  /// VMs that are being moved to the pool and have not registered there.
+  std::size_t CountArrivingVms(const std::string& aPool) const;
+  void ForgetEndedMoves(MonotonicTime aNow);
   void BalancePools(MonotonicTime aNow);
   /// Logs the demands that the next moves are based on.
   void LogDemands(const std::vector<PoolDemand>& aDemands) const;
+  /// Takes a call for a move from the budget; false when none is left.
+  bool TakeMoveCall(MonotonicTime aNow);
   void RequestMove(const VmMove& aMove, MonotonicTime aNow);
   void RetryMoves(MonotonicTime aNow);
 
@@ -392,6 +397,8 @@
   std::set<std::string> ignoredWorkers_;
   std::map<std::string, VmView> vms_;
   std::map<std::string, PendingMove> moves_;
+  VmCallBudget vmCalls_;
+  MonotonicTime demandsLoggedAt_{};
   DemandMeter demand_;
   TurnForecast forecast_;
   MonotonicTime observedAt_{};
--- a/packages/workload/scheduler_demand.cpp
+++ b/packages/workload/scheduler_demand.cpp
@@ -282,11 +282,8 @@
       pool.idleVms_.push_back(worker.vm_);
     }
   }
-  for (const auto& [vm, move] : moves_) {
-    const auto load = loads.find(move.pool_);
-    if (load != loads.end() && !HasWorker(vm, move.pool_)) {
-      ++load->second.supply_;
-    }
+  for (auto& [name, load] : loads) {
+    load.supply_ += CountArrivingVms(name);
   }
   if (aNow - startedAt_ < kFirstReportsTime) {
     for (const auto& [vm, view] : vms_) {
--- a/packages/workload/scheduler_pools.cpp
+++ b/packages/workload/scheduler_pools.cpp
@@ -19,20 +19,42 @@
 // A moved VM that does not register counts as supply of its new pool for this
 // time; the platform takes 1.5 s for a move.
 constexpr Millis kMoveTimeout{ 4000 };
-// The platform accepts 64 calls a second.
-constexpr std::size_t kMaxMovesInFlight = 32;
+// Moves are planned many times a second; the demands behind them change less.
+constexpr Millis kDemandLogInterval{ 500 };
+// Calls for moves without an answer yet. Each holds a connection.
+constexpr std::size_t kMaxMoveCallsInFlight = 128;
 // A VM that could not be moved is not tried again for this time.
 constexpr Millis kFailedMovePause{ 600 };
 
 } // namespace
 
-bool
-Scheduler::HasWorker(const std::string& aVm, const std::string& aPool) const
+std::size_t
+Scheduler::CountArrivingVms(const std::string& aPool) const
 {
-  return std::any_of(
-    state_.Workers().begin(), state_.Workers().end(), [&](const auto& aEntry) {
-      return aEntry.second.vm_ == aVm && aEntry.second.pool_ == aPool;
-    });
+  return static_cast<std::size_t>(
+    std::count_if(moves_.begin(), moves_.end(), [&aPool](const auto& aEntry) {
+      return aEntry.second.pool_ == aPool;
+    }));
+}
+
+// Drops the moves that are complete, and those whose VM does not arrive.
+void
+Scheduler::ForgetEndedMoves(MonotonicTime aNow)
+{
+  if (moves_.empty()) {
+    return;
+  }
+  std::set<std::pair<std::string_view, std::string_view>> registered;
+  for (const auto& [number, worker] : state_.Workers()) {
+    registered.emplace(worker.vm_, worker.pool_);
+  }
+  std::erase_if(moves_, [&](const auto& aEntry) {
+    const auto& [vm, move] = aEntry;
+    const bool isOver =
+      move.toSpare_ || aNow - move.requestedAt_ > kMoveTimeout;
+    return (!move.isInFlight_ && registered.contains({ vm, move.pool_ })) ||
+           (move.hasBegun_ && isOver);
+  });
 }
 
 std::set<std::string>
@@ -68,15 +90,10 @@
     vmListInFlight_ = true;
     actions_.emplace_back(ListVms{});
   }
-  std::erase_if(moves_, [&](const auto& aEntry) {
-    const auto& move = aEntry.second;
-    return move.hasBegun_ &&
-           (move.toSpare_ || HasWorker(aEntry.first, move.pool_) ||
-            aNow - move.requestedAt_ > kMoveTimeout);
-  });
+  ForgetEndedMoves(aNow);
   RetryMoves(aNow);
   ObserveDemand(aNow);
-  if (!vmListKnown_ || moves_.size() >= kMaxMovesInFlight) {
+  if (!vmListKnown_) {
     return;
   }
   // A VM in an unreachable availability zone could not register.
@@ -93,17 +110,35 @@
   }
   const auto demands = PoolDemands(aNow);
   const auto moves = PlanMoves(demands, std::move(spares), sparePool);
-  if (!moves.empty()) {
-    LogDemands(demands);
-  }
+  std::size_t requested = 0;
   for (const auto& move : moves) {
-    if (moves_.size() >= kMaxMovesInFlight) {
-      return;
+    if (!TakeMoveCall(aNow)) {
+      break;
     }
     RequestMove(move, aNow);
+    ++requested;
+  }
+  if (requested > 0 && aNow - demandsLoggedAt_ >= kDemandLogInterval) {
+    demandsLoggedAt_ = aNow;
+    LogDemands(demands);
+    LogInfo("moves requested",
+            { { "planned", moves.size() },
+              { "requested", requested },
+              { "in_progress", moves_.size() } });
   }
 }
 
+bool
+Scheduler::TakeMoveCall(MonotonicTime aNow)
+{
+  const auto inFlight =
+    std::count_if(moves_.begin(), moves_.end(), [](const auto& aEntry) {
+      return aEntry.second.isInFlight_;
+    });
+  return static_cast<std::size_t>(inFlight) < kMaxMoveCallsInFlight &&
+         vmCalls_.TakeForMove(aNow);
+}
+
 void
 Scheduler::LogDemands(const std::vector<PoolDemand>& aDemands) const
 {
@@ -141,7 +176,7 @@
 {
   for (auto& [vm, move] : moves_) {
     if (!move.isInFlight_ && !move.hasBegun_ &&
-        aNow - move.requestedAt_ >= kMoveRetry) {
+        aNow - move.requestedAt_ >= kMoveRetry && TakeMoveCall(aNow)) {
       move.isInFlight_ = true;
       move.requestedAt_ = aNow;
       actions_.emplace_back(MoveVm{ vm, move.pool_, term_ });
@@ -183,10 +218,12 @@
       // The move may still be carried out: the VM is kept empty, and the move
       // is requested again until its outcome is known.
       return;
+    case VmOutcome::NotNow:
+      vmCalls_.NoteRefusal(aNow);
+      [[fallthrough]];
     case VmOutcome::Busy:
     case VmOutcome::NotInWave:
     case VmOutcome::NoSuchVm:
-    case VmOutcome::NotNow:
       LogInfo(
         "a VM cannot be moved now",
         { { "vm", aOrder.vm_ }, { "outcome", static_cast<int>(aOutcome) } });
--- a/packages/workload/scheduler_type.h
+++ b/packages/workload/scheduler_type.h
@@ -24,6 +24,9 @@
   Millis authority_{ 900 };
   /// Enables moves of VMs between pools; the platform must support them.
   bool movesVms_ = false;
+  /// Moves and upkeep orders that the platform accepts a second, from all nodes
+  /// together.
+  double vmCallsPerSecond_ = 64;
 
   bool operator==(const SchedulerSettings&) const = default;
 };
--- a/packages/workload/scheduler_upkeep.cpp
+++ b/packages/workload/scheduler_upkeep.cpp
@@ -214,7 +214,8 @@
     }
     const bool isEmpty = worker == nullptr || worker->runs_.empty();
     if (!isEmpty || view.orderInFlight_ || view.isDown_ || down >= cap ||
-        aNow - view.orderedAt_ < kUpkeepRetry) {
+        aNow - view.orderedAt_ < kUpkeepRetry ||
+        !vmCalls_.TakeForUpkeep(aNow)) {
       continue;
     }
     ++down;
@@ -264,8 +265,10 @@
       view.isDown_ = true;
       view.downSince_ = aNow;
       return;
-    case VmOutcome::Busy:
     case VmOutcome::NotNow:
+      vmCalls_.NoteRefusal(aNow);
+      return;
+    case VmOutcome::Busy:
       return;
   }
 }
--- a/packages/workload/test/scheduler_driver.cpp
+++ b/packages/workload/test/scheduler_driver.cpp
@@ -424,7 +424,10 @@
   const auto& step = specs_.at(aOrder.task_.job_).steps_[aOrder.task_.step_];
   FakeWorker::Run run;
   run.run_ = aOrder.run_;
-  run.endsAt_ = now_ + kRunTime + Millis(RandomBelow(500));
+  const auto runTime = runTimes_.find(aOrder.task_.job_);
+  run.endsAt_ =
+    now_ + (runTime == runTimes_.end() ? kRunTime + Millis(RandomBelow(500))
+                                       : runTime->second);
   run.end_ =
     OccursWith(faults_.failedRunPermille_) ? RunEnd::Failed : RunEnd::Done;
   run.isLongRunning_ = step.isLongRunning_;
@@ -619,7 +622,8 @@
 SchedulerDriver::Execute(const MoveVm& aAction)
 {
   movedVms_.push_back(aAction.vm_);
-  scheduler_->HandleMove(aAction, VmOutcome::Busy, now_);
+  moveTimes_.push_back(now_);
+  scheduler_->HandleMove(aAction, moveOutcome_, now_);
 }
 
 } // namespace acaciahill::test
--- a/packages/workload/test/scheduler_driver.h
+++ b/packages/workload/test/scheduler_driver.h
@@ -115,6 +115,11 @@
   /// VMs without a worker, and the VMs that the platform was asked to move.
   std::vector<VmListing> spareVms_;
   std::vector<std::string> movedVms_;
+  std::vector<MonotonicTime> moveTimes_;
+  /// Run time of the tasks of a job; a random one for other jobs.
+  std::map<JobId, Millis> runTimes_;
+  /// The platform's answer to every move.
+  VmOutcome moveOutcome_ = VmOutcome::Busy;
 
 private:
   struct DelayedOrder
