--- a/packages/kernel/test/settings_test.cpp
+++ b/packages/kernel/test/settings_test.cpp
@@ -18,6 +18,7 @@
   { "cluster", "voters", SettingType::VoterList, true },
   { "timing", "tick_ms", SettingType::Integer, false, "100", 10, 1000 },
   { "platform", "url", SettingType::HttpUrl, false, "" },
+  { "platform", "rate", SettingType::Number, false, "64", 1, 1000 },
 };
 
 const std::string kGood = "; a comment\n[node]\nid = n1\n[listen]\n"
@@ -46,6 +47,10 @@
   CHECK(ValueOf(settings).Text("node", "id") == "n1");
   CHECK(ValueOf(settings).Text("node", "role") == "entry");
   CHECK(ValueOf(settings).Integer("timing", "tick_ms") == 100);
+  CHECK(ValueOf(settings).Number("platform", "rate") == 64);
+  const auto decimal = LoadText(kGood + "[platform]\nrate = 310.5\n");
+  REQUIRE(IsOk(decimal));
+  CHECK(ValueOf(decimal).Number("platform", "rate") == 310.5);
 }
 
 // Guards against a process that starts despite an invalid setting. Every fault
@@ -63,6 +68,9 @@
     Row{ kGood + "[timing]\ntick_ms = 5\n",
          "timing.tick_ms: 5 is out of range" },
     Row{ kGood + "[platform]\nurl = https://x\n", "platform.url" },
+    Row{ kGood + "[platform]\nrate = fast\n", "platform.rate: 'fast'" },
+    Row{ kGood + "[platform]\nrate = 0.5\n", "platform.rate: 0.5 is out of" },
+    Row{ kGood + "[platform]\nrate = nan\n", "platform.rate: nan is out of" },
     Row{ "[node]\nid = n1\nid = n2\n", "duplicate key" },
     Row{ "[node]\nid = n1\nrole = king\n", "node.role: 'king'" },
     Row{ "[node]\nid n1\n", ":2: " },
