Change: the leader's own limit of calls that change VMs, 25 a second

Change: workload.max_vm_calls_per_s bounds the budget, whatever the platform accepts. Its default keeps about the pace from before: 32 moves under way for 1.7 s each.

--- a/packages/daemon/workload_settings.cpp
+++ b/packages/daemon/workload_settings.cpp
@@ -116,6 +116,8 @@
   scheduler.authority_ = control.raft_.electionMin_ - kElectionMargin;
   scheduler.movesVms_ = !made.vmApi_.empty();
   scheduler.vmCallsPerSecond_ = settings.Number("platform", "vm_calls_per_s");
+  scheduler.maxVmCallsPerSecond_ =
+    settings.Number("workload", "max_vm_calls_per_s");
   scheduler.lease_ = time("workload", "lease_ms");
   scheduler.keepEnded_ =
     std::chrono::seconds(settings.Integer("workload", "keep_ended_s"));
--- a/packages/workload/scheduler.cpp
+++ b/packages/workload/scheduler.cpp
@@ -58,7 +58,9 @@
   , baseMs_(state_.LogicalMs())
   , startedAt_(aNow)
   , authorityAt_(aNow)
-  , vmCalls_(settings_.vmCallsPerSecond_, aNow)
+  , vmCalls_(
+      std::min(settings_.vmCallsPerSecond_, settings_.maxVmCallsPerSecond_),
+      aNow)
 {
   demand_.Restore(state_.Learned().queues_);
   forecast_.Restore(state_.Learned(), aNow, baseMs_);
--- a/packages/workload/scheduler_type.h
+++ b/packages/workload/scheduler_type.h
@@ -27,6 +27,9 @@
   /// Moves and upkeep orders that the platform accepts a second, from all nodes
   /// together.
   double vmCallsPerSecond_ = 64;
+  /// Calls that change VMs which the leader makes a second at most. Each moved
+  /// VM costs it processor time, as a worker leaves and another one registers.
+  double maxVmCallsPerSecond_ = 25;
 
   bool operator==(const SchedulerSettings&) const = default;
 };
--- a/packages/workload/test/vm_call_budget_test.cpp
+++ b/packages/workload/test/vm_call_budget_test.cpp
@@ -106,6 +106,7 @@
   constexpr int kSpares = 450;
   SchedulerDriver driver(31, {});
   driver.settings_.vmCallsPerSecond_ = limit;
+  driver.settings_.maxVmCallsPerSecond_ = limit;
   driver.moveOutcome_ = VmOutcome::Begun;
   EnableVmMoves(driver);
   for (int i = 0; i < kSpares; ++i) {
