Fix: a delayed leave no longer closes runs of a worker's next incarnation

Cause: a request to leave that names no incarnation was applied to whatever incarnation has the id when it arrives, and closed its runs as lost, although neither the worker nor the end of its lease had been waited for. A partition can hold the request up until the next incarnation runs tasks.

Fix: such a request is no proof about assigned runs. It removes a draining worker without runs only; the runs of a draining worker wait for its lists or for the end of its lease, as those of any silent worker do. The request is acknowledged as before.

--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -46,10 +46,12 @@
   void ReportWorker(RequestToken aToken,
                     const WorkerReport& aReport,
                     MonotonicTime aNow);
-  /// The worker reported that it exits now.
+  /// The worker reported that it exits now. Without the start of its process
+  /// the report may be an old one: then it removes a draining worker without
+  /// runs, and a worker with runs only when that stays silent.
   void RemoveWorker(RequestToken aToken,
                     const std::string& aId,
-                    std::optional<std::uint64_t> aBornMs,
+                    std::optional<std::uint64_t> aProcessStartMs,
                     MonotonicTime aNow);
   void StartWave(RequestToken aToken,
                  const UpkeepWave& aWave,
--- a/packages/workload/scheduler_worker.cpp
+++ b/packages/workload/scheduler_worker.cpp
@@ -221,18 +221,35 @@
   superseded_[aNew] = aFormer;
 }
 
+// A request that names no incarnation may be a delayed one of a former
+// incarnation. It proves nothing about runs that are assigned now: they are
+// closed by the worker's own lists, or once its lease has certainly expired.
 void
 Scheduler::RemoveWorker(RequestToken aToken,
                         const std::string& aId,
-                        std::optional<std::uint64_t> aBornMs,
+                        std::optional<std::uint64_t> aProcessStartMs,
                         MonotonicTime aNow)
 {
+  AnswerOnCommit(aToken, RequestOutcome::Accepted);
   const auto number = FindWorkerById(aId);
   const auto* known = state_.FindWorker(number);
-  if (known != nullptr && (!aBornMs || *aBornMs == known->processStartMs_)) {
+  if (known == nullptr ||
+      (aProcessStartMs && *aProcessStartMs != known->processStartMs_)) {
+    return;
+  }
+  auto& view = views_.at(number);
+  if (aProcessStartMs || (known->draining_ && view.runs_.empty())) {
     DropWorker(number, "left", aNow);
+    return;
+  }
+  LogInfo("leave of an unnamed incarnation is not proved yet",
+          { { "worker", aId },
+            { "number", number },
+            { "draining", known->draining_ },
+            { "runs", view.runs_.size() } });
+  if (known->draining_) {
+    view.leaveReportedAt_ = aNow;
   }
-  AnswerOnCommit(aToken, RequestOutcome::Accepted);
 }
 
 void
@@ -346,7 +363,8 @@
       placementDue_ = true;
     }
     if (view.runs_.empty() &&
-        aNow - view.lastContactAt_ > kSilentWorkerRetention) {
+        (view.leaveReportedAt_ ||
+         aNow - view.lastContactAt_ > kSilentWorkerRetention)) {
       silent.push_back(number);
     }
   }
@@ -447,6 +465,9 @@
   }
   view->confirmed_ = true;
   view->missedRenewals_ = 0;
+  if (view->leaveReportedAt_ && aOrder.sentAt_ >= *view->leaveReportedAt_) {
+    view->leaveReportedAt_.reset();
+  }
   if (!aOrder.isProbe_) {
     view->nextRenewalAt_ = aLists->ended_.empty() ? aNow : aNow + kRenewalPause;
   }
--- a/packages/workload/worker_view_type.h
+++ b/packages/workload/worker_view_type.h
@@ -76,6 +76,9 @@
   std::uint64_t committedEnds_ = 0;
   /// When a draining worker may exit; nothing while it is not draining.
   std::optional<MonotonicTime> leavesAt_;
+  /// When a request that names no incarnation said that the draining worker
+  /// exits; nothing once it has answered a later renewal.
+  std::optional<MonotonicTime> leaveReportedAt_;
   /// The worker is being emptied for maintenance or a move: it gets no new
   /// tasks, and its tasks are moved off.
   bool evacuating_ = false;
