Fix: an upkeep answer no longer closes the runs of a VM's next worker

What callers would see: tasks of a VM run twice around a maintenance wave.

Cause: the platform also confirms an upkeep that an earlier order began, and HandleUpkeep closed the runs of whatever worker the VM has when the answer arrives. After a lost answer that may be the next one, which is up.

Fix: the order carries the number of the worker that it was made for; only that one is removed.

--- a/packages/workload/scheduler_type.h
+++ b/packages/workload/scheduler_type.h
@@ -211,6 +211,8 @@
   std::string vm_;
   std::uint64_t wave_ = 0;
   std::uint64_t fence_ = 0;
+  /// Number of the VM's worker when the order was made; 0 without one.
+  std::uint32_t worker_ = 0;
 
   bool operator==(const BeginUpkeep&) const = default;
 };
--- a/packages/workload/scheduler_upkeep.cpp
+++ b/packages/workload/scheduler_upkeep.cpp
@@ -221,7 +221,7 @@
     ++down;
     view.orderInFlight_ = true;
     view.orderedAt_ = aNow;
-    actions_.emplace_back(BeginUpkeep{ vm, aWave.id_, term_ });
+    actions_.emplace_back(BeginUpkeep{ vm, aWave.id_, term_, number });
   }
 }
 
@@ -241,18 +241,15 @@
             { "vm", aOrder.vm_ },
             { "outcome", static_cast<int>(aOutcome) } });
   switch (aOutcome) {
-    case VmOutcome::Begun: {
+    case VmOutcome::Begun:
       view.isDown_ = true;
       view.downSince_ = aNow;
       view.listing_.state_ = VmState::Upkeep;
       Decide(WaveVmBegun{ aOrder.wave_, aOrder.vm_ }, aNow);
-      // All runs on the VM have ended.
-      const auto number = FindWorkerOfVm(aOrder.vm_);
-      if (FindView(number) != nullptr) {
-        DropWorker(number, "upkeep", aNow);
-      }
+      // All runs of that worker have ended. The answer may be about an earlier
+      // order, after which the VM is back with a worker that has runs.
+      DropWorker(aOrder.worker_, "upkeep", aNow);
       return;
-    }
     case VmOutcome::NotInWave:
     case VmOutcome::NoSuchVm:
       Decide(WaveVmBegun{ aOrder.wave_, aOrder.vm_ }, aNow);
