Fix: steps that cannot be placed no longer keep late jobs from starting

Cause: a pass over a pool ended after 24 steps in a row without a worker. Steps that wait for a label or a size that no worker has, or gangs larger than the pool, are sorted before all late steps and ended each pass there.

Fix: a pass skips a step only when it needs at least as much as one that found no room before. The needs stand in the queue's entries, so that skipped steps cost no look-up of their jobs.

--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -2,6 +2,7 @@
 
 #include "workload/demand_meter_base.h"
 #include "workload/pool_balance_func.h"
+#include "workload/room_shortage_base.h"
 #include "workload/scheduler_type.h"
 #include "workload/turn_forecast_base.h"
 #include "workload/vm_call_budget_base.h"
@@ -121,6 +122,10 @@
     JobId job_ = 0;
     std::uint32_t occurrence_ = 0;
     std::uint32_t step_ = 0;
+    /// Copied from the step, as all waiting steps are looked at many times a
+    /// second.
+    bool isLongRunning_ = false;
+    PlacementNeed need_;
 
     // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads it.
     auto operator<=>(const ReadyStep&) const = default;
@@ -298,12 +303,15 @@
                  MonotonicTime aNow);
   /// True when a run of one of the step's tasks was assigned before.
   bool HasStartedTasks(const ReadyStep& aReady) const;
-  /// False when no worker was found for a waiting task of the step.
+  /// False when no worker was found for a waiting task of the step. Needs that
+  /// the workers have no room for are added to aShortage.
   bool PlaceStep(const ReadyStep& aReady,
                  const std::vector<std::uint32_t>& aWorkers,
+                 RoomShortage& aShortage,
                  MonotonicTime aNow);
   bool PlaceGang(const ReadyStep& aReady,
                  const std::vector<std::uint32_t>& aWorkers,
+                 RoomShortage& aShortage,
                  MonotonicTime aNow);
   /// Number of the best worker for a task of the step; 0 when none fits.
   std::uint32_t ChooseWorker(
--- a/packages/workload/scheduler_place.cpp
+++ b/packages/workload/scheduler_place.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-// Consecutive steps without a worker after which a pool counts as full.
-constexpr int kMaxFailedSteps = 24;
 // A worker outside the rack of the data, or outside the rack of the step's
 // other tasks, is chosen only when no other is free. Scores are in milli-cores.
 constexpr std::int64_t kRackBonus = 2000;
@@ -117,15 +115,17 @@
       !AreDependenciesDone(occurrence->second, aJob.spec_.steps_[aStep])) {
     return;
   }
-  const bool hasStarted =
-    !aJob.spec_.steps_[aStep].after_.empty() || HasStarted(tasks);
+  const auto& spec = aJob.spec_.steps_[aStep];
+  const bool hasStarted = !spec.after_.empty() || HasStarted(tasks);
   ready_[queue->second.pool_].insert(
     { queue->second.priority_,
       !hasStarted,
       LatestStartOf(aJob, queue->second, aStep, hasStarted),
       aJob.spec_.id_,
       aOccurrence,
-      aStep });
+      aStep,
+      spec.isLongRunning_,
+      NeedOf(spec) });
 }
 
 void
@@ -208,7 +208,7 @@
     return aStep.latestStartMs_ < now;
   };
   // Long-running tasks are few and have no completion objective: they are
-  // placed before all others, and kMaxFailedSteps does not cut them off.
+  // placed before all others.
   enum class Pass : std::uint8_t
   {
     Lasting,
@@ -216,32 +216,26 @@
     Late
   };
   const auto passOf = [&](const ReadyStep& aStep) {
-    const auto* job = state_.FindJob(aStep.job_);
-    if (job != nullptr && !IsOver(job->phase_) &&
-        job->spec_.steps_[aStep.step_].isLongRunning_) {
-      return Pass::Lasting;
-    }
-    return isLate(aStep) ? Pass::Late : Pass::OnTime;
+    return aStep.isLongRunning_ ? Pass::Lasting
+           : isLate(aStep)      ? Pass::Late
+                                : Pass::OnTime;
   };
+  // A step that cannot be placed must not keep those behind it from starting:
+  // it may wait for a label or a size that no worker has.
+  RoomShortage shortage;
   for (const auto pass : { Pass::Lasting, Pass::OnTime, Pass::Late }) {
-    int failedSteps = 0;
-    for (auto step = aReady.begin();
-         step != aReady.end() &&
-         (failedSteps < kMaxFailedSteps || pass == Pass::Lasting);) {
-      if (passOf(*step) != pass) {
+    for (auto step = aReady.begin(); step != aReady.end();) {
+      if (passOf(*step) != pass || shortage.Covers(step->need_)) {
         ++step;
-      } else if (PlaceStep(*step, aWorkers, aNow)) {
+      } else if (PlaceStep(*step, aWorkers, shortage, aNow)) {
         step = aReady.erase(step);
-        failedSteps = 0;
       } else if (step->isNotStarted_ && HasStartedTasks(*step)) {
         // Some of its tasks were placed: queue it again as a started step.
         const auto started = *step;
         step = aReady.erase(step);
         QueueStep(
           *state_.FindJob(started.job_), started.occurrence_, started.step_);
-        ++failedSteps;
       } else {
-        ++failedSteps;
         ++step;
       }
     }
@@ -263,6 +257,7 @@
 bool
 Scheduler::PlaceStep(const ReadyStep& aReady,
                      const std::vector<std::uint32_t>& aWorkers,
+                     RoomShortage& aShortage,
                      MonotonicTime aNow)
 {
   const auto* job = state_.FindJob(aReady.job_);
@@ -275,7 +270,7 @@
   }
   const auto& step = job->spec_.steps_[aReady.step_];
   if (step.gang_) {
-    return PlaceGang(aReady, aWorkers, aNow);
+    return PlaceGang(aReady, aWorkers, aShortage, aNow);
   }
   const auto& tasks = occurrence->second.steps_[aReady.step_];
   auto tasksByWorker = CountTasksByWorker(tasks);
@@ -285,6 +280,10 @@
     }
     const auto worker = ChooseWorker(step, aWorkers, tasksByWorker);
     if (worker == 0) {
+      // Without the step's limit per worker there may be room for others.
+      if (step.maxPerWorker_ == 0 || ChooseWorker(step, aWorkers, {}) == 0) {
+        aShortage.Add(aReady.need_);
+      }
       return false;
     }
     ++tasksByWorker[worker];
@@ -301,6 +300,7 @@
 bool
 Scheduler::PlaceGang(const ReadyStep& aReady,
                      const std::vector<std::uint32_t>& aWorkers,
+                     RoomShortage& aShortage,
                      MonotonicTime aNow)
 {
   const auto* job = state_.FindJob(aReady.job_);
@@ -328,6 +328,10 @@
     const auto worker = ChooseWorker(step, aWorkers, tasksByWorker);
     if (worker == 0) {
       releaseReserved();
+      auto missing = aReady.need_;
+      missing.together_ = static_cast<std::uint32_t>(member) + 1;
+      missing.maxPerWorker_ = member == 0 ? 0 : missing.maxPerWorker_;
+      aShortage.Add(std::move(missing));
       return false;
     }
     auto& view = views_.at(worker);
--- a/packages/workload/workload_type.h
+++ b/packages/workload/workload_type.h
@@ -31,7 +31,8 @@
   std::int64_t memoryMb_ = 0;
   std::int64_t accelerators_ = 0;
 
-  bool operator==(const TaskNeed&) const = default;
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads it.
+  auto operator<=>(const TaskNeed&) const = default;
 };
 
 /// One step of a job: a number of equal tasks.
