Fix: a run that fails while its route is dropped uses up one attempt only

Cause: while a queue is not in the configuration its limit counted as one attempt, and the end of the job was logged with the end of the run.

Fix: a failure ends a job only under a configuration that has its queue. Each new configuration first ends the jobs that have no attempt left under it, also where it lowers the attempts. The attempts moved to scheduler_attempts.cpp.

--- a/packages/workload/scheduler.cpp
+++ b/packages/workload/scheduler.cpp
@@ -104,13 +104,14 @@
 }
 
 void
-Scheduler::UseConfig(const WorkloadConfig& aConfig, MonotonicTime /*aNow*/)
+Scheduler::UseConfig(const WorkloadConfig& aConfig, MonotonicTime aNow)
 {
   config_ = aConfig;
   queuesOfPool_.clear();
   for (const auto& [key, queue] : config_.queues_) {
     queuesOfPool_[queue.pool_].push_back(key);
   }
+  FailJobsWithoutAttempts(aNow);
   RequeueAll();
   placementDue_ = true;
 }
--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -254,8 +254,6 @@
                std::uint32_t aRun,
                RunEnd aEnd,
                MonotonicTime aNow);
-  /// Failed runs of the task; for a gang the sum over its members.
-  std::uint32_t CountFailures(const TaskKey& aTask) const;
   /// Checkpoint from which the next run of the task resumes. All members of a
   /// gang must get the same one, which may be that of any member.
   const std::string& CheckpointOf(const TaskKey& aTask) const;
@@ -278,6 +276,17 @@
   std::uint32_t CountUnavailablePeers(const TaskKey& aTask) const;
   void PaceFillingRuns(std::uint32_t aWorker, MonotonicTime aNow);
 
+  // scheduler_attempts.cpp: failed runs of tasks.
+  /// Failed runs of the task; for a gang the sum over its members.
+  std::uint32_t CountFailures(const TaskKey& aTask) const;
+  /// Whether a task with that many failed runs must not start again.
+  bool IsBudgetSpent(const JobEntry& aJob, std::uint32_t aFailures) const;
+  /// A waiting task of the job that must not start again; nullopt without one.
+  std::optional<TaskKey> FindTaskWithoutAttempts(const JobEntry& aJob) const;
+  /// Ends the jobs whose last attempt failed while their queue was not in the
+  /// configuration, or that get fewer attempts from a new one.
+  void FailJobsWithoutAttempts(MonotonicTime aNow);
+
   // scheduler_place.cpp: which task runs where.
   void QueueJob(const JobEntry& aJob);
   void QueueStep(const JobEntry& aJob,
--- a/packages/workload/scheduler_run.cpp
+++ b/packages/workload/scheduler_run.cpp
@@ -73,11 +73,8 @@
   const auto* job = state_.FindJob(aTask.job_);
   const auto phaseBefore = job->phase_;
   const bool isGang = job->spec_.steps_[aTask.step_].gang_;
-  const auto queue = config_.queues_.find(job->spec_.queue_);
-  const auto attempts =
-    queue == config_.queues_.end() ? 1 : queue->second.attempts_;
-  const bool isLast =
-    aEnd == RunEnd::Failed && !lasts && CountFailures(aTask) + 1 >= attempts;
+  const bool isLast = aEnd == RunEnd::Failed && !lasts &&
+                      IsBudgetSpent(*job, CountFailures(aTask) + 1);
   if (aEnd != RunEnd::Done && aEnd != RunEnd::Stopped) {
     LogInfo("run ended before it was done",
             { { "task", TaskText(aTask) },
@@ -139,23 +136,6 @@
   }
 }
 
-std::uint32_t
-Scheduler::CountFailures(const TaskKey& aTask) const
-{
-  const auto& job = *state_.FindJob(aTask.job_);
-  if (!job.spec_.steps_[aTask.step_].gang_) {
-    return state_.FindTask(aTask)->failures_;
-  }
-  const auto& tasks =
-    job.occurrences_.at(aTask.occurrence_).steps_[aTask.step_];
-  return std::accumulate(tasks.begin(),
-                         tasks.end(),
-                         0U,
-                         [](std::uint32_t aSum, const auto& aMember) {
-                           return aSum + aMember.failures_;
-                         });
-}
-
 const std::string&
 Scheduler::CheckpointOf(const TaskKey& aTask) const
 {
--- a/packages/workload/workload.cpp
+++ b/packages/workload/workload.cpp
@@ -196,7 +196,11 @@
   if (task->state_ == TaskState::Assigned) {
     --job.assigned_;
   } else if (aEvent.end_ != RunEnd::Done) {
-    // The run was closed before. Only a late success still changes the state.
+    // The run was closed before. Only a late success still changes the state,
+    // or that its failure turns out to have been the last attempt.
+    if (aEvent.isLast_ && !IsOver(job.phase_)) {
+      EndJob(job, JobPhase::Failed);
+    }
     return;
   }
   task->state_ = TaskState::Waiting;
--- a/packages/workload/workload_event_type.h
+++ b/packages/workload/workload_event_type.h
@@ -66,7 +66,8 @@
   RunEnd end_ = RunEnd::Rejected;
   /// Checkpoint for the next run; empty when no new one was saved.
   std::string checkpoint_;
-  /// The task has no attempt left, so that its job fails.
+  /// The task has no attempt left, so that its job fails. This may be known
+  /// only later: then the event comes a second time for the closed run.
   bool isLast_ = false;
 
   bool operator==(const RunClosed&) const = default;
