Change: late work weighs less in the demand of pools

Cause: a pool asked for VMs to serve its whole backlog within a second, also the part that had missed its objective. After a turn on a large deployment that pool kept most VMs busy with late work, while the pool whose turn had begun had few.

Change: work whose latest start has passed is spread over a longer time (BacklogMilliCores).

Test: pools_test, 'late work asks for fewer VMs'; without the difference its rows of late work fail.

--- a/packages/workload/pool_balance.cpp
+++ b/packages/workload/pool_balance.cpp
@@ -17,6 +17,11 @@
 // A VM is switched off after its pool had a surplus for this time. Two moves
 // cost about as much as a VM in a pool for two seconds.
 constexpr Millis kSurplusBeforeOff{ 800 };
+// Objectives allow about this much beyond the run times of a short chain.
+constexpr Millis kBacklogTime{ 1000 };
+// VMs that a pool gets for late work are missing where work can still be on
+// time.
+constexpr Millis kLateBacklogTime{ 5000 };
 
 std::size_t
 SurplusOf(const PoolDemand& aPool)
@@ -92,6 +97,16 @@
          aChain.count();
 }
 
+std::int64_t
+BacklogMilliCores(const WaitingWork& aWork, Millis aRunTime)
+{
+  const auto within = [aRunTime](std::int64_t aMilliCores, Millis aTime) {
+    return aMilliCores * aRunTime.count() / (aRunTime + aTime).count();
+  };
+  return within(aWork.milliCores_, kBacklogTime) +
+         within(aWork.lateMilliCores_, kLateBacklogTime);
+}
+
 std::size_t
 WantedWorkers(const PoolDemand& aDemand)
 {
--- a/packages/workload/pool_balance_func.h
+++ b/packages/workload/pool_balance_func.h
@@ -57,6 +57,23 @@
                    Millis aChain,
                    Millis aAfter);
 
+/// Cores that the waiting tasks of a pool need, in milli-cores.
+struct WaitingWork
+{
+  /// Of steps that can still be on time, and of long-running ones.
+  std::int64_t milliCores_ = 0;
+  /// Of steps that have missed their latest start.
+  std::int64_t lateMilliCores_ = 0;
+
+  bool operator==(const WaitingWork&) const = default;
+};
+
+/// Demand in milli-cores of waiting work whose tasks run for aRunTime: work
+/// that can still be on time has to start within the slack of its objective,
+/// late work may take longer.
+std::int64_t
+BacklogMilliCores(const WaitingWork& aWork, Millis aRunTime);
+
 /// Number of workers that a pool needs for its demand, including headroom.
 std::size_t
 WantedWorkers(const PoolDemand& aDemand);
--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -353,7 +353,7 @@
 
   // scheduler_demand.cpp: demand of the pools.
   const std::vector<std::string>& QueuesOf(const std::string& aPool) const;
-  std::int64_t WaitingMilliCores(const std::string& aPool) const;
+  WaitingWork WaitingWorkOf(const std::string& aPool, MonotonicTime aNow) const;
   /// Minimum number of workers for the pool's long-running steps that have
   /// tasks waiting or on draining or evacuating workers.
   std::size_t RequiredSpread(const std::string& aPool) const;
--- a/packages/workload/scheduler_demand.cpp
+++ b/packages/workload/scheduler_demand.cpp
@@ -15,8 +15,6 @@
 
 constexpr Millis kObserveInterval{ 100 };
 constexpr Millis kWaitingReportInterval{ 2000 };
-// Objectives allow about this much beyond the run times of a short chain.
-constexpr Millis kBacklogTime{ 1000 };
 // VMs are moved this long before an expected turn: the platform takes 1.5 s,
 // and the worker has to register and answer.
 constexpr Millis kMoveLeadTime{ 2200 };
@@ -69,14 +67,15 @@
 
 } // namespace
 
-std::int64_t
-Scheduler::WaitingMilliCores(const std::string& aPool) const
+WaitingWork
+Scheduler::WaitingWorkOf(const std::string& aPool, MonotonicTime aNow) const
 {
   const auto ready = ready_.find(aPool);
   if (ready == ready_.end()) {
-    return 0;
+    return {};
   }
-  std::int64_t waiting = 0;
+  const auto now = LogicalNow(aNow);
+  WaitingWork waiting;
   for (const auto& each : ready->second) {
     const auto* job = state_.FindJob(each.job_);
     if (job == nullptr || IsOver(job->phase_)) {
@@ -86,13 +85,14 @@
     if (occurrence == job->occurrences_.end()) {
       continue;
     }
-    const auto& step = job->spec_.steps_[each.step_];
     const auto& tasks = occurrence->second.steps_[each.step_];
     const auto count =
       std::count_if(tasks.begin(), tasks.end(), [](const auto& aTask) {
         return aTask.state_ == TaskState::Waiting;
       });
-    waiting += count * ReservedBy(step.need_, step.usesSpareCores_).milliCores_;
+    const bool isLate = each.latestStartMs_ < now && !each.isLongRunning_;
+    (isLate ? waiting.lateMilliCores_ : waiting.milliCores_) +=
+      count * each.need_.task_.milliCores_;
   }
   return waiting;
 }
@@ -322,16 +322,13 @@
 Scheduler::ExpectedDemand(const PoolDemand& aLoad, MonotonicTime aNow)
 {
   const auto& name = aLoad.pool_;
-  const auto waiting = WaitingMilliCores(name);
   // A VM moved now is usable after kVmArrival, when demand has grown.
   auto expected =
     ExpectedMilliCores(aLoad.heldMilliCores_ - aLoad.longRunningMilliCores_,
                        ArrivingMilliCores(name, aNow) + GrowthOf(name, aNow),
                        ChainTimeOf(name),
                        kVmArrival);
-  // Waiting tasks have to start within the slack that objectives allow.
-  const auto runTime = RunTimeOf(name);
-  expected += waiting * runTime.count() / (runTime + kBacklogTime).count();
+  expected += BacklogMilliCores(WaitingWorkOf(name, aNow), RunTimeOf(name));
   const auto turn = forecast_.Next(aNow);
   if (turn && turn->pool_ == name && turn->startsAt_ - aNow <= kMoveLeadTime) {
     expected = std::max(expected, turn->milliCores_);
--- a/packages/workload/test/pools_test.cpp
+++ b/packages/workload/test/pools_test.cpp
@@ -225,3 +225,26 @@
   next.CountArrival("q", 4000, Millis(80), 1, began);
   CHECK(next.RunTime("q") == meter.RunTime("q"));
 }
+
+// Load: a pool with a long backlog after its turn, beside a pool whose turn
+// begins (nashta-rota-large, scale-2). Guards against VMs that stay with work
+// which has missed its objective while other work could still be on time.
+TEST_CASE("late work asks for fewer VMs than work that can be on time")
+{
+  struct Row
+  {
+    WaitingWork waiting_;
+    Millis runTime_;
+    std::int64_t leastCores_;
+    std::int64_t mostCores_;
+  };
+  const auto row = GENERATE(Row{ { 100000, 0 }, Millis(1000), 50, 50 },
+                            Row{ { 0, 100000 }, Millis(1000), 1, 25 },
+                            Row{ { 100000, 100000 }, Millis(1000), 51, 75 },
+                            Row{ { 0, 100000 }, Millis(10000), 1, 75 },
+                            Row{ { 0, 0 }, Millis(1000), 0, 0 },
+                            Row{ { 100000, 100000 }, Millis(0), 0, 0 });
+  const auto demand = BacklogMilliCores(row.waiting_, row.runTime_);
+  CHECK(demand >= row.leastCores_ * 1000);
+  CHECK(demand <= row.mostCores_ * 1000);
+}
