Change: the default limit of VM calls is the platform's

Change: workload.max_vm_calls_per_s is 1000 by default, more than platforms accept. It stays as a setting.

--- a/packages/daemon/table/workload_setting_table.h
+++ b/packages/daemon/table/workload_setting_table.h
@@ -98,7 +98,7 @@
     "max_vm_calls_per_s",
     SettingType::Number,
     false,
-    "25",
+    "1000",
     1,
     100000,
     {},
--- a/packages/workload/scheduler_type.h
+++ b/packages/workload/scheduler_type.h
@@ -29,7 +29,7 @@
   double vmCallsPerSecond_ = 64;
   /// Calls that change VMs which the leader makes a second at most. Each moved
   /// VM costs it processor time, as a worker leaves and another one registers.
-  double maxVmCallsPerSecond_ = 25;
+  double maxVmCallsPerSecond_ = 1000;
 
   bool operator==(const SchedulerSettings&) const = default;
 };
