--- a/packages/workload/test/vm_call_budget_test.cpp
+++ b/packages/workload/test/vm_call_budget_test.cpp
@@ -98,8 +98,8 @@
 
 // Load: a turn of a large pool that needs some hundred VMs at once. Guards
 // against a pace that was made for a small platform: the VMs arrived in steps
-// of 32 each 1.5 s, and the turn was over before the pool had them; also against
-// a default limit of the leader's own that does the same.
+// of 32 each 1.5 s, and the turn was over before the pool had them; also
+// against a default limit of the leader's own that does the same.
 TEST_CASE("a turn gets its VMs at the rate that the platform accepts")
 {
   const auto limit = GENERATE(64.0, 215.0, 310.0);
