--- a/packages/workload/scheduler.cpp
+++ b/packages/workload/scheduler.cpp
@@ -325,6 +325,13 @@
   for (const auto id : old) {
     Decide(JobRemoved{ id }, aNow);
   }
+  // Placement does not look at steps while the pool has no room for them.
+  for (auto& [pool, ready] : ready_) {
+    std::erase_if(ready, [this](const auto& aStep) {
+      const auto* job = state_.FindJob(aStep.job_);
+      return job == nullptr || IsOver(job->phase_);
+    });
+  }
 }
 
 void
--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -101,6 +101,8 @@
   /// The state including decisions that are not committed yet.
   const Workload& State() const { return state_; }
   const std::map<std::uint32_t, WorkerView>& Views() const { return views_; }
+  /// Queued steps with waiting tasks, in all pools.
+  std::size_t CountReadySteps() const;
   /// Workers that were examined for placements so far: what decisions cost.
   std::uint64_t ExaminedWorkers() const { return examinedWorkers_; }
 
--- a/packages/workload/scheduler_place.cpp
+++ b/packages/workload/scheduler_place.cpp
@@ -147,6 +147,17 @@
   }
 }
 
+std::size_t
+Scheduler::CountReadySteps() const
+{
+  return std::accumulate(ready_.begin(),
+                         ready_.end(),
+                         std::size_t{ 0 },
+                         [](std::size_t aSum, const auto& aEntry) {
+                           return aSum + aEntry.second.size();
+                         });
+}
+
 bool
 Scheduler::IsUsable(const WorkerEntry& aWorker,
                     const WorkerView& aView,
--- a/packages/workload/test/placement_test.cpp
+++ b/packages/workload/test/placement_test.cpp
@@ -116,3 +116,26 @@
   CHECK(driver.Current().ExaminedWorkers() - before <= decisions * kWorkers);
   CHECK(driver.Seen().empty());
 }
+
+// Guards against a queue that grows for good with steps of cancelled jobs: a
+// pass skips steps for which an earlier one has found no room.
+TEST_CASE("steps of cancelled jobs leave the queue though they have no room")
+{
+  SchedulerDriver driver(23, {});
+  driver.SetConfig(OnePool());
+  AddWorkers(driver, 2);
+  driver.RunFor(Millis(300));
+  constexpr JobId kJobs = 30;
+  for (JobId id = 1; id <= kJobs; ++id) {
+    auto spec = OneStepJob(id);
+    spec.steps_[0].label_ = "b";
+    driver.Submit(spec);
+  }
+  driver.RunFor(Millis(500));
+  CHECK(driver.Current().CountReadySteps() == kJobs);
+  for (JobId id = 2; id <= kJobs; ++id) {
+    driver.Cancel(id);
+  }
+  driver.RunFor(Millis(10000));
+  CHECK(driver.Current().CountReadySteps() == 1);
+}
