--- a/packages/workload/scheduler_place.cpp
+++ b/packages/workload/scheduler_place.cpp
@@ -237,18 +237,18 @@
   RoomShortage shortage;
   for (const auto pass : { Pass::Lasting, Pass::OnTime, Pass::Late }) {
     for (auto step = aReady.begin(); step != aReady.end();) {
-      if (passOf(*step) != pass || shortage.Covers(step->need_)) {
-        ++step;
-      } else if (PlaceStep(*step, aWorkers, shortage, aNow)) {
-        step = aReady.erase(step);
-      } else if (step->isNotStarted_ && HasStartedTasks(*step)) {
+      const auto each = step++;
+      if (passOf(*each) != pass || shortage.Covers(each->need_)) {
+        continue;
+      }
+      if (PlaceStep(*each, aWorkers, shortage, aNow)) {
+        aReady.erase(each);
+      } else if (each->isNotStarted_ && HasStartedTasks(*each)) {
         // Some of its tasks were placed: queue it again as a started step.
-        const auto started = *step;
-        step = aReady.erase(step);
+        const auto started = *each;
+        aReady.erase(each);
         QueueStep(
           *state_.FindJob(started.job_), started.occurrence_, started.step_);
-      } else {
-        ++step;
       }
     }
   }
