--- a/packages/workload/scheduler_place.cpp
+++ b/packages/workload/scheduler_place.cpp
@@ -245,8 +245,8 @@
         aReady.erase(each);
       } else if (each->isNotStarted_ && HasStartedTasks(*each)) {
         // Some of its tasks were placed: queue it again as a started step.
-        const auto started = *each;
-        aReady.erase(each);
+        const auto taken = aReady.extract(each);
+        const auto& started = taken.value();
         QueueStep(
           *state_.FindJob(started.job_), started.occurrence_, started.step_);
       }
