Fix: short tasks no longer keep a long-running one from its place in a full pool

What callers see: a task that lasts and was moved off its VM is not placed for seconds in a pool with a backlog.

Cause: long-running tasks are larger than most. Each decision gave the room that a short task had left to the next short one.

Fix: for each long-running step that waits, one worker that could hold its next task gets no short ones.

Test: lasting_test (a long-running task gets room in a pool full of short tasks): not placed within 6 s before. workload_test passes.

--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -324,6 +324,10 @@
   void PlacePool(UsableWorkers& aWorkers,
                  std::set<ReadyStep>& aReady,
                  MonotonicTime aNow);
+  /// Takes one worker out of aWorkers for each long-running step that waits, so
+  /// that room for its next task comes together there.
+  void ReserveForLongRunning(const std::set<ReadyStep>& aReady,
+                             UsableWorkers& aWorkers) const;
   /// True when a run of one of the step's tasks was assigned before.
   bool HasStartedTasks(const ReadyStep& aReady) const;
   /// False when no worker was found for a waiting task of the step. Needs that
--- a/packages/workload/scheduler_place.cpp
+++ b/packages/workload/scheduler_place.cpp
@@ -40,6 +40,15 @@
   });
 }
 
+/// An empty label stands for any worker.
+bool
+HasLabel(const WorkerEntry& aWorker, const std::string& aLabel)
+{
+  const auto& labels = aWorker.labels_;
+  return aLabel.empty() ||
+         std::find(labels.begin(), labels.end(), aLabel) != labels.end();
+}
+
 } // namespace
 
 std::vector<double>
@@ -251,6 +260,47 @@
           *state_.FindJob(started.job_), started.occurrence_, started.step_);
       }
     }
+    if (pass == Pass::Lasting) {
+      ReserveForLongRunning(aReady, aWorkers);
+    }
+  }
+}
+
+// Short tasks are smaller than most long-running ones: in a full pool they
+// would take all room that becomes free before it is enough for those.
+void
+Scheduler::ReserveForLongRunning(const std::set<ReadyStep>& aReady,
+                                 UsableWorkers& aWorkers) const
+{
+  for (const auto& step : aReady) {
+    const auto* job = step.isLongRunning_ ? state_.FindJob(step.job_) : nullptr;
+    if (job == nullptr || IsOver(job->phase_)) {
+      continue;
+    }
+    const auto& spec = job->spec_.steps_[step.step_];
+    const auto tasksByWorker = CountTasksByWorker(
+      job->occurrences_.at(step.occurrence_).steps_[step.step_]);
+    auto best = aWorkers.end();
+    for (auto worker = aWorkers.begin(); worker != aWorkers.end(); ++worker) {
+      const auto onWorker = tasksByWorker.find(worker->number_);
+      const auto count = onWorker == tasksByWorker.end() ? 0 : onWorker->second;
+      if ((spec.maxPerWorker_ > 0 && count >= spec.maxPerWorker_) ||
+          !HasLabel(*worker->entry_, spec.label_) ||
+          (best != aWorkers.end() &&
+           best->left_.milliCores_ >= worker->left_.milliCores_)) {
+        continue;
+      }
+      auto room = worker->left_;
+      for (const auto& [task, run] : worker->view_->runs_) {
+        room = run.isLongRunning_ ? room : Sum(room, ReservedBy(run));
+      }
+      if (Fits(step.need_.task_, room)) {
+        best = worker;
+      }
+    }
+    if (best != aWorkers.end()) {
+      aWorkers.erase(best);
+    }
   }
 }
 
@@ -383,9 +433,7 @@
     if (aStep.maxPerWorker_ > 0 && count >= aStep.maxPerWorker_) {
       continue;
     }
-    if (!aStep.label_.empty() &&
-        std::find(worker.labels_.begin(), worker.labels_.end(), aStep.label_) ==
-          worker.labels_.end()) {
+    if (!HasLabel(worker, aStep.label_)) {
       continue;
     }
     // Best fit: the fullest worker with room, so that empty VMs can be moved or
--- a/packages/workload/test/lasting_test.cpp
+++ b/packages/workload/test/lasting_test.cpp
@@ -133,3 +133,32 @@
     CHECK(PhaseOf(driver, 2) == JobPhase::Completed);
   }
 }
+
+// Load: a full pool with a backlog of short tasks. Guards against a task that
+// lasts and is not placed again for seconds (LOST, nashta-rota-large,
+// hunt-7503-7): short tasks take all room before it is enough for the larger
+// one.
+TEST_CASE("a long-running task gets room in a pool full of short tasks")
+{
+  SchedulerDriver driver(25, {});
+  driver.SetConfig(OnePool());
+  AddWorkers(driver, 3);
+  driver.RunFor(Millis(300));
+  for (JobId id = 10; id < 100; ++id) {
+    auto spec = TwoStepJob(id);
+    spec.steps_.pop_back();
+    driver.Submit(spec);
+  }
+  driver.RunFor(Millis(1000));
+  auto lasting = LongRunningJob(1, 1);
+  lasting.steps_[0].need_ = { 3500, 500, 0 };
+  driver.Submit(lasting);
+  // The platform allows 6 s for a task that lasts.
+  driver.RunFor(Millis(6000));
+  CHECK(CountLongRunningTasks(driver) == 1);
+  driver.RunFor(Millis(40000));
+  for (JobId id = 10; id < 100; ++id) {
+    CHECK(PhaseOf(driver, id) == JobPhase::Completed);
+  }
+  CHECK(driver.Seen().empty());
+}
