Fix: a leave does not close the runs of a superseded incarnation

What callers would see: tasks run twice around a worker that restarts and drains at once.

Cause: a restarted worker that has not answered yet has no runs itself, so that a leave that names no incarnation removed it, and with it the runs of its former incarnation. The new one may still carry out an unanswered order to that.

Fix: such a leave removes a worker only when no superseded incarnation is left either (HoldsNoRuns). The log gives the time left of the lease, and 'left' and 'silent' as reasons of a removal.

--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -221,6 +221,8 @@
   void RenewDueLeases(MonotonicTime aNow);
   void ProbeUnconfirmedRuns(MonotonicTime aNow);
   void ExpireLeases(MonotonicTime aNow);
+  /// Neither the worker nor a former incarnation that it supersedes has runs.
+  bool HoldsNoRuns(std::uint32_t aWorker) const;
   void DropWorker(std::uint32_t aWorker,
                   std::string_view aReason,
                   MonotonicTime aNow);
--- a/packages/workload/scheduler_worker.cpp
+++ b/packages/workload/scheduler_worker.cpp
@@ -238,20 +238,27 @@
     return;
   }
   auto& view = views_.at(number);
-  if (aProcessStartMs || (known->draining_ && view.runs_.empty())) {
+  if (aProcessStartMs || (known->draining_ && HoldsNoRuns(number))) {
     DropWorker(number, "left", aNow);
     return;
   }
-  LogInfo("leave of an unnamed incarnation is not proved yet",
+  LogInfo("a leave that names no incarnation does not close runs",
           { { "worker", aId },
             { "number", number },
             { "draining", known->draining_ },
-            { "runs", view.runs_.size() } });
+            { "runs", view.runs_.size() },
+            { "lease_left_ms", (view.leaseExpiresAt_ - aNow).count() } });
   if (known->draining_) {
     view.leaveReportedAt_ = aNow;
   }
 }
 
+bool
+Scheduler::HoldsNoRuns(std::uint32_t aWorker) const
+{
+  return views_.at(aWorker).runs_.empty() && !superseded_.contains(aWorker);
+}
+
 void
 Scheduler::DropWorker(std::uint32_t aWorker,
                       std::string_view aReason,
@@ -351,7 +358,7 @@
 void
 Scheduler::ExpireLeases(MonotonicTime aNow)
 {
-  std::vector<std::uint32_t> silent;
+  std::map<std::uint32_t, std::string_view> gone;
   for (auto& [number, view] : views_) {
     if (view.missedRenewals_ > 0 && aNow >= view.leaseExpiresAt_ &&
         !view.runs_.empty()) {
@@ -362,14 +369,15 @@
       CloseRunsOfWorker(number, RunEnd::Lapsed, aNow);
       placementDue_ = true;
     }
-    if (view.runs_.empty() &&
-        (view.leaveReportedAt_ ||
-         aNow - view.lastContactAt_ > kSilentWorkerRetention)) {
-      silent.push_back(number);
+    if (view.leaveReportedAt_ && HoldsNoRuns(number)) {
+      gone.emplace(number, "left");
+    } else if (view.runs_.empty() &&
+               aNow - view.lastContactAt_ > kSilentWorkerRetention) {
+      gone.emplace(number, "silent");
     }
   }
-  for (const auto number : silent) {
-    DropWorker(number, "silent", aNow);
+  for (const auto& [number, reason] : gone) {
+    DropWorker(number, reason, aNow);
   }
 }
 
--- a/packages/workload/test/worker_leave_test.cpp
+++ b/packages/workload/test/worker_leave_test.cpp
@@ -92,3 +92,30 @@
   CHECK(CountAssigned(scheduler) == 0);
   CHECK(scheduler.State().Workers().empty());
 }
+
+// Guards against runs that are started twice: a restarted worker that drains
+// and has not answered yet has no runs itself, but it may still carry out an
+// unanswered start order to its former incarnation. A leave that names no
+// incarnation closed the runs of that one.
+TEST_CASE("a leave does not close the runs of a superseded incarnation")
+{
+  const bool isTick = GENERATE(false, true);
+  INFO("found by a tick " << isTick);
+  Scheduler scheduler({}, {}, 1, kStart);
+  scheduler.UseConfig(OnePool(), kStart);
+  scheduler.ReportWorker(1, ReportOf(1, 1), kStart);
+  ConfirmWorker(scheduler, TakeCommitted(scheduler), 1);
+  scheduler.SubmitJob(2, TwoStepJob(1), kStart);
+  TakeCommitted(scheduler);
+  auto report = ReportOf(2, 1);
+  report.worker_.draining_ = true;
+  report.leavesInMs_ = 2000;
+  scheduler.ReportWorker(3, report, kStart);
+  TakeCommitted(scheduler);
+  REQUIRE(CountAssigned(scheduler) == 3);
+  scheduler.RemoveWorker(4, "w", std::nullopt, kStart);
+  if (isTick) {
+    scheduler.Tick(kStart + Scheduler::kTick, 0);
+  }
+  CHECK(CountAssigned(scheduler) == 3);
+}
