Fix: long-running tasks that wait leave at least half of the workers to others

What callers would see: short jobs wait in a pool with free cores.

Cause: each long-running step that waits kept one worker from short tasks, so that a few of them, waiting behind slow tasks, kept all workers of a pool.

Fix: at most half of the workers of a pool are kept.

Evidence: lasting_test (long-running tasks that wait leave workers to short ones) failed before; workload_test passes.

--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -326,8 +326,8 @@
   void PlacePool(UsableWorkers& aWorkers,
                  std::set<ReadyStep>& aReady,
                  MonotonicTime aNow);
-  /// Takes one worker out of aWorkers for each long-running step that waits, so
-  /// that room for its next task comes together there.
+  /// Takes one worker out of aWorkers for each long-running step that waits, at
+  /// most half of them, so that room for its next task comes together there.
   void ReserveForLongRunning(const std::set<ReadyStep>& aReady,
                              UsableWorkers& aWorkers) const;
   /// True when a run of one of the step's tasks was assigned before.
--- a/packages/workload/scheduler_place.cpp
+++ b/packages/workload/scheduler_place.cpp
@@ -267,16 +267,21 @@
 }
 
 // Short tasks are smaller than most long-running ones: in a full pool they
-// would take all room that becomes free before it is enough for those.
+// would take all room that becomes free before it is enough for those. At least
+// half of the workers are left to them, as the wait may be long.
 void
 Scheduler::ReserveForLongRunning(const std::set<ReadyStep>& aReady,
                                  UsableWorkers& aWorkers) const
 {
+  auto reservable = aWorkers.size() / 2;
   for (const auto& step : aReady) {
     const auto* job = step.isLongRunning_ ? state_.FindJob(step.job_) : nullptr;
     if (job == nullptr || IsOver(job->phase_)) {
       continue;
     }
+    if (reservable == 0) {
+      return;
+    }
     const auto& spec = job->spec_.steps_[step.step_];
     const auto tasksByWorker = CountTasksByWorker(
       job->occurrences_.at(step.occurrence_).steps_[step.step_]);
@@ -300,6 +305,7 @@
     }
     if (best != aWorkers.end()) {
       aWorkers.erase(best);
+      --reservable;
     }
   }
 }
--- a/packages/workload/test/lasting_test.cpp
+++ b/packages/workload/test/lasting_test.cpp
@@ -162,3 +162,32 @@
   }
   CHECK(driver.Seen().empty());
 }
+
+// Guards against short tasks that wait in a pool with free cores: each of some
+// long-running steps that wait for room kept a worker from all short ones.
+TEST_CASE("long-running tasks that wait leave workers to short ones")
+{
+  SchedulerDriver driver(26, {});
+  driver.SetConfig(OnePool());
+  AddWorkers(driver, 2);
+  driver.RunFor(Millis(300));
+  // One task on each worker, which leaves too little for the lasting ones.
+  auto slow = TwoStepJob(10);
+  slow.steps_.pop_back();
+  slow.steps_[0].tasks_ = 2;
+  slow.steps_[0].maxPerWorker_ = 1;
+  driver.runTimes_[10] = Millis(60000);
+  driver.Submit(slow);
+  driver.RunFor(Millis(300));
+  for (JobId id = 1; id <= 3; ++id) {
+    auto lasting = LongRunningJob(id, 1);
+    lasting.steps_[0].need_ = { 3500, 500, 0 };
+    driver.Submit(lasting);
+  }
+  auto quick = TwoStepJob(20);
+  quick.steps_.pop_back();
+  driver.Submit(quick);
+  driver.RunFor(Millis(3000));
+  CHECK(PhaseOf(driver, 20) == JobPhase::Completed);
+  CHECK(driver.Seen().empty());
+}
