Change: room that waiting tasks lack has a file of its own

ReserveForLongRunning chose a worker and took it out; the choice is FindWorkerToReserve now. The condition of label and limit per worker, which stood twice, is AllowsAnotherTask. PlacementNeed::perTask_ says what it counts. Moves otherwise; workload_test passes.

--- a/packages/workload/room_shortage.cpp
+++ b/packages/workload/room_shortage.cpp
@@ -15,8 +15,9 @@
   const bool isLimited =
     aLess.maxPerWorker_ == 0 ||
     (aMore.maxPerWorker_ > 0 && aMore.maxPerWorker_ <= aLess.maxPerWorker_);
-  return Fits(aLess.task_, aMore.task_) && aMore.together_ >= aLess.together_ &&
-         isLimited && (aLess.label_.empty() || aMore.label_ == aLess.label_);
+  return Fits(aLess.perTask_, aMore.perTask_) &&
+         aMore.together_ >= aLess.together_ && isLimited &&
+         (aLess.label_.empty() || aMore.label_ == aLess.label_);
 }
 
 } // namespace
@@ -35,6 +36,18 @@
   return need;
 }
 
+bool
+AllowsAnotherTask(const StepSpec& aStep,
+                  const WorkerEntry& aWorker,
+                  std::uint32_t aTasks)
+{
+  const auto& labels = aWorker.labels_;
+  const bool hasLabel =
+    aStep.label_.empty() ||
+    std::find(labels.begin(), labels.end(), aStep.label_) != labels.end();
+  return hasLabel && (aStep.maxPerWorker_ == 0 || aTasks < aStep.maxPerWorker_);
+}
+
 void
 RoomShortage::Add(PlacementNeed aNeed)
 {
--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -326,10 +326,6 @@
   void PlacePool(UsableWorkers& aWorkers,
                  std::set<ReadyStep>& aReady,
                  MonotonicTime aNow);
-  /// Takes one worker out of aWorkers for each long-running step that waits, at
-  /// most half of them, so that room for its next task comes together there.
-  void ReserveForLongRunning(const std::set<ReadyStep>& aReady,
-                             UsableWorkers& aWorkers) const;
   /// True when a run of one of the step's tasks was assigned before.
   bool HasStartedTasks(const ReadyStep& aReady) const;
   /// False when no worker was found for a waiting task of the step. Needs that
@@ -359,15 +355,25 @@
               const StepSpec& aStep,
               MonotonicTime aNow);
 
+  // scheduler_room.cpp: waiting tasks that find no room.
+  /// Takes one worker out of aWorkers for each long-running step that waits, at
+  /// most half of them, so that room for its next task comes together there.
+  void ReserveForLongRunning(const std::set<ReadyStep>& aReady,
+                             UsableWorkers& aWorkers) const;
+  /// The worker where room for a task of the long-running step comes together
+  /// soonest when it gets no short tasks; the end of aWorkers without one.
+  UsableWorkers::iterator FindWorkerToReserve(const ReadyStep& aReady,
+                                              UsableWorkers& aWorkers) const;
+  /// PoolDemand::strandedWorkers_ of a pool with these workers.
+  std::size_t CountStrandedWorkers(const std::string& aPool,
+                                   const UsableWorkers& aWorkers) const;
+
   // scheduler_demand.cpp: demand of the pools.
   const std::vector<std::string>& QueuesOf(const std::string& aPool) const;
   WaitingWork WaitingWorkOf(const std::string& aPool, MonotonicTime aNow) const;
   /// Minimum number of workers for the pool's long-running steps that have
   /// tasks waiting or on draining or evacuating workers.
   std::size_t RequiredSpread(const std::string& aPool) const;
-  /// PoolDemand::strandedWorkers_ of a pool with these workers.
-  std::size_t CountStrandedWorkers(const std::string& aPool,
-                                   const UsableWorkers& aWorkers) const;
   void CountArrival(const JobSpec& aSpec, MonotonicTime aNow);
   void ObserveDemand(MonotonicTime aNow);
   std::int64_t ArrivingMilliCores(const std::string& aPool, MonotonicTime aNow);
--- a/packages/workload/scheduler_demand.cpp
+++ b/packages/workload/scheduler_demand.cpp
@@ -24,9 +24,6 @@
 // mean run time has changed by more than kLearnedChangeShare, or a turn began.
 constexpr Millis kLearnInterval{ 2000 };
 constexpr double kLearnedChangeShare = 0.1;
-// Workers that a pool asks for at once for tasks that find no room although
-// most cores are free. They are few: most of these tasks are large.
-constexpr std::size_t kMaxStrandedWorkers = 4;
 
 /// Number of steps in the longest dependency chain of a job.
 std::size_t
@@ -95,7 +92,7 @@
       });
     const bool isLate = each.latestStartMs_ < now && !each.isLongRunning_;
     (isLate ? waiting.lateMilliCores_ : waiting.milliCores_) +=
-      count * each.need_.task_.milliCores_;
+      count * each.need_.perTask_.milliCores_;
   }
   return waiting;
 }
@@ -132,55 +129,6 @@
   return spread;
 }
 
-// Long-running tasks may leave cores free on each worker but too little memory
-// for a waiting task. The demand in cores does not show that.
-std::size_t
-Scheduler::CountStrandedWorkers(const std::string& aPool,
-                                const UsableWorkers& aWorkers) const
-{
-  const auto ready = ready_.find(aPool);
-  if (ready == ready_.end() || ready->second.empty()) {
-    return 0;
-  }
-  std::int64_t freeMilliCores = 0;
-  std::int64_t milliCores = 0;
-  TaskNeed largest;
-  for (const auto& worker : aWorkers) {
-    const auto& capacity = worker.entry_->capacity_;
-    freeMilliCores += worker.left_.milliCores_;
-    milliCores += capacity.milliCores_;
-    largest = { std::max(largest.milliCores_, capacity.milliCores_),
-                std::max(largest.memoryMb_, capacity.memoryMb_),
-                std::max(largest.accelerators_, capacity.accelerators_) };
-  }
-  if (2 * freeMilliCores < milliCores) {
-    // Room comes as tasks end.
-    return 0;
-  }
-  std::size_t stranded = 0;
-  RoomShortage shortage;
-  for (const auto& each : ready->second) {
-    const auto& need = each.need_;
-    const auto* job = state_.FindJob(each.job_);
-    if (stranded >= kMaxStrandedWorkers) {
-      break;
-    }
-    if (job == nullptr || IsOver(job->phase_) || !need.label_.empty() ||
-        !Fits(need.task_, largest)) {
-      continue;
-    }
-    const auto hasRoom = [&need](const auto& aWorker) {
-      return Fits(need.task_, aWorker.left_);
-    };
-    if (shortage.Covers(need) ||
-        std::none_of(aWorkers.begin(), aWorkers.end(), hasRoom)) {
-      ++stranded;
-      shortage.Add({ need.task_, {}, 1, 0 });
-    }
-  }
-  return stranded;
-}
-
 void
 Scheduler::ReportWaitingTasks(MonotonicTime aNow)
 {
--- a/packages/workload/scheduler_place.cpp
+++ b/packages/workload/scheduler_place.cpp
@@ -40,15 +40,6 @@
   });
 }
 
-/// An empty label stands for any worker.
-bool
-HasLabel(const WorkerEntry& aWorker, const std::string& aLabel)
-{
-  const auto& labels = aWorker.labels_;
-  return aLabel.empty() ||
-         std::find(labels.begin(), labels.end(), aLabel) != labels.end();
-}
-
 } // namespace
 
 std::vector<double>
@@ -266,50 +257,6 @@
   }
 }
 
-// Short tasks are smaller than most long-running ones: in a full pool they
-// would take all room that becomes free before it is enough for those. At least
-// half of the workers are left to them, as the wait may be long.
-void
-Scheduler::ReserveForLongRunning(const std::set<ReadyStep>& aReady,
-                                 UsableWorkers& aWorkers) const
-{
-  auto reservable = aWorkers.size() / 2;
-  for (const auto& step : aReady) {
-    const auto* job = step.isLongRunning_ ? state_.FindJob(step.job_) : nullptr;
-    if (job == nullptr || IsOver(job->phase_)) {
-      continue;
-    }
-    if (reservable == 0) {
-      return;
-    }
-    const auto& spec = job->spec_.steps_[step.step_];
-    const auto tasksByWorker = CountTasksByWorker(
-      job->occurrences_.at(step.occurrence_).steps_[step.step_]);
-    auto best = aWorkers.end();
-    for (auto worker = aWorkers.begin(); worker != aWorkers.end(); ++worker) {
-      const auto onWorker = tasksByWorker.find(worker->number_);
-      const auto count = onWorker == tasksByWorker.end() ? 0 : onWorker->second;
-      if ((spec.maxPerWorker_ > 0 && count >= spec.maxPerWorker_) ||
-          !HasLabel(*worker->entry_, spec.label_) ||
-          (best != aWorkers.end() &&
-           best->left_.milliCores_ >= worker->left_.milliCores_)) {
-        continue;
-      }
-      auto room = worker->left_;
-      for (const auto& [task, run] : worker->view_->runs_) {
-        room = run.isLongRunning_ ? room : Sum(room, ReservedBy(run));
-      }
-      if (Fits(step.need_.task_, room)) {
-        best = worker;
-      }
-    }
-    if (best != aWorkers.end()) {
-      aWorkers.erase(best);
-      --reservable;
-    }
-  }
-}
-
 std::map<std::uint32_t, std::uint32_t>
 Scheduler::CountTasksByWorker(const std::vector<TaskEntry>& aTasks) const
 {
@@ -436,10 +383,7 @@
     const auto& worker = *candidate.entry_;
     const auto onWorker = aTasksByWorker.find(number);
     const auto count = onWorker == aTasksByWorker.end() ? 0 : onWorker->second;
-    if (aStep.maxPerWorker_ > 0 && count >= aStep.maxPerWorker_) {
-      continue;
-    }
-    if (!HasLabel(worker, aStep.label_)) {
+    if (!AllowsAnotherTask(aStep, worker, count)) {
       continue;
     }
     // Best fit: the fullest worker with room, so that empty VMs can be moved or
