--- a/packages/workload/test/lasting_test.cpp
+++ b/packages/workload/test/lasting_test.cpp
@@ -120,8 +120,7 @@
   driver.RunFor(Millis(3500));
   REQUIRE(CountLongRunningTasks(driver) == 4);
   REQUIRE_FALSE(WasSpareVmMoved(driver));
-  auto spec = TwoStepJob(2);
-  spec.steps_.pop_back();
+  auto spec = OneStepJob(2);
   spec.steps_[0].tasks_ = 1;
   spec.steps_[0].need_ = { 1000, row.memoryMb_, 0 };
   driver.Submit(spec);
@@ -145,8 +144,7 @@
   AddWorkers(driver, 3);
   driver.RunFor(Millis(300));
   for (JobId id = 10; id < 100; ++id) {
-    auto spec = TwoStepJob(id);
-    spec.steps_.pop_back();
+    auto spec = OneStepJob(id);
     driver.Submit(spec);
   }
   driver.RunFor(Millis(1000));
@@ -172,8 +170,7 @@
   AddWorkers(driver, 2);
   driver.RunFor(Millis(300));
   // One task on each worker, which leaves too little for the lasting ones.
-  auto slow = TwoStepJob(10);
-  slow.steps_.pop_back();
+  auto slow = OneStepJob(10);
   slow.steps_[0].tasks_ = 2;
   slow.steps_[0].maxPerWorker_ = 1;
   driver.runTimes_[10] = Millis(60000);
@@ -184,8 +181,7 @@
     lasting.steps_[0].need_ = { 3500, 500, 0 };
     driver.Submit(lasting);
   }
-  auto quick = TwoStepJob(20);
-  quick.steps_.pop_back();
+  auto quick = OneStepJob(20);
   driver.Submit(quick);
   driver.RunFor(Millis(3000));
   CHECK(PhaseOf(driver, 20) == JobPhase::Completed);
--- a/packages/workload/test/placement_test.cpp
+++ b/packages/workload/test/placement_test.cpp
@@ -7,18 +7,6 @@
 using namespace acaciahill;
 using namespace acaciahill::test;
 
-namespace {
-
-JobSpec
-OneStepJob(JobId aId)
-{
-  auto spec = TwoStepJob(aId);
-  spec.steps_.pop_back();
-  return spec;
-}
-
-} // namespace
-
 // Guards against jobs that never start in an empty pool (review/2): after 24
 // steps without a worker a pool counted as full, also if these waited for a
 // label or a size that no worker had.
--- a/packages/workload/test/scheduler_driver.h
+++ b/packages/workload/test/scheduler_driver.h
@@ -14,6 +14,14 @@
 
 namespace acaciahill::test {
 
+namespace detail {
+
+/// Capacity of each fake worker.
+inline constexpr std::int64_t kWorkerMilliCores = 4000;
+inline constexpr std::int64_t kWorkerMemoryMb = 4000;
+
+} // namespace detail
+
 /// A fake worker that executes orders by the rules of the platform.
 struct FakeWorker
 {
--- a/packages/workload/test/scheduler_jobs.h
+++ b/packages/workload/test/scheduler_jobs.h
@@ -39,6 +39,15 @@
   return spec;
 }
 
+/// A job with a step of three tasks.
+inline JobSpec
+OneStepJob(JobId aId)
+{
+  auto spec = TwoStepJob(aId);
+  spec.steps_.pop_back();
+  return spec;
+}
+
 inline void
 AddWorkers(SchedulerDriver& aDriver, int aCount)
 {
