Fix: a refused fence stops the leader only until a majority confirms it

What callers would see: every submission gets 503 until a person restarts the leader.

Cause: a refusal for a higher fence, a number from outside, was taken as proof of a later leader and set a flag that nothing cleared, while the node stayed the leader of the log. One worker with a wrong number was enough.

Change: an unexplained refusal suspends the leader until a majority confirms it with requests sent after the refusal; while it does, no other leader can have been elected. The worker that refused counts as silent, and suspends the leader once. A refused move or upkeep is left alone for its usual pause. Metrics acaciahill_scheduler_active and acaciahill_unexplained_fences.

--- a/packages/daemon/workload_host.cpp
+++ b/packages/daemon/workload_host.cpp
@@ -75,7 +75,7 @@
 bool
 WorkloadHost::IsActive() const
 {
-  if (!scheduler_ || scheduler_->IsDeposed()) {
+  if (!scheduler_) {
     return false;
   }
   const auto control = replica_.Control();
@@ -92,6 +92,7 @@
   // The timer is started again after an exception as well.
   try {
     FollowLeadership();
+    metrics_.Set("acaciahill_scheduler_active", {}, IsActive() ? 1 : 0);
     if (scheduler_) {
       ReportLoad();
       scheduler_->Tick(MonotonicNow(), WallMs());
@@ -126,6 +127,9 @@
   metrics_.Set("acaciahill_examined_workers",
                {},
                static_cast<double>(scheduler_->ExaminedWorkers()));
+  metrics_.Set("acaciahill_unexplained_fences",
+               {},
+               static_cast<double>(scheduler_->UnexplainedFences()));
   LogInfo("leader load",
           { { "longest_lag_ms", longestLag_.count() },
             { "examined_workers", scheduler_->ExaminedWorkers() },
--- a/packages/workload/scheduler.cpp
+++ b/packages/workload/scheduler.cpp
@@ -339,6 +339,24 @@
 Scheduler::ConfirmAuthority(MonotonicTime aAt)
 {
   authorityAt_ = std::max(authorityAt_, aAt);
+  if (doubtedAt_ && authorityAt_ > *doubtedAt_) {
+    LogInfo("a majority confirms this leader; it sends orders again",
+            { { "term", term_ },
+              { "suspended_ms", (authorityAt_ - *doubtedAt_).count() } });
+    doubtedAt_.reset();
+  }
+}
+
+// No other leader can be elected while a majority confirms this one, so that a
+// higher fence alone proves nothing: it may be this leader's own.
+void
+Scheduler::DoubtAuthority(const std::string& aRefusedBy, MonotonicTime aNow)
+{
+  ++unexplainedFences_;
+  doubtedAt_ = aNow;
+  LogWarning("an order was refused for a higher fence; this leader sends no "
+             "orders until a majority confirms it",
+             { { "refused_by", aRefusedBy }, { "term", term_ } });
 }
 
 bool
@@ -352,20 +370,18 @@
 {
   // Once the authority has expired, another leader may be elected, which
   // assumes that this one granted all its leases before.
-  if (!HasAuthority(aNow)) {
+  if (!HasAuthority(aNow) || doubtedAt_) {
     return {};
   }
-  if (!deposed_) {
-    if (placementDue_) {
-      placementDue_ = false;
-      PlaceWaitingTasks(aNow);
-    }
-    PruneUnsettledWorkers();
-    SendRequestedStops(aNow);
-    RenewDueLeases(aNow);
-    ProbeUnconfirmedRuns(aNow);
-    FlushBatch(aNow);
+  if (placementDue_) {
+    placementDue_ = false;
+    PlaceWaitingTasks(aNow);
   }
+  PruneUnsettledWorkers();
+  SendRequestedStops(aNow);
+  RenewDueLeases(aNow);
+  ProbeUnconfirmedRuns(aNow);
+  FlushBatch(aNow);
   auto actions = std::move(actions_);
   actions_.clear();
   return actions;
--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -10,6 +10,7 @@
 #include "workload/workload_base.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -95,8 +96,10 @@
   /// A majority of the voters confirmed this leader at that time.
   void ConfirmAuthority(MonotonicTime aAt);
 
-  /// A worker or the platform saw a later leader; this one sends no orders.
-  bool IsDeposed() const { return deposed_; }
+  /// Orders that a worker or the platform refused for a higher fence than any
+  /// that this leader has sent there. After one, no actions are returned until
+  /// a majority confirms that there is no later leader.
+  std::uint64_t UnexplainedFences() const { return unexplainedFences_; }
 
   /// The state including decisions that are not committed yet.
   const Workload& State() const { return state_; }
@@ -199,6 +202,8 @@
   void FlushBatch(MonotonicTime aNow);
   std::uint64_t LogicalNow(MonotonicTime aNow) const;
   bool HasAuthority(MonotonicTime aNow) const;
+  /// Suspends this leader after an order was refused for an unexplained fence.
+  void DoubtAuthority(const std::string& aRefusedBy, MonotonicTime aNow);
   void TrackRecurringJob(const JobSpec& aSpec);
   void BeginDueOccurrences(std::uint64_t aWallMs, MonotonicTime aNow);
   void ForgetEndedJobs(MonotonicTime aNow);
@@ -236,8 +241,11 @@
   bool IsOvertaken(const WorkerView& aView,
                    std::uint64_t aFence,
                    const WorkerEntry& aWorker) const;
-  /// Handles what all answers have in common. True when the worker is gone or
-  /// this leader is deposed: the caller must not process the answer further.
+  /// Handles the refusal of an order for a fence that this leader has not sent.
+  /// The worker counts as silent until it accepts an order.
+  void HandleUnexplainedFence(const OrderTarget& aTarget, MonotonicTime aNow);
+  /// Handles what all answers have in common. True when the worker is gone: the
+  /// caller must not process the answer further.
   bool HandleCommonOutcome(const OrderTarget& aTarget,
                            const OrderAnswer& aAnswer,
                            MonotonicTime aNow);
@@ -413,7 +421,6 @@
 
   SchedulerSettings settings_;
   std::uint64_t term_ = 0;
-  bool deposed_ = false;
   Workload state_;
   WorkloadConfig config_;
   /// Queue keys of each pool in the configuration. Cached because pools are
@@ -423,6 +430,9 @@
   std::uint64_t baseMs_ = 0;
   MonotonicTime startedAt_;
   MonotonicTime authorityAt_;
+  /// When the authority came into doubt; nothing once it is confirmed again.
+  std::optional<MonotonicTime> doubtedAt_;
+  std::uint64_t unexplainedFences_ = 0;
 
   std::map<std::uint32_t, WorkerView> views_;
   /// Workers that may have unconfirmed runs or requested stops. Only these are
--- a/packages/workload/scheduler_pools.cpp
+++ b/packages/workload/scheduler_pools.cpp
@@ -203,6 +203,9 @@
       number = each;
     }
   }
+  if (aOutcome == VmOutcome::Fenced) {
+    DoubtAuthority("platform, move of " + aOrder.vm_, aNow);
+  }
   switch (aOutcome) {
     case VmOutcome::Begun:
       move.hasBegun_ = true;
@@ -212,9 +215,6 @@
       }
       DropWorker(number, "moved to another pool", aNow);
       return;
-    case VmOutcome::Fenced:
-      deposed_ = true;
-      return;
     case VmOutcome::NoAnswer:
       // The move may still be carried out: the VM is kept empty, and the move
       // is requested again until its outcome is known.
@@ -222,6 +222,7 @@
     case VmOutcome::NotNow:
       vmCalls_.NoteRefusal(aNow);
       [[fallthrough]];
+    case VmOutcome::Fenced:
     case VmOutcome::Busy:
     case VmOutcome::NotInWave:
     case VmOutcome::NoSuchVm:
--- a/packages/workload/scheduler_upkeep.cpp
+++ b/packages/workload/scheduler_upkeep.cpp
@@ -255,7 +255,7 @@
       Decide(WaveVmBegun{ aOrder.wave_, aOrder.vm_ }, aNow);
       return;
     case VmOutcome::Fenced:
-      deposed_ = true;
+      DoubtAuthority("platform, maintenance of " + aOrder.vm_, aNow);
       return;
     case VmOutcome::NoAnswer:
       // The VM may still go down, and counts as down until it is listed as up.
--- a/packages/workload/scheduler_worker.cpp
+++ b/packages/workload/scheduler_worker.cpp
@@ -406,6 +406,19 @@
   return aView.isSuperseded_ || aFence < FenceOf(aWorker);
 }
 
+void
+Scheduler::HandleUnexplainedFence(const OrderTarget& aTarget,
+                                  MonotonicTime aNow)
+{
+  auto& view = views_.at(aTarget.worker_);
+  // One worker that refuses all orders must not keep suspending this leader.
+  if (!view.refusesFence_) {
+    DoubtAuthority(aTarget.id_, aNow);
+  }
+  view.refusesFence_ = true;
+  view.missedRenewals_ = std::max(view.missedRenewals_, 1);
+}
+
 bool
 Scheduler::HandleCommonOutcome(const OrderTarget& aTarget,
                                const OrderAnswer& aAnswer,
@@ -421,14 +434,9 @@
     DropWorker(number, "another worker answers at its address", aNow);
     return true;
   }
-  const bool isOvertaken =
-    IsOvertaken(*view, aTarget.fence_, *state_.FindWorker(number));
-  if (aAnswer.outcome_ == OrderOutcome::Fenced && !isOvertaken) {
-    LogWarning(
-      "worker has seen a higher fence; this leader sends no more orders",
-      { { "worker", aTarget.id_ }, { "term", term_ } });
-    deposed_ = true;
-    return true;
+  if (aAnswer.outcome_ == OrderOutcome::Fenced &&
+      !IsOvertaken(*view, aTarget.fence_, *state_.FindWorker(number))) {
+    HandleUnexplainedFence(aTarget, aNow);
   }
   if (aAnswer.outcome_ != OrderOutcome::Unknown &&
       aAnswer.outcome_ != OrderOutcome::NotGiven) {
@@ -452,7 +460,8 @@
   if (HandleCommonOutcome(aOrder.target_, aAnswer, aNow)) {
     return;
   }
-  const bool isOvertaken = aAnswer.outcome_ == OrderOutcome::Fenced;
+  const bool isOvertaken =
+    aAnswer.outcome_ == OrderOutcome::Fenced && !view->refusesFence_;
   const bool isNotGiven = aAnswer.outcome_ == OrderOutcome::NotGiven;
   if (!aLists && (aOrder.isProbe_ || isOvertaken || isNotGiven)) {
     return;
@@ -487,6 +496,7 @@
     DropWorker(former.mapped(), "restarted", aNow);
   }
   view->confirmed_ = true;
+  view->refusesFence_ = false;
   view->missedRenewals_ = 0;
   if (view->leaveReportedAt_ && aOrder.sentAt_ >= *view->leaveReportedAt_) {
     view->leaveReportedAt_.reset();
--- a/packages/workload/worker_view_type.h
+++ b/packages/workload/worker_view_type.h
@@ -67,6 +67,8 @@
   bool probeInFlight_ = false;
   MonotonicTime probeSentAt_{};
   MonotonicTime nextRenewalAt_{};
+  /// The worker refuses orders for a fence that this leader has not sent.
+  bool refusesFence_ = false;
   /// Consecutive renewals without an answer.
   int missedRenewals_ = 0;
   /// Time of the last report or answer.
