Fix: a term has one scheduler; a leader whose scheduler ended resigns

What callers would see: after an unexpected error on the leader, workers with unanswered starts refuse its orders.

Cause: the host started a second scheduler in the same term. Its fences begin below those that the first one has sent, and equal those of orders that are still on their way, which a higher fence is to rule out.

Change: the host asks the replica to resign, and a scheduler begins only in a term that has had none on this node. Also after an error before the first scheduler of a term, which left the node leading without one.

--- a/packages/consensus/raft_base.h
+++ b/packages/consensus/raft_base.h
@@ -118,6 +118,7 @@
   void Handle(const ProposeInput& aInput);
   void Handle(const ChangeVoterInput& aInput);
   void Handle(const CompactInput& aInput);
+  void Handle(const ResignInput& aInput);
   void Receive(const RaftMessage& aMessage, const VoteRequest& aRequest);
   void Receive(const RaftMessage& aMessage, const VoteReply& aReply);
   void BecomeFollower(std::uint64_t aTerm, const std::string& aLeader);
--- a/packages/consensus/raft_core.cpp
+++ b/packages/consensus/raft_core.cpp
@@ -95,6 +95,14 @@
   actions_.emplace_back(SaveSnapshot{ log_.LastSnapshot(), false });
 }
 
+void
+RaftCore::Handle(const ResignInput& aInput)
+{
+  if (role_ == RaftRole::Leader && aInput.term_ == Term()) {
+    BecomeFollower(Term(), {});
+  }
+}
+
 void
 RaftCore::Receive(const RaftMessage& aMessage, const VoteRequest& aRequest)
 {
--- a/packages/consensus/raft_type.h
+++ b/packages/consensus/raft_type.h
@@ -182,11 +182,21 @@
   bool operator==(const CompactInput&) const = default;
 };
 
+/// Asks the leader of this term to step down, so that the group elects one with
+/// a higher term. Without effect on other members and in other terms.
+struct ResignInput
+{
+  std::uint64_t term_ = 0;
+
+  bool operator==(const ResignInput&) const = default;
+};
+
 using RaftInput = std::variant<TickInput,
                                MessageInput,
                                ProposeInput,
                                ChangeVoterInput,
-                               CompactInput>;
+                               CompactInput,
+                               ResignInput>;
 
 enum class RaftRole : std::uint8_t
 {
--- a/packages/consensus/test/raft_test.cpp
+++ b/packages/consensus/test/raft_test.cpp
@@ -134,6 +134,26 @@
   CHECK(net.CommittedEntries().back().data_ == "a");
 }
 
+// Guards against a resignation that arrives late and ends a later leadership,
+// and against a leader that goes on in its former term.
+TEST_CASE("a leader that resigns is followed by one of a higher term")
+{
+  const int voters = GENERATE(1, 3);
+  RaftNetwork net(1, voters);
+  const auto leader = net.WaitForLeader();
+  const auto term = net.Core(leader).Term();
+  net.Step(leader, ResignInput{ term - 1 });
+  CHECK(net.Core(leader).Role() == RaftRole::Leader);
+  net.Step(leader, ResignInput{ term });
+  CHECK(net.Core(leader).Role() != RaftRole::Leader);
+  const auto next = net.WaitForLeader();
+  REQUIRE_FALSE(next.empty());
+  CHECK(net.Core(next).Term() > term);
+  const auto index = net.Propose("a");
+  CHECK(net.RunUntil([&] { return net.Committed() >= index; }));
+  CHECK(net.RunUntil([&] { return net.IsSettled(); }));
+}
+
 // Guards against a single voter that waits for the votes of others.
 TEST_CASE("a single voter leads at the first tick and commits alone")
 {
--- a/packages/daemon/replica_requests.cpp
+++ b/packages/daemon/replica_requests.cpp
@@ -102,6 +102,14 @@
   return ValueOf(std::move(reply));
 }
 
+void
+ReplicaService::Resign(std::uint64_t aTerm)
+{
+  if (settings_.voter_) {
+    Enqueue(ResignInput{ aTerm });
+  }
+}
+
 std::future<CommandResult>
 ReplicaService::EnqueueForResult(const CommandEnvelope& aEnvelope)
 {
--- a/packages/daemon/replica_service.cpp
+++ b/packages/daemon/replica_service.cpp
@@ -232,6 +232,9 @@
       ChangeVoterInput{ kVoterChange, change->voter_, change->add_ },
       MonotonicNow());
     std::move(stepped.begin(), stepped.end(), std::back_inserter(aActions));
+  } else if (const auto* resign = std::get_if<ResignInput>(&aWork)) {
+    auto stepped = core_->Step(*resign, MonotonicNow());
+    std::move(stepped.begin(), stepped.end(), std::back_inserter(aActions));
   }
 }
 
--- a/packages/daemon/replica_service_base.h
+++ b/packages/daemon/replica_service_base.h
@@ -110,6 +110,10 @@
                     std::function<void(CommandResult)> aOnResult,
                     bool aNotifiesPeers = false);
 
+  /// Steps down if this node leads in the term; the group elects a leader of a
+  /// higher term, which may be this node.
+  void Resign(std::uint64_t aTerm);
+
   /// The state's logical time plus the time that passed on this node's
   /// monotonic clock since it last applied a command.
   std::uint64_t LogicalNowMs() const;
@@ -155,7 +159,8 @@
   using Work = std::variant<std::shared_ptr<WaitingMessage>,
                             std::shared_ptr<WaitingCommand>,
                             RaftMessage,
-                            ChangeVoters>;
+                            ChangeVoters,
+                            ResignInput>;
 
   /// A proposal in the leader's log that is not applied yet.
   struct PendingProposal
--- a/packages/daemon/workload_host.cpp
+++ b/packages/daemon/workload_host.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <utility>
 
 // Leadership and requests. The scheduler's actions are executed in
 // workload_orders.cpp.
@@ -147,8 +148,14 @@
   if (scheduler_ && (!control.isLeader_ || control.term_ != term_)) {
     Abandon("this node no longer leads");
   }
-  if (!scheduler_ && control.isLeader_ && barrierTerm_ != control.term_ &&
-      control.term_ != term_ && CanTakeOver(control)) {
+  if (scheduler_ || !control.isLeader_) {
+    return;
+  }
+  // A second scheduler in one term would start with fences that its workers
+  // have seen exceeded, and could not tell its orders from those of the first.
+  if (control.term_ == endedTerm_) {
+    replica_.Resign(endedTerm_);
+  } else if (barrierTerm_ != control.term_ && CanTakeOver(control)) {
     ProposeBarrier(control.term_);
   }
 }
@@ -222,16 +229,18 @@
 void
 WorkloadHost::Abandon(std::string_view aReason)
 {
+  if (term_ != 0) {
+    endedTerm_ = std::exchange(term_, 0);
+  }
   if (!scheduler_) {
     return;
   }
   LogWarning("stopping the scheduler",
-             { { "term", term_ },
+             { { "term", endedTerm_ },
                { "reason", aReason },
                { "waiting_requests", waiting_.size() } });
   scheduler_.reset();
   relay_.End();
-  term_ = 0;
   ++generation_;
   auto waiting = std::move(waiting_);
   waiting_.clear();
--- a/packages/daemon/workload_host_base.h
+++ b/packages/daemon/workload_host_base.h
@@ -54,8 +54,9 @@
   void HandleCaller(const HttpRequest& aRequest, Answer aAnswer);
   void HandleControl(const HttpRequest& aRequest, Answer aAnswer);
 
-  /// Continues from the committed state after an exception: the scheduler's
-  /// state may hold changes that were not logged.
+  /// Ends the scheduler after an exception, as its state may hold changes that
+  /// were not logged, and gives up the leadership; the next leader continues
+  /// from the committed state.
   void HandleException(const std::exception& aError);
 
 private:
@@ -132,6 +133,8 @@
   std::optional<Scheduler> scheduler_;
   WorkloadConfig config_;
   std::uint64_t term_ = 0;
+  /// Term of the last scheduler that has ended on this node.
+  std::uint64_t endedTerm_ = 0;
   /// The last term in which this node led, and when it was first seen to lead.
   std::uint64_t leaderTerm_ = 0;
   MonotonicTime leaderSince_{};
