Fix: a late end of one member completes the whole gang

Cause: an end that is listed after the lease of its run was noted for the one task. The members of a gang end together; one was done then and the others waited, and a gang is placed only when all its members wait.

Change: such an end ends the gang, as one in time does.

--- a/packages/workload/scheduler_lists.cpp
+++ b/packages/workload/scheduler_lists.cpp
@@ -58,7 +58,11 @@
       job->spec_.steps_[aEnd.task_.step_].isLongRunning_) {
     return;
   }
+  const bool isGang = job->spec_.steps_[aEnd.task_.step_].gang_;
   Decide(RunClosed{ aEnd.task_, aEnd.run_, RunEnd::Done, {}, false }, aNow);
+  if (isGang) {
+    EndGang(aEnd.task_, aEnd.run_, RunEnd::Done, aNow);
+  }
   QueueAfterRunEnd(aEnd.task_, RunEnd::Done);
 }
 
