Fix: a cancel does not reach the job of another queue

Cause: the scheduler looked the job up by its id alone.

Change: CancelJob() takes the queue; a job of another one is unknown there (410). A warning of the linter in workload_host_test.cpp is resolved.

--- a/packages/daemon/test/workload_host_test.cpp
+++ b/packages/daemon/test/workload_host_test.cpp
@@ -50,8 +50,8 @@
     REQUIRE(IsOk(opened));
     Snapshot first;
     first.voters_.voters_.push_back({ kNode, kDisk });
-    REQUIRE(IsOk(
-      ValueOf(std::move(opened)).store_->Save(SaveSnapshot{ first, true })));
+    const auto log = ValueOf(std::move(opened));
+    REQUIRE(IsOk(log.store_->Save(SaveSnapshot{ first, true })));
 
     settings_.control_ = SingleVoter(folder_.path() + "/data");
     settings_.isControl_ = true;
--- a/packages/daemon/workload_host.cpp
+++ b/packages/daemon/workload_host.cpp
@@ -332,7 +332,7 @@
     aAnswer(JobStateAnswer(state->job_, state->queue_));
   } else if (const auto* cancel = std::get_if<platform::CancelCall>(&call)) {
     scheduler_->CancelJob(
-      AddWaitingRequest(std::move(aAnswer)), cancel->job_, now);
+      AddWaitingRequest(std::move(aAnswer)), cancel->job_, cancel->queue_, now);
   } else if (const auto* pending = std::get_if<platform::PendingCall>(&call)) {
     aAnswer(PendingCountAnswer(pending->queue_));
   } else if (const auto* bad = std::get_if<platform::InvalidCall>(&call)) {
--- a/packages/workload/scheduler.cpp
+++ b/packages/workload/scheduler.cpp
@@ -176,10 +176,13 @@
 }
 
 void
-Scheduler::CancelJob(RequestToken aToken, JobId aJob, MonotonicTime aNow)
+Scheduler::CancelJob(RequestToken aToken,
+                     JobId aJob,
+                     const std::string& aQueue,
+                     MonotonicTime aNow)
 {
   const auto* job = state_.FindJob(aJob);
-  if (job == nullptr) {
+  if (job == nullptr || job->spec_.queue_ != aQueue) {
     Answer(aToken, RequestOutcome::UnknownJob);
     return;
   }
--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -39,7 +39,11 @@
 
   // Requests. Each token gets one answer.
   void SubmitJob(RequestToken aToken, const JobSpec& aSpec, MonotonicTime aNow);
-  void CancelJob(RequestToken aToken, JobId aJob, MonotonicTime aNow);
+  /// A job of another queue is unknown to the customers of this one.
+  void CancelJob(RequestToken aToken,
+                 JobId aJob,
+                 const std::string& aQueue,
+                 MonotonicTime aNow);
   /// The document must be validated. A version that is not higher than the
   /// current one is accepted without effect.
   void AcceptConfig(RequestToken aToken,
