--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -212,7 +212,7 @@
   void BeginDueOccurrences(std::uint64_t aWallMs, MonotonicTime aNow);
   void ForgetEndedJobs(MonotonicTime aNow);
 
-  // scheduler_worker.cpp: workers, their leases and lists.
+  // scheduler_worker.cpp: workers.
   WorkerView* FindView(std::uint32_t aWorker);
   void AddView(const WorkerEntry& aWorker, MonotonicTime aNow);
   std::uint32_t FindWorkerById(const std::string& aId) const;
@@ -229,9 +229,6 @@
   /// Removes workers without an unconfirmed run or a requested stop from
   /// unsettledWorkers_.
   void PruneUnsettledWorkers();
-  void RenewDueLeases(MonotonicTime aNow);
-  void ProbeUnconfirmedRuns(MonotonicTime aNow);
-  void ExpireLeases(MonotonicTime aNow);
   /// Neither the worker nor a former incarnation that it supersedes has runs.
   bool HoldsNoRuns(std::uint32_t aWorker) const;
   void DropWorker(std::uint32_t aWorker,
@@ -253,6 +250,13 @@
   bool HandleCommonOutcome(const OrderTarget& aTarget,
                            const OrderAnswer& aAnswer,
                            MonotonicTime aNow);
+
+  // scheduler_lease.cpp: renewal and expiry of leases.
+  void RenewDueLeases(MonotonicTime aNow);
+  void ProbeUnconfirmedRuns(MonotonicTime aNow);
+  void ExpireLeases(MonotonicTime aNow);
+
+  // scheduler_lists.cpp: workers' lists of runs.
   void ProcessEndedRuns(std::uint32_t aWorker,
                         const WorkerLists& aLists,
                         MonotonicTime aNow);
--- a/packages/workload/scheduler_worker.cpp
+++ b/packages/workload/scheduler_worker.cpp
@@ -4,35 +4,19 @@
 #include "workload/workload_text_func.h"
 
 #include <algorithm>
-#include <set>
 
-// Registration of workers, and their leases.
+// Registration and removal of workers, and what all their answers have in
+// common. Leases are renewed in scheduler_lease.cpp.
 
 namespace acaciahill {
 
 namespace {
 
-// Time for which a worker holds back its answer to a renewal unless a run ends.
-// A silent worker is noticed only after this time, which matters less without
-// tasks.
-constexpr Millis kRenewalWait{ 500 };
-constexpr Millis kIdleRenewalWait{ 1000 };
-// Pause after a renewal that reported ended runs, so that the next answer
-// reports several at once: a renewal costs more than an ended run.
-constexpr Millis kRenewalPause{ 40 };
-// Pauses after a renewal without an answer.
-constexpr Millis kMinRetryPause{ 10 };
-constexpr Millis kMaxRetryPause{ 800 };
-// A silent worker without runs is removed after this time; it registers again
-// when it comes back.
-constexpr Millis kSilentWorkerRetention{ 20000 };
 // A worker's clock may be slow by up to this factor, so the scheduler waits
 // longer for a lease to expire.
 constexpr double kMaxClockSlowdown = 1.02;
 // Added to the end of a lease to cover times rounded to milliseconds.
 constexpr Millis kLeaseMargin{ 100 };
-// Minimum time between two probes of one worker.
-constexpr Millis kProbeInterval{ 50 };
 // Ids of ignored workers are kept up to this number to log each one once.
 constexpr std::size_t kMaxIgnoredWorkers = 1000;
 // Bits of a fence below the term: the worker's number, then its unanswered
@@ -325,77 +309,6 @@
   });
 }
 
-void
-Scheduler::RenewDueLeases(MonotonicTime aNow)
-{
-  for (auto& [number, view] : views_) {
-    if (view.renewalInFlight_ || view.isSuperseded_ ||
-        aNow < view.nextRenewalAt_) {
-      continue;
-    }
-    view.renewalInFlight_ = true;
-    const bool mayWait = view.confirmed_ && view.missedRenewals_ == 0;
-    actions_.emplace_back(RenewLease{ MakeTarget(number, aNow),
-                                      view.committedEnds_,
-                                      !mayWait             ? Millis(0)
-                                      : view.runs_.empty() ? kIdleRenewalWait
-                                                           : kRenewalWait,
-                                      false,
-                                      aNow });
-  }
-}
-
-// A probe, because the renewal in flight may wait long, and its lists decide
-// only about runs whose order was answered before it was sent.
-void
-Scheduler::ProbeUnconfirmedRuns(MonotonicTime aNow)
-{
-  for (const auto number : unsettledWorkers_) {
-    auto& view = views_.at(number);
-    const bool hasUnconfirmed =
-      std::any_of(view.runs_.begin(), view.runs_.end(), [](const auto& aEntry) {
-        const auto& run = aEntry.second;
-        // Runs of a former leader are resolved by the first renewal.
-        return run.phase_ == RunPhase::Unconfirmed &&
-               (run.stopAcceptedAt_ ||
-                (!run.stopRequested_ && run.startFence_ > 0));
-      });
-    if (hasUnconfirmed && !view.probeInFlight_ && view.missedRenewals_ == 0 &&
-        aNow - view.probeSentAt_ >= kProbeInterval) {
-      view.probeInFlight_ = true;
-      view.probeSentAt_ = aNow;
-      actions_.emplace_back(RenewLease{
-        MakeTarget(number, aNow), view.committedEnds_, Millis(0), true, aNow });
-    }
-  }
-}
-
-void
-Scheduler::ExpireLeases(MonotonicTime aNow)
-{
-  std::map<std::uint32_t, std::string_view> gone;
-  for (auto& [number, view] : views_) {
-    if (view.missedRenewals_ > 0 && aNow >= view.leaseExpiresAt_ &&
-        !view.runs_.empty()) {
-      LogWarning("lease of a silent worker expired",
-                 { { "worker", state_.FindWorker(number)->id_ },
-                   { "silent_ms", (aNow - view.lastContactAt_).count() },
-                   { "runs", view.runs_.size() } });
-      CloseRunsOfWorker(number, RunEnd::Lapsed, aNow);
-      placementDue_ = true;
-    }
-    if (view.leaveReportedAt_ && HoldsNoRuns(number)) {
-      gone.emplace(number, "left");
-    } else if (view.runs_.empty() &&
-               aNow - view.lastContactAt_ > kSilentWorkerRetention) {
-      gone.emplace(number, "silent");
-    }
-  }
-  for (const auto& [number, reason] : gone) {
-    DropWorker(number, reason, aNow);
-  }
-}
-
 // An order of this leader with a higher fence may have arrived first: a later
 // one, or one to the worker's next incarnation, which has the same address.
 bool
@@ -445,69 +358,4 @@
   return false;
 }
 
-void
-Scheduler::HandleRenewal(const RenewLease& aOrder,
-                         const OrderAnswer& aAnswer,
-                         const std::optional<WorkerLists>& aLists,
-                         MonotonicTime aNow)
-{
-  const auto number = aOrder.target_.worker_;
-  auto* view = FindView(number);
-  if (view == nullptr) {
-    return;
-  }
-  (aOrder.isProbe_ ? view->probeInFlight_ : view->renewalInFlight_) = false;
-  if (HandleCommonOutcome(aOrder.target_, aAnswer, aNow)) {
-    return;
-  }
-  const bool isOvertaken =
-    aAnswer.outcome_ == OrderOutcome::Fenced && !view->refusesFence_;
-  const bool isNotGiven = aAnswer.outcome_ == OrderOutcome::NotGiven;
-  if (!aLists && (aOrder.isProbe_ || isOvertaken || isNotGiven)) {
-    return;
-  }
-  if (!aLists) {
-    const auto pause =
-      kMinRetryPause * (1 << std::min(view->missedRenewals_, 7));
-    view->nextRenewalAt_ = aNow + std::min(pause, kMaxRetryPause);
-    if (view->missedRenewals_++ == 0) {
-      LogWarning(
-        "worker does not answer",
-        { { "worker", aOrder.target_.id_ },
-          { "runs", view->runs_.size() },
-          { "lease_left_ms", (view->leaseExpiresAt_ - aNow).count() } });
-    }
-    return;
-  }
-  if (aLists->processStartMs_ &&
-      *aLists->processStartMs_ != state_.FindWorker(number)->processStartMs_) {
-    DropWorker(number, "restarted", aNow);
-    return;
-  }
-  if (view->missedRenewals_ > 0) {
-    LogInfo("worker answers again",
-            { { "worker", aOrder.target_.id_ },
-              { "missed", view->missedRenewals_ } });
-  }
-  if (!view->confirmed_ || view->missedRenewals_ > 0) {
-    placementDue_ = true;
-  }
-  if (const auto former = superseded_.extract(number); !former.empty()) {
-    DropWorker(former.mapped(), "restarted", aNow);
-  }
-  view->confirmed_ = true;
-  view->refusesFence_ = false;
-  view->missedRenewals_ = 0;
-  if (view->leaveReportedAt_ && aOrder.sentAt_ >= *view->leaveReportedAt_) {
-    view->leaveReportedAt_.reset();
-  }
-  if (!aOrder.isProbe_) {
-    view->nextRenewalAt_ = aLists->ended_.empty() ? aNow : aNow + kRenewalPause;
-  }
-  ProcessEndedRuns(number, *aLists, aNow);
-  ProcessRunningTasks(number, *aLists, aNow);
-  CheckMissingRuns(number, *aLists, aOrder, aNow);
-  PaceFillingRuns(number, aNow);
-}
-
 } // namespace acaciahill
