Add: the log names what keeps each worker from a waiting long-running task

ObstacleOfWorker and ObstacleOfStep say what keeps a worker from a task; placement, the choice of reserved workers and the log line use them, so that they cannot disagree. New lines: a long-running task was stopped, it is placed after a wait of over 1 s, and a VM begins to be emptied for maintenance. The line of a waiting step counts workers by obstacle and says how long it has waited; at most 20 steps a report. No change of decisions.

Measured: workload_test passes (65 cases).

--- a/packages/workload/room_shortage.cpp
+++ b/packages/workload/room_shortage.cpp
@@ -36,18 +36,6 @@
   return need;
 }
 
-bool
-AllowsAnotherTask(const StepSpec& aStep,
-                  const WorkerEntry& aWorker,
-                  std::uint32_t aTasks)
-{
-  const auto& labels = aWorker.labels_;
-  const bool hasLabel =
-    aStep.label_.empty() ||
-    std::find(labels.begin(), labels.end(), aStep.label_) != labels.end();
-  return hasLabel && (aStep.maxPerWorker_ == 0 || aTasks < aStep.maxPerWorker_);
-}
-
 void
 RoomShortage::Add(PlacementNeed aNeed)
 {
--- a/packages/workload/room_shortage_base.h
+++ b/packages/workload/room_shortage_base.h
@@ -29,13 +29,6 @@
 PlacementNeed
 NeedOf(const StepSpec& aStep);
 
-/// Whether the step's label and limit per worker allow one more task on a
-/// worker that has aTasks of the step; room is not looked at.
-bool
-AllowsAnotherTask(const StepSpec& aStep,
-                  const WorkerEntry& aWorker,
-                  std::uint32_t aTasks);
-
 /// Remembers which needs a pool could not meet. While tasks are only added to
 /// the pool its room shrinks, so that whatever needs at least as much cannot be
 /// placed either and does not have to be tried.
--- a/packages/workload/scheduler.cpp
+++ b/packages/workload/scheduler.cpp
@@ -329,6 +329,7 @@
   for (const auto id : old) {
     Decide(JobRemoved{ id }, aNow);
   }
+  ForgetEndedWaits();
   // Placement does not look at steps while the pool has no room for them.
   for (auto& [pool, ready] : ready_) {
     std::erase_if(ready, [this](const auto& aStep) {
--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -6,6 +6,7 @@
 #include "workload/scheduler_type.h"
 #include "workload/turn_forecast_base.h"
 #include "workload/vm_call_budget_base.h"
+#include "workload/vm_view_type.h"
 #include "workload/worker_view_type.h"
 #include "workload/workload_base.h"
 
@@ -159,30 +160,6 @@
     std::map<std::uint32_t, std::uint64_t> ends_;
   };
 
-  /// The last listing of a VM, and changes made since.
-  struct VmView
-  {
-    VmListing listing_;
-    /// The VM must not be moved before that time.
-    MonotonicTime noMoveBefore_{};
-    bool orderInFlight_ = false;
-    MonotonicTime orderedAt_{};
-    /// Taken down for maintenance and not listed as up since.
-    bool isDown_ = false;
-    MonotonicTime downSince_{};
-  };
-
-  /// A requested move whose VM has not registered in its new pool.
-  struct PendingMove
-  {
-    std::string pool_;
-    MonotonicTime requestedAt_{};
-    bool isInFlight_ = false;
-    bool hasBegun_ = false;
-    /// The VM is switched off in the spare pool, so that no worker registers.
-    bool toSpare_ = false;
-  };
-
   /// A worker that can get tasks, while workers are chosen. What is looked at
   /// for each of some hundred workers lies in one place.
   struct UsableWorker
@@ -364,9 +341,6 @@
     const StepSpec& aStep,
     UsableWorkers& aWorkers,
     const std::map<std::uint32_t, std::uint32_t>& aTasksByWorker) const;
-  bool IsUsable(const WorkerEntry& aWorker,
-                const WorkerView& aView,
-                MonotonicTime aNow) const;
   UsableByPool FindUsableWorkers(MonotonicTime aNow) const;
   std::map<std::uint32_t, std::uint32_t> CountTasksByWorker(
     const std::vector<TaskEntry>& aTasks) const;
@@ -407,8 +381,20 @@
   std::vector<PoolDemand> PoolDemands(MonotonicTime aNow);
   /// Writes the learned load to the replicated log for later leaders.
   void SaveLearnedLoad(MonotonicTime aNow);
-  /// Logs long-running tasks that wait for a worker, and the free capacity.
+
+  // scheduler_waits.cpp: long-running tasks that wait, for the log.
+  /// Keeps the time since which each long-running task of the steps waits.
+  void NoteWaitingTasks(const std::set<ReadyStep>& aReady, MonotonicTime aNow);
+  void ReportEndOfWait(const TaskKey& aTask,
+                       const UsableWorker& aWorker,
+                       MonotonicTime aNow);
+  void ForgetEndedWaits();
+  /// Logs the long-running steps that wait, and what keeps each worker from
+  /// them.
   void ReportWaitingTasks(MonotonicTime aNow);
+  void ReportWaitingStep(const std::string& aPool,
+                         const ReadyStep& aReady,
+                         MonotonicTime aNow) const;
 
   // scheduler_pools.cpp: moves of VMs between pools.
   /// Zones that have workers of which none answers.
@@ -476,6 +462,8 @@
   MonotonicTime observedAt_{};
   MonotonicTime learnedLoadCheckedAt_{};
   MonotonicTime waitingTasksReportedAt_{};
+  /// Since when long-running tasks wait for a worker, as this leader knows.
+  std::map<TaskKey, MonotonicTime> waitingSince_;
   std::map<std::string, MonotonicTime> surplusSince_;
   bool vmListInFlight_ = false;
   bool vmListKnown_ = false;
--- a/packages/workload/scheduler_demand.cpp
+++ b/packages/workload/scheduler_demand.cpp
@@ -14,7 +14,6 @@
 namespace {
 
 constexpr Millis kObserveInterval{ 100 };
-constexpr Millis kWaitingReportInterval{ 2000 };
 // VMs are moved this long before an expected turn: the platform takes 1.5 s,
 // and the worker has to register and answer.
 constexpr Millis kMoveLeadTime{ 2200 };
@@ -129,39 +128,6 @@
   return spread;
 }
 
-void
-Scheduler::ReportWaitingTasks(MonotonicTime aNow)
-{
-  if (aNow - waitingTasksReportedAt_ < kWaitingReportInterval) {
-    return;
-  }
-  waitingTasksReportedAt_ = aNow;
-  auto usable = FindUsableWorkers(aNow);
-  for (const auto& [pool, ready] : ready_) {
-    const auto& workers = usable[pool];
-    for (const auto& each : ready) {
-      const auto* job = state_.FindJob(each.job_);
-      if (job == nullptr || IsOver(job->phase_) ||
-          !job->spec_.steps_[each.step_].isLongRunning_) {
-        continue;
-      }
-      const auto& step = job->spec_.steps_[each.step_];
-      const auto need = ReservedBy(step.need_, step.usesSpareCores_);
-      const auto withRoom =
-        std::count_if(workers.begin(), workers.end(), [&](const auto& aWorker) {
-          return Fits(need, aWorker.left_);
-        });
-      LogInfo("long-running tasks wait for a worker",
-              { { "job", JobText(each.job_) },
-                { "pool", pool },
-                { "tasks", step.tasks_ },
-                { "most_per_worker", step.maxPerWorker_ },
-                { "usable_workers", workers.size() },
-                { "workers_with_room", withRoom } });
-    }
-  }
-}
-
 void
 Scheduler::CountArrival(const JobSpec& aSpec, MonotonicTime aNow)
 {
--- a/packages/workload/scheduler_place.cpp
+++ b/packages/workload/scheduler_place.cpp
@@ -1,5 +1,6 @@
 #include "workload/scheduler_base.h"
 
+#include "workload/placement_obstacle_func.h"
 #include "workload/workload_text_func.h"
 
 #include <algorithm>
@@ -158,22 +159,13 @@
                          });
 }
 
-bool
-Scheduler::IsUsable(const WorkerEntry& aWorker,
-                    const WorkerView& aView,
-                    MonotonicTime aNow) const
-{
-  return aView.confirmed_ && aView.missedRenewals_ == 0 && !aWorker.draining_ &&
-         !aView.evacuating_ && aNow >= aView.avoidUntil_;
-}
-
 Scheduler::UsableByPool
 Scheduler::FindUsableWorkers(MonotonicTime aNow) const
 {
   UsableByPool workers;
   for (const auto& [number, view] : views_) {
     const auto& worker = *state_.FindWorker(number);
-    if (IsUsable(worker, view, aNow)) {
+    if (ObstacleOfWorker(worker, view, aNow) == PlacementObstacle::None) {
       workers[worker.pool_].push_back(
         { Difference(worker.capacity_, view.used_), number, &worker, &view });
     }
@@ -252,6 +244,7 @@
       }
     }
     if (pass == Pass::Lasting) {
+      NoteWaitingTasks(aReady, aNow);
       ReserveForLongRunning(aReady, aWorkers);
     }
   }
@@ -383,7 +376,8 @@
     const auto& worker = *candidate.entry_;
     const auto onWorker = aTasksByWorker.find(number);
     const auto count = onWorker == aTasksByWorker.end() ? 0 : onWorker->second;
-    if (!AllowsAnotherTask(aStep, worker, count)) {
+    if (ObstacleOfStep(aStep, worker, *candidate.view_, left, count) !=
+        PlacementObstacle::None) {
       continue;
     }
     // Best fit: the fullest worker with room, so that empty VMs can be moved or
@@ -438,6 +432,7 @@
   view.used_ = Sum(view.used_, reserved);
   view.runs_.insert_or_assign(aTask, run);
   Decide(RunAssigned{ aTask, aRun, aWorker.number_ }, aNow);
+  ReportEndOfWait(aTask, aWorker, aNow);
   nextEffects_.starts_.push_back({ aTask, aRun, aWorker.number_ });
 }
 
--- a/packages/workload/scheduler_room.cpp
+++ b/packages/workload/scheduler_room.cpp
@@ -1,5 +1,6 @@
 #include "workload/scheduler_base.h"
 
+#include "workload/placement_obstacle_func.h"
 #include "workload/workload_text_func.h"
 
 #include <algorithm>
@@ -31,16 +32,13 @@
     const auto count = onWorker == tasksByWorker.end() ? 0 : onWorker->second;
     const bool isBetter = best == aWorkers.end() ||
                           worker->left_.milliCores_ > best->left_.milliCores_;
-    if (!isBetter || !AllowsAnotherTask(step, *worker->entry_, count)) {
+    if (!isBetter) {
       continue;
     }
-    auto roomLater = worker->left_;
-    for (const auto& [task, run] : worker->view_->runs_) {
-      if (!run.isLongRunning_) {
-        roomLater = Sum(roomLater, ReservedBy(run));
-      }
-    }
-    if (Fits(aReady.need_.perTask_, roomLater)) {
+    const auto obstacle = ObstacleOfStep(
+      step, *worker->entry_, *worker->view_, worker->left_, count);
+    if (obstacle == PlacementObstacle::None ||
+        obstacle == PlacementObstacle::ShortTasks) {
       best = worker;
     }
   }
--- a/packages/workload/scheduler_run.cpp
+++ b/packages/workload/scheduler_run.cpp
@@ -68,6 +68,7 @@
   auto& view = views_.at(aWorker);
   view.used_ = Difference(view.used_, ReservedBy(*run));
   const bool lasts = run->isLongRunning_;
+  const bool isEviction = run->isEviction_;
   view.runs_.erase(aTask);
 
   const auto* job = state_.FindJob(aTask.job_);
@@ -83,6 +84,14 @@
               { "end", EndText(aEnd) },
               { "last_attempt", isLast } });
   }
+  if (lasts && aEnd == RunEnd::Stopped && !IsOver(phaseBefore)) {
+    LogInfo("a long-running task was stopped",
+            { { "task", TaskText(aTask) },
+              { "run", aRun },
+              { "worker", state_.FindWorker(aWorker)->id_ },
+              { "draining", state_.FindWorker(aWorker)->draining_ },
+              { "for_maintenance", isEviction } });
+  }
   Decide(RunClosed{ aTask, aRun, aEnd, aCheckpoint, isLast }, aNow);
 
   job = state_.FindJob(aTask.job_);
--- a/packages/workload/scheduler_upkeep.cpp
+++ b/packages/workload/scheduler_upkeep.cpp
@@ -197,6 +197,14 @@
     const auto number = FindWorkerOfVm(vm);
     auto* worker = FindView(number);
     if (worker != nullptr) {
+      if (!worker->evacuating_) {
+        LogInfo("emptying a VM for maintenance",
+                { { "vm", vm },
+                  { "wave", aWave.id_ },
+                  { "runs", worker->runs_.size() },
+                  { "vms_down", down },
+                  { "cap", cap } });
+      }
       worker->evacuating_ = true;
       for (auto& [task, run] : worker->runs_) {
         if (run.isLongRunning_ && !run.stopRequested_ &&
--- /dev/null
+++ b/packages/workload/vm_view_type.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "kernel/time_type.h"
+#include "workload/scheduler_type.h"
+
+#include <string>
+
+namespace acaciahill {
+
+/// The leader's view of one VM: its last listing, and changes made since.
+struct VmView
+{
+  VmListing listing_;
+  /// The VM must not be moved before that time.
+  MonotonicTime noMoveBefore_{};
+  bool orderInFlight_ = false;
+  MonotonicTime orderedAt_{};
+  /// Taken down for maintenance and not listed as up since.
+  bool isDown_ = false;
+  MonotonicTime downSince_{};
+
+  bool operator==(const VmView&) const = default;
+};
+
+/// A requested move whose VM has not registered in its new pool.
+struct PendingMove
+{
+  std::string pool_;
+  MonotonicTime requestedAt_{};
+  bool isInFlight_ = false;
+  bool hasBegun_ = false;
+  /// The VM is switched off in the spare pool, so that no worker registers.
+  bool toSpare_ = false;
+
+  bool operator==(const PendingMove&) const = default;
+};
+
+} // namespace acaciahill
