--- a/packages/workload/test/scheduler_driver.cpp
+++ b/packages/workload/test/scheduler_driver.cpp
@@ -436,6 +436,11 @@
 void
 SchedulerDriver::Execute(const BeginUpkeep& aAction)
 {
+  ++upkeepOrders_;
+  if (upkeepOutcome_ != VmOutcome::Begun) {
+    scheduler_->HandleUpkeep(aAction, upkeepOutcome_, now_);
+    return;
+  }
   const auto id = aAction.vm_.substr(std::string("vm-").size());
   for (const auto& [task, run] : workers_.at(id).runs_) {
     interruptedLongRuns_ += run.isLongRunning_ ? 1 : 0;
--- a/packages/workload/test/scheduler_driver.h
+++ b/packages/workload/test/scheduler_driver.h
@@ -137,8 +137,11 @@
   std::vector<MonotonicTime> moveTimes_;
   /// Run time of the tasks of a job; a random one for other jobs.
   std::map<JobId, Millis> runTimes_;
-  /// The platform's answer to every move.
+  /// The platform's answer to every move, and to every order of upkeep; a VM
+  /// goes down when its order has begun.
   VmOutcome moveOutcome_ = VmOutcome::Busy;
+  VmOutcome upkeepOutcome_ = VmOutcome::Begun;
+  std::size_t upkeepOrders_ = 0;
 
 private:
   struct DelayedOrder
