Fix: a pool asks for a VM when no worker may run a waiting long-running task

Cause: placement asks for label, size and the step's limit per worker; the demand of a pool asked for the number of workers (full ones included) and for sizes without the limit, and only while half of the cores are free. A task that finds a peer on each worker with room asked for nothing. Change: WorkersForLongRunning places the waiting and the displaced tasks on copies of the present workers by ObstacleOfStep, as placement does, and counts the VMs to add. Room that short tasks hold counts as a place, as it comes. Idle workers that a displaced task would get are no surplus.

--- a/packages/workload/placement_obstacle.cpp
+++ b/packages/workload/placement_obstacle.cpp
@@ -14,15 +14,15 @@
   if (aView.missedRenewals_ > 0) {
     return PlacementObstacle::Silent;
   }
-  if (!aView.confirmed_) {
-    return PlacementObstacle::Unconfirmed;
-  }
   if (aWorker.draining_) {
     return PlacementObstacle::Draining;
   }
   if (aView.evacuating_) {
     return PlacementObstacle::Evacuating;
   }
+  if (!aView.confirmed_) {
+    return PlacementObstacle::Unconfirmed;
+  }
   return aNow < aView.avoidUntil_ ? PlacementObstacle::Avoided
                                   : PlacementObstacle::None;
 }
--- a/packages/workload/placement_obstacle_func.h
+++ b/packages/workload/placement_obstacle_func.h
@@ -13,11 +13,11 @@
 {
   None,
   // The worker gets no tasks now.
-  Unconfirmed, ///< It has not answered this leader yet.
-  Silent,      ///< It does not answer, or was replaced by a new incarnation.
+  Silent, ///< It does not answer, or was replaced by a new incarnation.
   Draining,
-  Evacuating, ///< It is emptied for maintenance or a move.
-  Avoided,    ///< It failed or refused tasks a short time ago.
+  Evacuating,  ///< It is emptied for maintenance or a move.
+  Unconfirmed, ///< It has not answered this leader yet.
+  Avoided,     ///< It failed or refused tasks a short time ago.
   // The worker does not suit the step.
   Label,
   Size,  ///< The task does not fit on it even when it is empty.
--- a/packages/workload/pool_balance_func.h
+++ b/packages/workload/pool_balance_func.h
@@ -27,8 +27,7 @@
   std::size_t supply_ = 0;
   /// Workers that must stay because they run long-running tasks.
   std::size_t pinnedWorkers_ = 0;
-  /// Workers needed to place waiting or displaced steps that limit their tasks
-  /// per worker.
+  /// Workers needed to place waiting or displaced long-running tasks.
   std::size_t spreadWorkers_ = 0;
   /// Workers needed beside those with long-running tasks for waiting tasks that
   /// no present worker has room for, though most cores are free.
--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -170,6 +170,8 @@
     const WorkerEntry* entry_ = nullptr;
     const WorkerView* view_ = nullptr;
   };
+  /// Number of tasks to be placed by the first task of their step.
+  using TasksToPlace = std::map<TaskKey, std::uint32_t>;
   using UsableWorkers = std::vector<UsableWorker>;
   using UsableByPool = std::map<std::string, UsableWorkers>;
 
@@ -359,6 +361,22 @@
   /// soonest when it gets no short tasks; the end of aWorkers without one.
   UsableWorkers::iterator FindWorkerToReserve(const ReadyStep& aReady,
                                               UsableWorkers& aWorkers) const;
+  /// The long-running tasks of each pool that wait, or that are on workers
+  /// which are drained or emptied.
+  std::map<std::string, TasksToPlace> LongRunningTasksToPlace() const;
+  /// Minimum number of workers for the limits per worker of these steps.
+  std::size_t RequiredSpread(const TasksToPlace& aTasks) const;
+  /// Workers that the pool needs to have a place for all these tasks: those of
+  /// its aSupply that run tasks or would get one of these, and further ones.
+  /// Room that short tasks hold counts as a place.
+  std::size_t WorkersForLongRunning(const std::string& aPool,
+                                    const TasksToPlace& aTasks,
+                                    std::size_t aSupply,
+                                    MonotonicTime aNow) const;
+  /// Workers of the pool that get tasks, or will before a VM could arrive, with
+  /// the room beside their long-running tasks.
+  UsableWorkers WorkersWithRoomLater(const std::string& aPool,
+                                     MonotonicTime aNow) const;
   /// PoolDemand::strandedWorkers_ of a pool with these workers.
   std::size_t CountStrandedWorkers(const std::string& aPool,
                                    const UsableWorkers& aWorkers) const;
@@ -366,9 +384,6 @@
   // scheduler_demand.cpp: demand of the pools.
   const std::vector<std::string>& QueuesOf(const std::string& aPool) const;
   WaitingWork WaitingWorkOf(const std::string& aPool, MonotonicTime aNow) const;
-  /// Minimum number of workers for the pool's long-running steps that have
-  /// tasks waiting or on draining or evacuating workers.
-  std::size_t RequiredSpread(const std::string& aPool) const;
   void CountArrival(const JobSpec& aSpec, MonotonicTime aNow);
   void ObserveDemand(MonotonicTime aNow);
   std::int64_t ArrivingMilliCores(const std::string& aPool, MonotonicTime aNow);
--- a/packages/workload/scheduler_demand.cpp
+++ b/packages/workload/scheduler_demand.cpp
@@ -96,38 +96,6 @@
   return waiting;
 }
 
-std::size_t
-Scheduler::RequiredSpread(const std::string& aPool) const
-{
-  std::size_t spread = 0;
-  const auto count = [&](JobId aJob, std::uint32_t aStep) {
-    const auto* job = state_.FindJob(aJob);
-    if (job == nullptr || IsOver(job->phase_)) {
-      return;
-    }
-    const auto& step = job->spec_.steps_[aStep];
-    // The tasks of other steps can run one after another.
-    if (step.isLongRunning_ && step.maxPerWorker_ > 0) {
-      spread = std::max<std::size_t>(
-        spread, (step.tasks_ + step.maxPerWorker_ - 1) / step.maxPerWorker_);
-    }
-  };
-  if (const auto ready = ready_.find(aPool); ready != ready_.end()) {
-    for (const auto& each : ready->second) {
-      count(each.job_, each.step_);
-    }
-  }
-  for (const auto& [number, view] : views_) {
-    const auto& worker = *state_.FindWorker(number);
-    if (worker.pool_ == aPool && (worker.draining_ || view.evacuating_)) {
-      for (const auto& [task, run] : view.runs_) {
-        count(task.job_, task.step_);
-      }
-    }
-  }
-  return spread;
-}
-
 void
 Scheduler::CountArrival(const JobSpec& aSpec, MonotonicTime aNow)
 {
@@ -246,6 +214,14 @@
       pool.idleVms_.push_back(worker.vm_);
     }
   }
+  for (const auto& [name, tasks] : LongRunningTasksToPlace()) {
+    if (const auto found = loads.find(name); found != loads.end()) {
+      auto& load = found->second;
+      load.spreadWorkers_ =
+        std::max(RequiredSpread(tasks),
+                 WorkersForLongRunning(name, tasks, load.supply_, aNow));
+    }
+  }
   for (auto& [name, load] : loads) {
     load.supply_ += CountArrivingVms(name);
   }
@@ -271,7 +247,6 @@
     load.workerMilliCores_ =
       load.workerMilliCores_ == 0 ? typical : load.workerMilliCores_;
     load.demandMilliCores_ = ExpectedDemand(load, aNow);
-    load.spreadWorkers_ = RequiredSpread(name);
     if (const auto workers = usable.find(name); workers != usable.end()) {
       load.strandedWorkers_ = CountStrandedWorkers(name, workers->second);
     }
--- a/packages/workload/scheduler_pools.cpp
+++ b/packages/workload/scheduler_pools.cpp
@@ -150,6 +150,7 @@
               { "milli_cores", demand.demandMilliCores_ },
               { "held_milli_cores", demand.heldMilliCores_ },
               { "with_lasting_tasks", demand.pinnedWorkers_ },
+              { "for_long_running", demand.spreadWorkers_ },
               { "stranded", demand.strandedWorkers_ },
               { "idle", demand.idleVms_.size() },
               { "surplus_for_ms", demand.surplusFor_.count() } });
--- a/packages/workload/scheduler_room.cpp
+++ b/packages/workload/scheduler_room.cpp
@@ -69,6 +69,126 @@
   }
 }
 
+std::map<std::string, Scheduler::TasksToPlace>
+Scheduler::LongRunningTasksToPlace() const
+{
+  std::map<std::string, TasksToPlace> pools;
+  for (const auto& [pool, ready] : ready_) {
+    for (const auto& step : ready) {
+      const auto* job =
+        step.isLongRunning_ ? state_.FindJob(step.job_) : nullptr;
+      if (job == nullptr || IsOver(job->phase_)) {
+        continue;
+      }
+      const auto& tasks =
+        job->occurrences_.at(step.occurrence_).steps_[step.step_];
+      pools[pool][{ step.job_, step.occurrence_, step.step_, 0 }] +=
+        static_cast<std::uint32_t>(
+          std::count_if(tasks.begin(), tasks.end(), [](const auto& aTask) {
+            return aTask.state_ == TaskState::Waiting;
+          }));
+    }
+  }
+  for (const auto& [number, view] : views_) {
+    const auto& worker = *state_.FindWorker(number);
+    if (!worker.draining_ && !view.evacuating_) {
+      continue;
+    }
+    for (const auto& [task, run] : view.runs_) {
+      if (run.isLongRunning_ && !IsOver(state_.FindJob(task.job_)->phase_)) {
+        ++pools[worker.pool_][{ task.job_, task.occurrence_, task.step_, 0 }];
+      }
+    }
+  }
+  return pools;
+}
+
+std::size_t
+Scheduler::RequiredSpread(const TasksToPlace& aTasks) const
+{
+  std::size_t spread = 0;
+  for (const auto& [first, count] : aTasks) {
+    const auto& step = state_.FindJob(first.job_)->spec_.steps_[first.step_];
+    if (step.maxPerWorker_ > 0) {
+      spread = std::max<std::size_t>(
+        spread, (step.tasks_ + step.maxPerWorker_ - 1) / step.maxPerWorker_);
+    }
+  }
+  return spread;
+}
+
+Scheduler::UsableWorkers
+Scheduler::WorkersWithRoomLater(const std::string& aPool,
+                                MonotonicTime aNow) const
+{
+  UsableWorkers workers;
+  for (const auto& [number, view] : views_) {
+    const auto& worker = *state_.FindWorker(number);
+    if (worker.pool_ != aPool) {
+      continue;
+    }
+    const auto obstacle = ObstacleOfWorker(worker, view, aNow + kVmArrival);
+    if (obstacle == PlacementObstacle::None ||
+        obstacle == PlacementObstacle::Unconfirmed) {
+      const auto left = Difference(worker.capacity_, view.used_);
+      workers.push_back(
+        { RoomBesideLongRunning(view, left), number, &worker, &view });
+    }
+  }
+  return workers;
+}
+
+// Placement looks at the limit per worker, labels and sizes; so does this, so
+// that a task which no worker may run is not left to the other demand.
+std::size_t
+Scheduler::WorkersForLongRunning(const std::string& aPool,
+                                 const TasksToPlace& aTasks,
+                                 std::size_t aSupply,
+                                 MonotonicTime aNow) const
+{
+  auto workers = WorkersWithRoomLater(aPool, aNow);
+  const auto present = workers.size();
+  // A VM to be moved is taken to be as large as the workers are.
+  WorkerEntry added;
+  std::set<std::uint32_t> unused;
+  for (const auto& worker : workers) {
+    added.capacity_ = Maximum(added.capacity_, worker.entry_->capacity_);
+    if (worker.view_->runs_.empty()) {
+      unused.insert(worker.number_);
+    }
+  }
+  const WorkerView addedView;
+  for (const auto& [first, count] : aTasks) {
+    const auto& job = *state_.FindJob(first.job_);
+    const auto& step = job.spec_.steps_[first.step_];
+    const auto need = ReservedBy(step.need_, step.usesSpareCores_);
+    const auto peers = CountTasksByWorker(
+      job.occurrences_.at(first.occurrence_).steps_[first.step_]);
+    auto left = count;
+    const auto placeOn = [&](UsableWorker& aWorker) {
+      const auto onWorker = peers.find(aWorker.number_);
+      auto peersThere = onWorker == peers.end() ? 0 : onWorker->second;
+      while (left > 0 &&
+             ObstacleOfStep(
+               step, *aWorker.entry_, addedView, aWorker.left_, peersThere) ==
+               PlacementObstacle::None) {
+        aWorker.left_ = Difference(aWorker.left_, need);
+        unused.erase(aWorker.number_);
+        ++peersThere;
+        --left;
+      }
+    };
+    std::for_each(workers.begin(), workers.end(), placeOn);
+    while (left > 0 &&
+           ObstacleOfStep(step, added, addedView, added.capacity_, 0) ==
+             PlacementObstacle::None) {
+      workers.push_back({ added.capacity_, 0, &added, &addedView });
+      placeOn(workers.back());
+    }
+  }
+  return aSupply - unused.size() + (workers.size() - present);
+}
+
 // Long-running tasks may leave cores free on each worker but too little memory
 // for a waiting task. The demand in cores does not show that.
 std::size_t
@@ -86,9 +206,7 @@
     const auto& capacity = worker.entry_->capacity_;
     freeMilliCores += worker.left_.milliCores_;
     milliCores += capacity.milliCores_;
-    largest = { std::max(largest.milliCores_, capacity.milliCores_),
-                std::max(largest.memoryMb_, capacity.memoryMb_),
-                std::max(largest.accelerators_, capacity.accelerators_) };
+    largest = Maximum(largest, capacity);
   }
   if (2 * freeMilliCores < milliCores) {
     // Room comes as tasks end.
--- a/packages/workload/workload_text.cpp
+++ b/packages/workload/workload_text.cpp
@@ -113,6 +113,14 @@
            aLeft.accelerators_ - aRight.accelerators_ };
 }
 
+TaskNeed
+Maximum(const TaskNeed& aOne, const TaskNeed& aOther)
+{
+  return { std::max(aOne.milliCores_, aOther.milliCores_),
+           std::max(aOne.memoryMb_, aOther.memoryMb_),
+           std::max(aOne.accelerators_, aOther.accelerators_) };
+}
+
 bool
 Fits(const TaskNeed& aNeed, const TaskNeed& aLeft)
 {
--- a/packages/workload/workload_text_func.h
+++ b/packages/workload/workload_text_func.h
@@ -35,6 +35,10 @@
 TaskNeed
 Difference(const TaskNeed& aLeft, const TaskNeed& aRight);
 
+/// The larger amount of each resource.
+TaskNeed
+Maximum(const TaskNeed& aOne, const TaskNeed& aOther);
+
 /// True when the remaining capacity aLeft covers the need in every resource.
 bool
 Fits(const TaskNeed& aNeed, const TaskNeed& aLeft);
