Fix: a worker that was emptied for an order that does not come gets tasks again

Cause: a worker is taken out of use when its VM becomes a candidate of a wave or of a move, and only a refused move gave it back. A VM that the wave or the platform refuses for good, or that is no candidate any more, kept its worker out of use for as long as it lived. Change: a worker stays emptied only while an order may come: the VM is a candidate of this tick's look at the waves, or is in a move, or an order of upkeep is on its way.

--- a/packages/workload/scheduler.cpp
+++ b/packages/workload/scheduler.cpp
@@ -271,6 +271,7 @@
   EvacuateDrainingWorkers(aNow);
   AdvanceWaves(aNow);
   BalancePools(aNow);
+  EndEvacuations();
   SaveLearnedLoad(aNow);
   ReportWaitingTasks(aNow);
   placementDue_ = true;
--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -2,7 +2,7 @@
 
 #include "workload/demand_meter_base.h"
 #include "workload/pool_balance_func.h"
-#include "workload/room_shortage_base.h"
+#include "workload/ready_step_type.h"
 #include "workload/scheduler_type.h"
 #include "workload/turn_forecast_base.h"
 #include "workload/vm_call_budget_base.h"
@@ -122,27 +122,6 @@
   static constexpr Millis kVmArrival{ 1700 };
 
 private:
-  /// A step with waiting tasks; sorted in the order of service.
-  struct ReadyStep
-  {
-    std::int64_t priority_ = 0;
-    /// The step depends on no other, and none of its tasks has started.
-    bool isNotStarted_ = false;
-    /// Latest logical start time in ms at which the job still meets its
-    /// objective.
-    std::uint64_t latestStartMs_ = 0;
-    JobId job_ = 0;
-    std::uint32_t occurrence_ = 0;
-    std::uint32_t step_ = 0;
-    /// Copied from the step, as all waiting steps are looked at many times a
-    /// second.
-    bool isLongRunning_ = false;
-    PlacementNeed need_;
-
-    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads it.
-    auto operator<=>(const ReadyStep&) const = default;
-  };
-
   /// An assignment whose start order waits for the commit.
   struct PendingStart
   {
@@ -431,6 +410,15 @@
   std::size_t CountVmsDown(const UpkeepWave& aWave) const;
   std::vector<std::string> CandidatesOf(const UpkeepWave& aWave) const;
 
+  // scheduler_evacuation.cpp: the end of evacuations.
+  /// An upkeep or a move of the VM may come, or may have been carried out.
+  bool IsOrderExpected(const std::string& aVm) const;
+  /// Ends the evacuations whose order does not come.
+  void EndEvacuations();
+  void EndEvacuation(const WorkerEntry& aWorker,
+                     WorkerView& aView,
+                     std::string_view aReason);
+
   SchedulerSettings settings_;
   std::uint64_t term_ = 0;
   Workload state_;
@@ -470,6 +458,8 @@
   std::set<std::string> ignoredWorkers_;
   std::map<std::string, VmView> vms_;
   std::map<std::string, PendingMove> moves_;
+  /// VMs that waves may take down next; their workers are emptied.
+  std::set<std::string> upkeepCandidates_;
   VmCallBudget vmCalls_;
   MonotonicTime demandsLoggedAt_{};
   DemandMeter demand_;
--- a/packages/workload/scheduler_upkeep.cpp
+++ b/packages/workload/scheduler_upkeep.cpp
@@ -62,6 +62,7 @@
 void
 Scheduler::AdvanceWaves(MonotonicTime aNow)
 {
+  upkeepCandidates_.clear();
   const bool isActive =
     std::any_of(state_.Waves().begin(),
                 state_.Waves().end(),
@@ -193,6 +194,7 @@
     if (candidatesLeft-- == 0) {
       return;
     }
+    upkeepCandidates_.insert(vm);
     auto& view = vms_.at(vm);
     const auto number = FindWorkerOfVm(vm);
     auto* worker = FindView(number);
