Fix: a worker is kept empty for an order of the platform for a limited time only

Cause: while the platform is slow, away or refuses orders, the candidates of a wave (its cap and one more) and the VMs whose move got no answer stand empty without a limit; the moves that would bring another VM wait for the same platform. Change: an evacuation ends when its worker has had no short tasks for 4 s and no order is on its way, and for a long-running task that has waited for 2 s and finds no other place. Orders for that VM are put off for 2 s. A busy VM lets others of its wave go first; no further VM is emptied for 3 s after the platform has put off an order, so that an outage does not empty one VM after another.

--- a/packages/workload/scheduler.cpp
+++ b/packages/workload/scheduler.cpp
@@ -271,7 +271,7 @@
   EvacuateDrainingWorkers(aNow);
   AdvanceWaves(aNow);
   BalancePools(aNow);
-  EndEvacuations();
+  EndEvacuations(aNow);
   SaveLearnedLoad(aNow);
   ReportWaitingTasks(aNow);
   placementDue_ = true;
--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -408,16 +408,26 @@
   void AdvanceWaves(MonotonicTime aNow);
   void AdvanceWave(const UpkeepWave& aWave, MonotonicTime aNow);
   std::size_t CountVmsDown(const UpkeepWave& aWave) const;
-  std::vector<std::string> CandidatesOf(const UpkeepWave& aWave) const;
+  std::vector<std::string> CandidatesOf(const UpkeepWave& aWave,
+                                        MonotonicTime aNow) const;
 
   // scheduler_evacuation.cpp: the end of evacuations.
   /// An upkeep or a move of the VM may come, or may have been carried out.
   bool IsOrderExpected(const std::string& aVm) const;
-  /// Ends the evacuations whose order does not come.
-  void EndEvacuations();
-  void EndEvacuation(const WorkerEntry& aWorker,
-                     WorkerView& aView,
-                     std::string_view aReason);
+  /// The platform has not answered an order for the VM yet.
+  bool IsOrderInFlight(const std::string& aVm) const;
+  /// Ends the evacuations whose order does not come or takes too long, and
+  /// those of workers that a long-running task waits for.
+  void EndEvacuations(MonotonicTime aNow);
+  /// A worker with a place for the task but for its evacuation; 0 without one.
+  std::uint32_t FindEvacuatingWorkerFor(const TaskKey& aTask,
+                                        MonotonicTime aNow) const;
+  /// Also puts off further orders for the VM.
+  void EndEvacuation(std::uint32_t aWorker,
+                     std::string_view aReason,
+                     MonotonicTime aNow);
+  /// The platform has not carried out the last order of upkeep just now.
+  bool IsUpkeepUnavailable(MonotonicTime aNow) const;
 
   SchedulerSettings settings_;
   std::uint64_t term_ = 0;
@@ -460,6 +470,9 @@
   std::map<std::string, PendingMove> moves_;
   /// VMs that waves may take down next; their workers are emptied.
   std::set<std::string> upkeepCandidates_;
+  /// When the platform last refused or did not answer an order of upkeep;
+  /// nothing once it has carried out or decided one.
+  std::optional<MonotonicTime> upkeepPutOffAt_;
   VmCallBudget vmCalls_;
   MonotonicTime demandsLoggedAt_{};
   DemandMeter demand_;
--- a/packages/workload/scheduler_upkeep.cpp
+++ b/packages/workload/scheduler_upkeep.cpp
@@ -16,6 +16,9 @@
 constexpr Millis kListInterval{ 1500 };
 // An order to the platform without an answer is sent again after this time.
 constexpr Millis kUpkeepRetry{ 1500 };
+// No further VM is emptied for this time after the platform has put off an
+// order; those that are emptied already are ordered again meanwhile.
+constexpr Millis kUpkeepUnavailable{ 3000 };
 // A VM that is listed as up this long after its order has completed
 // maintenance.
 constexpr Millis kMinUpkeepTime{ 1000 };
@@ -153,13 +156,13 @@
 
 // VMs that may be taken down next, those with the fewest runs first.
 std::vector<std::string>
-Scheduler::CandidatesOf(const UpkeepWave& aWave) const
+Scheduler::CandidatesOf(const UpkeepWave& aWave, MonotonicTime aNow) const
 {
   std::vector<std::pair<std::size_t, std::string>> ranked;
   for (const auto& vm : aWave.pendingVms_) {
     const auto view = vms_.find(vm);
     if (view == vms_.end() || view->second.listing_.state_ != VmState::Up ||
-        moves_.contains(vm)) {
+        moves_.contains(vm) || aNow < view->second.noUpkeepBefore_) {
       continue;
     }
     const auto number = FindWorkerOfVm(vm);
@@ -190,14 +193,18 @@
   const auto usable = FindUsableWorkers(aNow);
   auto down = CountVmsDown(aWave);
   auto candidatesLeft = cap + kMaxEvacuatedAhead;
-  for (const auto& vm : CandidatesOf(aWave)) {
+  for (const auto& vm : CandidatesOf(aWave, aNow)) {
     if (candidatesLeft-- == 0) {
       return;
     }
-    upkeepCandidates_.insert(vm);
     auto& view = vms_.at(vm);
     const auto number = FindWorkerOfVm(vm);
     auto* worker = FindView(number);
+    if (worker != nullptr && !worker->evacuating_ &&
+        IsUpkeepUnavailable(aNow)) {
+      continue;
+    }
+    upkeepCandidates_.insert(vm);
     if (worker != nullptr) {
       if (!worker->evacuating_) {
         LogInfo("emptying a VM for maintenance",
@@ -245,6 +252,9 @@
   }
   auto& view = found->second;
   view.orderInFlight_ = false;
+  const bool isPutOff =
+    aOutcome == VmOutcome::NoAnswer || aOutcome == VmOutcome::NotNow;
+  upkeepPutOffAt_ = isPutOff ? std::optional(aNow) : std::nullopt;
   LogInfo("VM maintenance order answered",
           { { "wave", aOrder.wave_ },
             { "vm", aOrder.vm_ },
@@ -275,8 +285,16 @@
       vmCalls_.NoteRefusal(aNow);
       return;
     case VmOutcome::Busy:
+      // Others of the wave are taken down first.
+      view.noUpkeepBefore_ = aNow + kUpkeepRetry;
       return;
   }
 }
 
+bool
+Scheduler::IsUpkeepUnavailable(MonotonicTime aNow) const
+{
+  return upkeepPutOffAt_ && aNow - *upkeepPutOffAt_ < kUpkeepUnavailable;
+}
+
 } // namespace acaciahill
--- a/packages/workload/vm_view_type.h
+++ b/packages/workload/vm_view_type.h
@@ -13,6 +13,8 @@
   VmListing listing_;
   /// The VM must not be moved before that time.
   MonotonicTime noMoveBefore_{};
+  /// The VM is no candidate of a wave before that time.
+  MonotonicTime noUpkeepBefore_{};
   bool orderInFlight_ = false;
   MonotonicTime orderedAt_{};
   /// Taken down for maintenance and not listed as up since.
--- a/packages/workload/worker_view_type.h
+++ b/packages/workload/worker_view_type.h
@@ -87,6 +87,9 @@
   /// The worker is being emptied for maintenance or a move: it gets no new
   /// tasks, and its tasks are moved off.
   bool evacuating_ = false;
+  /// Since when an evacuating worker has had no short tasks; nothing while it
+  /// has some.
+  std::optional<MonotonicTime> idleSince_;
   /// Runs that failed since the last successful one.
   int failuresInRow_ = 0;
   /// The worker gets no tasks until then.
