Fix: a task is not stopped for a place on a VM that is emptied as well

Cause: one look at a wave listed the usable workers first and emptied its candidates then, so that a candidate counted as a place for the tasks of the next one. The task was stopped, and its place was gone. Change: the candidates are emptied first; places are looked for on the workers that are left.

--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -410,6 +410,15 @@
   std::size_t CountVmsDown(const UpkeepWave& aWave) const;
   std::vector<std::string> CandidatesOf(const UpkeepWave& aWave,
                                         MonotonicTime aNow) const;
+  /// The next candidates, aMost at most. Their workers get no more tasks.
+  std::vector<std::string> EmptyCandidatesOf(const UpkeepWave& aWave,
+                                             std::size_t aMost,
+                                             MonotonicTime aNow);
+  /// Stops long-running tasks of the worker that another one has a place for,
+  /// or all with aNeedsNoPlace, within their absence budgets.
+  void EvictLongRunning(std::uint32_t aWorker,
+                        const UsableByPool& aUsable,
+                        bool aNeedsNoPlace);
 
   // scheduler_evacuation.cpp: the end of evacuations.
   /// An upkeep or a move of the VM may come, or may have been carried out.
--- a/packages/workload/scheduler_upkeep.cpp
+++ b/packages/workload/scheduler_upkeep.cpp
@@ -183,6 +183,52 @@
   return candidates;
 }
 
+std::vector<std::string>
+Scheduler::EmptyCandidatesOf(const UpkeepWave& aWave,
+                             std::size_t aMost,
+                             MonotonicTime aNow)
+{
+  auto candidates = CandidatesOf(aWave, aNow);
+  candidates.resize(std::min(candidates.size(), aMost));
+  std::erase_if(candidates, [&](const auto& aVm) {
+    auto* worker = FindView(FindWorkerOfVm(aVm));
+    if (worker == nullptr || worker->evacuating_) {
+      return false;
+    }
+    if (IsUpkeepUnavailable(aNow)) {
+      return true;
+    }
+    LogInfo("emptying a VM for maintenance",
+            { { "vm", aVm },
+              { "wave", aWave.id_ },
+              { "runs", worker->runs_.size() } });
+    worker->evacuating_ = true;
+    return false;
+  });
+  upkeepCandidates_.insert(candidates.begin(), candidates.end());
+  return candidates;
+}
+
+void
+Scheduler::EvictLongRunning(std::uint32_t aWorker,
+                            const UsableByPool& aUsable,
+                            bool aNeedsNoPlace)
+{
+  for (auto& [task, run] : views_.at(aWorker).runs_) {
+    if (run.isLongRunning_ && !run.stopRequested_ &&
+        run.phase_ == RunPhase::Running && IsEvictionWithinBudget(task) &&
+        (aNeedsNoPlace || FitsOnOtherWorker(task, aWorker, aUsable))) {
+      LogInfo("moving a task off a VM before maintenance",
+              { { "task", TaskText(task) },
+                { "run", run.run_ },
+                { "vm", state_.FindWorker(aWorker)->vm_ },
+                { "without_place", aNeedsNoPlace },
+                { "away", CountUnavailablePeers(task) } });
+      RequestStop(aWorker, run, true);
+    }
+  }
+}
+
 void
 Scheduler::AdvanceWave(const UpkeepWave& aWave, MonotonicTime aNow)
 {
@@ -190,43 +236,17 @@
   // A wave past its planned end moves tasks off even if no other worker has
   // room; only the absence budgets limit it then.
   const bool isLate = IsPastPlannedEnd(aWave, LogicalNow(aNow));
+  const auto candidates =
+    EmptyCandidatesOf(aWave, cap + kMaxEvacuatedAhead, aNow);
+  // Workers that are emptied now have no place for the tasks of the others.
   const auto usable = FindUsableWorkers(aNow);
   auto down = CountVmsDown(aWave);
-  auto candidatesLeft = cap + kMaxEvacuatedAhead;
-  for (const auto& vm : CandidatesOf(aWave, aNow)) {
-    if (candidatesLeft-- == 0) {
-      return;
-    }
+  for (const auto& vm : candidates) {
     auto& view = vms_.at(vm);
     const auto number = FindWorkerOfVm(vm);
-    auto* worker = FindView(number);
-    if (worker != nullptr && !worker->evacuating_ &&
-        IsUpkeepUnavailable(aNow)) {
-      continue;
-    }
-    upkeepCandidates_.insert(vm);
+    const auto* worker = FindView(number);
     if (worker != nullptr) {
-      if (!worker->evacuating_) {
-        LogInfo("emptying a VM for maintenance",
-                { { "vm", vm },
-                  { "wave", aWave.id_ },
-                  { "runs", worker->runs_.size() },
-                  { "vms_down", down },
-                  { "cap", cap } });
-      }
-      worker->evacuating_ = true;
-      for (auto& [task, run] : worker->runs_) {
-        if (run.isLongRunning_ && !run.stopRequested_ &&
-            run.phase_ == RunPhase::Running && IsEvictionWithinBudget(task) &&
-            (isLate || FitsOnOtherWorker(task, number, usable))) {
-          LogInfo("moving a task off a VM before maintenance",
-                  { { "task", TaskText(task) },
-                    { "run", run.run_ },
-                    { "vm", vm },
-                    { "away", CountUnavailablePeers(task) } });
-          RequestStop(number, run, true);
-        }
-      }
+      EvictLongRunning(number, usable, isLate);
     }
     const bool isEmpty = worker == nullptr || worker->runs_.empty();
     if (!isEmpty || view.orderInFlight_ || view.isDown_ || down >= cap ||
--- a/packages/workload/test/waiting_task_test.cpp
+++ b/packages/workload/test/waiting_task_test.cpp
@@ -172,3 +172,64 @@
   CHECK(WorkersWithTasks(driver, true).size() == 3);
   CHECK(driver.Seen().empty());
 }
+
+// Guards against a task that is stopped and then waits (LOST, issue 39): the
+// worker that had room for it was emptied by the same look at the wave.
+TEST_CASE("a task is not stopped for a place on a VM that is emptied as well")
+{
+  SchedulerDriver driver(44, {});
+  EnableVmMoves(driver);
+  AddWorkers(driver, 4);
+  driver.RunFor(Millis(500));
+  driver.Submit(LongRunningJob(1, 3));
+  driver.RunFor(Millis(500));
+  const auto holders = WorkersWithTasks(driver, true);
+  const auto idle = WorkersWithTasks(driver, false);
+  REQUIRE(holders.size() == 3);
+  StartWaveOf(driver, { holders[0], idle[0] });
+  // The idle VM is down for 3 s.
+  for (int step = 0; step < 25; ++step) {
+    driver.RunFor(Millis(100));
+    CHECK(CountLongRunningTasks(driver) == 3);
+  }
+  driver.RunFor(Millis(6000));
+  CHECK(driver.maintainedVms_.size() == 2);
+  CHECK(CountLongRunningTasks(driver) == 3);
+  CHECK(driver.Seen().empty());
+}
+
+// Guards against a task that is stopped without another place and then waits
+// for longer than its VM is down (LOST, issue 39): the order for the VM has to
+// wait, as the wave has as many VMs down as it may.
+TEST_CASE("a late wave stops a task without a place only for an order at once")
+{
+  SchedulerDriver driver(45, {});
+  EnableVmMoves(driver);
+  AddWorkers(driver, 3);
+  driver.RunFor(Millis(500));
+  auto spec = LongRunningJob(1, 3);
+  spec.steps_[0].absenceBudget_ = 2;
+  driver.Submit(spec);
+  driver.RunFor(Millis(500));
+  const auto holders = WorkersWithTasks(driver, true);
+  REQUIRE(holders.size() == 3);
+  UpkeepWave wave;
+  wave.id_ = 4;
+  wave.cap_ = 1;
+  wave.dueAtMs_ = 1;
+  wave.pendingVms_ = { "vm-" + holders[0], "vm-" + holders[1] };
+  driver.StartWave(wave);
+  for (int step = 0; step < 120; ++step) {
+    driver.RunFor(Millis(100));
+    const auto isDown = [&driver](const std::string& aId) {
+      return driver.Workers().at(aId).inUpkeep_;
+    };
+    const bool hasTask0 = !driver.Workers().at(holders[0]).runs_.empty();
+    const bool hasTask1 = !driver.Workers().at(holders[1]).runs_.empty();
+    CHECK((hasTask0 || !isDown(holders[1])));
+    CHECK((hasTask1 || !isDown(holders[0])));
+  }
+  CHECK(driver.maintainedVms_.size() == 2);
+  CHECK(CountLongRunningTasks(driver) == 3);
+  CHECK(driver.Seen().empty());
+}
