Fix: a late wave stops tasks without a place only for an order that can follow at once

Cause: past its planned end a wave stopped the tasks of all its candidates, also of those that had to wait for another VM to come back, for the platform, for short tasks or for a task that the absence budget keeps. Change: without a place on another worker the tasks of a VM are stopped only when all of them may be and its order can be sent; a VM whose tasks are being stopped counts as down for the cap.

--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -261,6 +261,8 @@
   void WithdrawEviction(const TaskKey& aTask, RunView& aRun) const;
   void RequestStopsOfJob(JobId aJob);
   void EvacuateDrainingWorkers(MonotonicTime aNow);
+  /// Tasks of the step that may be unavailable because of the system.
+  std::uint32_t AbsenceBudgetOf(const TaskKey& aTask) const;
   /// Moving the task off keeps its step within the absence budget.
   bool IsEvictionWithinBudget(const TaskKey& aTask) const;
   /// Another worker of the pool has room for the task now.
@@ -414,6 +416,10 @@
   std::vector<std::string> EmptyCandidatesOf(const UpkeepWave& aWave,
                                              std::size_t aMost,
                                              MonotonicTime aNow);
+  /// All runs of the worker are to be stopped.
+  static bool IsBeingEmptied(const WorkerView& aView);
+  /// The worker has no short tasks, and all others may be stopped together.
+  bool CanBeEmptiedAtOnce(const WorkerView& aView) const;
   /// Stops long-running tasks of the worker that another one has a place for,
   /// or all with aNeedsNoPlace, within their absence budgets.
   void EvictLongRunning(std::uint32_t aWorker,
--- a/packages/workload/scheduler_evacuation.cpp
+++ b/packages/workload/scheduler_evacuation.cpp
@@ -67,10 +67,8 @@
   std::optional<TaskKey> last;
   for (const auto& [task, since] : waitingSince_) {
     // One worker at a time for each step.
-    const bool isSameStep = last && last->job_ == task.job_ &&
-                            last->occurrence_ == task.occurrence_ &&
-                            last->step_ == task.step_;
-    if (isSameStep || aNow - since < kMaxWaitBesideEvacuation) {
+    if ((last && IsSameStep(*last, task)) ||
+        aNow - since < kMaxWaitBesideEvacuation) {
       continue;
     }
     if (const auto worker = FindEvacuatingWorkerFor(task, aNow); worker != 0) {
--- a/packages/workload/scheduler_run.cpp
+++ b/packages/workload/scheduler_run.cpp
@@ -433,13 +433,18 @@
   return unavailable;
 }
 
-bool
-Scheduler::IsEvictionWithinBudget(const TaskKey& aTask) const
+std::uint32_t
+Scheduler::AbsenceBudgetOf(const TaskKey& aTask) const
 {
   const auto& step = state_.FindJob(aTask.job_)->spec_.steps_[aTask.step_];
   // Without a budget one task of the step is moved at a time.
-  const auto budget = std::max(1U, step.absenceBudget_);
-  return CountUnavailablePeers(aTask) < budget;
+  return std::max(1U, step.absenceBudget_);
+}
+
+bool
+Scheduler::IsEvictionWithinBudget(const TaskKey& aTask) const
+{
+  return CountUnavailablePeers(aTask) < AbsenceBudgetOf(aTask);
 }
 
 bool
--- a/packages/workload/scheduler_upkeep.cpp
+++ b/packages/workload/scheduler_upkeep.cpp
@@ -209,6 +209,34 @@
   return candidates;
 }
 
+bool
+Scheduler::IsBeingEmptied(const WorkerView& aView)
+{
+  return std::all_of(
+    aView.runs_.begin(), aView.runs_.end(), [](const auto& aEntry) {
+      return aEntry.second.stopRequested_;
+    });
+}
+
+bool
+Scheduler::CanBeEmptiedAtOnce(const WorkerView& aView) const
+{
+  return std::all_of(
+    aView.runs_.begin(), aView.runs_.end(), [&](const auto& aEntry) {
+      const auto& [task, run] = aEntry;
+      if (run.stopRequested_) {
+        return true;
+      }
+      const auto here = std::count_if(
+        aView.runs_.begin(), aView.runs_.end(), [&](auto& aOther) {
+          return IsSameStep(aOther.first, task) &&
+                 !aOther.second.stopRequested_;
+        });
+      return run.isLongRunning_ && run.phase_ == RunPhase::Running &&
+             CountUnavailablePeers(task) + here <= AbsenceBudgetOf(task);
+    });
+}
+
 void
 Scheduler::EvictLongRunning(std::uint32_t aWorker,
                             const UsableByPool& aUsable,
@@ -233,8 +261,8 @@
 Scheduler::AdvanceWave(const UpkeepWave& aWave, MonotonicTime aNow)
 {
   const auto cap = MaxVmsDownAtOnce(aWave, LogicalNow(aNow));
-  // A wave past its planned end moves tasks off even if no other worker has
-  // room; only the absence budgets limit it then.
+  // A wave past its planned end also takes down VMs whose tasks have no place
+  // on another worker; only the absence budgets limit it then.
   const bool isLate = IsPastPlannedEnd(aWave, LogicalNow(aNow));
   const auto candidates =
     EmptyCandidatesOf(aWave, cap + kMaxEvacuatedAhead, aNow);
@@ -245,16 +273,23 @@
     auto& view = vms_.at(vm);
     const auto number = FindWorkerOfVm(vm);
     const auto* worker = FindView(number);
+    const bool mayOrder = !view.orderInFlight_ && !view.isDown_ && down < cap &&
+                          aNow - view.orderedAt_ >= kUpkeepRetry;
     if (worker != nullptr) {
-      EvictLongRunning(number, usable, isLate);
+      const bool needsNoPlace = isLate && mayOrder &&
+                                !IsUpkeepUnavailable(aNow) &&
+                                CanBeEmptiedAtOnce(*worker);
+      EvictLongRunning(number, usable, needsNoPlace);
     }
-    const bool isEmpty = worker == nullptr || worker->runs_.empty();
-    if (!isEmpty || view.orderInFlight_ || view.isDown_ || down >= cap ||
-        aNow - view.orderedAt_ < kUpkeepRetry ||
-        !vmCalls_.TakeForUpkeep(aNow)) {
+    if (!mayOrder || (worker != nullptr && !IsBeingEmptied(*worker))) {
       continue;
     }
+    // A VM whose last tasks are being stopped takes its place in the cap.
     ++down;
+    const bool isEmpty = worker == nullptr || worker->runs_.empty();
+    if (!isEmpty || !vmCalls_.TakeForUpkeep(aNow)) {
+      continue;
+    }
     view.orderInFlight_ = true;
     view.orderedAt_ = aNow;
     actions_.emplace_back(BeginUpkeep{ vm, aWave.id_, term_, number });
--- a/packages/workload/scheduler_waits.cpp
+++ b/packages/workload/scheduler_waits.cpp
@@ -130,11 +130,9 @@
       return aTask.state_ == TaskState::Waiting;
     });
   auto since = aNow;
-  for (auto wait = waitingSince_.lower_bound(
-         TaskKey{ aReady.job_, aReady.occurrence_, aReady.step_, 0 });
-       wait != waitingSince_.end() && wait->first.job_ == aReady.job_ &&
-       wait->first.occurrence_ == aReady.occurrence_ &&
-       wait->first.step_ == aReady.step_;
+  const TaskKey first{ aReady.job_, aReady.occurrence_, aReady.step_, 0 };
+  for (auto wait = waitingSince_.lower_bound(first);
+       wait != waitingSince_.end() && IsSameStep(wait->first, first);
        ++wait) {
     since = std::min(since, wait->second);
   }
--- a/packages/workload/workload_text.cpp
+++ b/packages/workload/workload_text.cpp
@@ -83,6 +83,13 @@
   return isComplete ? std::optional(task) : std::nullopt;
 }
 
+bool
+IsSameStep(const TaskKey& aOne, const TaskKey& aOther)
+{
+  return aOne.job_ == aOther.job_ && aOne.occurrence_ == aOther.occurrence_ &&
+         aOne.step_ == aOther.step_;
+}
+
 std::string_view
 EndText(RunEnd aEnd)
 {
--- a/packages/workload/workload_text_func.h
+++ b/packages/workload/workload_text_func.h
@@ -25,6 +25,10 @@
 std::optional<TaskKey>
 ParseTaskText(std::string_view aText);
 
+/// Whether the tasks belong to one step of one occurrence.
+bool
+IsSameStep(const TaskKey& aOne, const TaskKey& aOther);
+
 /// The name of a RunEnd, for logs.
 std::string_view
 EndText(RunEnd aEnd);
