--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -5,6 +5,7 @@
 #include "workload/ready_step_type.h"
 #include "workload/scheduler_type.h"
 #include "workload/turn_forecast_base.h"
+#include "workload/usable_worker_type.h"
 #include "workload/vm_call_budget_base.h"
 #include "workload/vm_view_type.h"
 #include "workload/worker_view_type.h"
@@ -139,16 +140,6 @@
     std::map<std::uint32_t, std::uint64_t> ends_;
   };
 
-  /// A worker that can get tasks, while workers are chosen. What is looked at
-  /// for each of some hundred workers lies in one place.
-  struct UsableWorker
-  {
-    /// Resources that are not reserved.
-    TaskNeed left_;
-    std::uint32_t number_ = 0;
-    const WorkerEntry* entry_ = nullptr;
-    const WorkerView* view_ = nullptr;
-  };
   /// Number of tasks to be placed by the first task of their step.
   using TasksToPlace = std::map<TaskKey, std::uint32_t>;
   using UsableWorkers = std::vector<UsableWorker>;
@@ -271,6 +262,8 @@
                          const UsableByPool& aUsable) const;
   /// Other tasks of the step that are not ready on a worker that answers.
   std::uint32_t CountUnavailablePeers(const TaskKey& aTask) const;
+
+  // scheduler_pace.cpp: pace of filler tasks.
   void PaceFillingRuns(std::uint32_t aWorker, MonotonicTime aNow);
 
   // scheduler_attempts.cpp: failed runs of tasks.
@@ -410,6 +403,8 @@
   void AdvanceWaves(MonotonicTime aNow);
   void AdvanceWave(const UpkeepWave& aWave, MonotonicTime aNow);
   std::size_t CountVmsDown(const UpkeepWave& aWave) const;
+  /// The platform put off an order of upkeep a short time ago.
+  bool IsUpkeepUnavailable(MonotonicTime aNow) const;
   std::vector<std::string> CandidatesOf(const UpkeepWave& aWave,
                                         MonotonicTime aNow) const;
   /// The next candidates, aMost at most. Their workers get no more tasks.
@@ -441,8 +436,6 @@
   void EndEvacuation(std::uint32_t aWorker,
                      std::string_view aReason,
                      MonotonicTime aNow);
-  /// The platform has not carried out the last order of upkeep just now.
-  bool IsUpkeepUnavailable(MonotonicTime aNow) const;
 
   SchedulerSettings settings_;
   std::uint64_t term_ = 0;
--- a/packages/workload/scheduler_place.cpp
+++ b/packages/workload/scheduler_place.cpp
@@ -357,7 +357,7 @@
   return true;
 }
 
-Scheduler::UsableWorker*
+UsableWorker*
 Scheduler::ChooseWorker(
   const StepSpec& aStep,
   UsableWorkers& aWorkers,
