Add: a model test of long-running tasks that wait though there is room

The driver's platform carries out moves and refuses or leaves unanswered a share of its calls; the test checks the platform's rule (6 s after the last run, 3 s beside room for two, 7 s of calm) under crashes, partitions, planned restarts, changes of the leader and waves.

--- a/packages/workload/test/scheduler_driver.h
+++ b/packages/workload/test/scheduler_driver.h
@@ -19,6 +19,8 @@
 /// Capacity of each fake worker.
 inline constexpr std::int64_t kWorkerMilliCores = 4000;
 inline constexpr std::int64_t kWorkerMemoryMb = 4000;
+/// VMs in this pool are switched off and have no worker.
+inline constexpr const char* kOffPool = "off";
 
 } // namespace detail
 
@@ -142,6 +144,18 @@
   VmOutcome moveOutcome_ = VmOutcome::Busy;
   VmOutcome upkeepOutcome_ = VmOutcome::Begun;
   std::size_t upkeepOrders_ = 0;
+  /// Moves are carried out: the VM's worker ends and registers in the new pool
+  /// 1.5 s later, and not in the pool "off". Then moveOutcome_ is not used.
+  bool carriesOutMoves_ = false;
+  /// Share of moves and orders of upkeep that the platform refuses or does not
+  /// answer. It carries out half of those without an answer.
+  int platformFaultPermille_ = 0;
+  void SetFaults(FaultRates aFaults) { faults_ = aFaults; }
+  /// The pool of a worker, also while it is not up.
+  const std::string& PoolOf(const std::string& aWorker) const
+  {
+    return pools_.at(aWorker);
+  }
 
 private:
   struct DelayedOrder
@@ -178,6 +192,11 @@
   void Execute(const ListVms& aAction);
   void Execute(const BeginUpkeep& aAction);
   void Execute(const MoveVm& aAction);
+  /// The platform's answer to an order for the worker's VM, and whether it is
+  /// carried out.
+  std::pair<VmOutcome, bool> DrawPlatformAnswer(const FakeWorker& aWorker,
+                                                VmOutcome aUsual);
+  VmState StateOf(const FakeWorker& aWorker) const;
   OrderAnswer ExecuteOrder(FakeWorker& aWorker, const StartRun& aOrder);
   OrderAnswer ExecuteOrder(FakeWorker& aWorker, const StopRun& aOrder);
   void EndRun(FakeWorker& aWorker, const TaskKey& aTask, RunEnd aEnd);
--- /dev/null
+++ b/packages/workload/test/scheduler_driver_platform.cpp
@@ -0,0 +1,111 @@
+#include "workload/test/scheduler_driver.h"
+
+#include <algorithm>
+
+// The fake platform of the driver: VMs, moves between pools, and upkeep.
+
+namespace acaciahill::test {
+
+namespace {
+
+constexpr Millis kMoveTime{ 1500 };
+
+std::string
+WorkerIdOf(const std::string& aVm)
+{
+  return aVm.substr(std::string("vm-").size());
+}
+
+} // namespace
+
+VmState
+SchedulerDriver::StateOf(const FakeWorker& aWorker) const
+{
+  if (aWorker.inUpkeep_) {
+    return VmState::Upkeep;
+  }
+  const bool isDown = carriesOutMoves_ && !aWorker.up_ &&
+                      pools_.at(aWorker.id_) != detail::kOffPool;
+  return isDown ? VmState::Down : VmState::Up;
+}
+
+void
+SchedulerDriver::Execute(const ListVms& /*aAction*/)
+{
+  std::vector<VmListing> vms;
+  for (const auto& [id, worker] : workers_) {
+    const auto& pool = pools_.at(id);
+    vms.push_back({ "vm-" + id,
+                    pool,
+                    StateOf(worker),
+                    pool == detail::kOffPool ? std::string() : id,
+                    "z" });
+  }
+  vms.insert(vms.end(), spareVms_.begin(), spareVms_.end());
+  scheduler_->HandleVms(vms, now_);
+}
+
+std::pair<VmOutcome, bool>
+SchedulerDriver::DrawPlatformAnswer(const FakeWorker& aWorker, VmOutcome aUsual)
+{
+  if (platformFaultPermille_ > 0 && OccursWith(platformFaultPermille_)) {
+    const bool isRefused = OccursWith(500);
+    return isRefused
+             ? std::pair(VmOutcome::NotNow, false)
+             : std::pair(VmOutcome::NoAnswer,
+                         OccursWith(500) && StateOf(aWorker) == VmState::Up);
+  }
+  if (aUsual == VmOutcome::Begun && StateOf(aWorker) != VmState::Up) {
+    return { VmOutcome::Busy, false };
+  }
+  return { aUsual, aUsual == VmOutcome::Begun };
+}
+
+void
+SchedulerDriver::Execute(const BeginUpkeep& aAction)
+{
+  ++upkeepOrders_;
+  const auto id = WorkerIdOf(aAction.vm_);
+  const auto [outcome, isCarriedOut] =
+    DrawPlatformAnswer(workers_.at(id), upkeepOutcome_);
+  if (isCarriedOut) {
+    for (const auto& [task, run] : workers_.at(id).runs_) {
+      interruptedLongRuns_ += run.isLongRunning_ ? 1 : 0;
+    }
+    Crash(id);
+    workers_.at(id).inUpkeep_ = true;
+    maintainedVms_.insert(aAction.vm_);
+    std::size_t down = 0;
+    for (const auto& [each, worker] : workers_) {
+      down += worker.inUpkeep_ ? 1 : 0;
+    }
+    maxVmsDown_ = std::max(maxVmsDown_, down);
+  }
+  scheduler_->HandleUpkeep(aAction, outcome, now_);
+}
+
+void
+SchedulerDriver::Execute(const MoveVm& aAction)
+{
+  movedVms_.push_back(aAction.vm_);
+  moveTimes_.push_back(now_);
+  if (!carriesOutMoves_) {
+    scheduler_->HandleMove(aAction, moveOutcome_, now_);
+    return;
+  }
+  const auto id = WorkerIdOf(aAction.vm_);
+  if (pools_.at(id) == aAction.pool_) {
+    scheduler_->HandleMove(aAction, VmOutcome::Begun, now_);
+    return;
+  }
+  const auto [outcome, isCarriedOut] =
+    DrawPlatformAnswer(workers_.at(id), VmOutcome::Begun);
+  if (isCarriedOut) {
+    Crash(id);
+    pools_[id] = aAction.pool_;
+    unavailableUntil_[id] = now_ + kMoveTime;
+  }
+  scheduler_->HandleMove(aAction, outcome, now_);
+}
+
+} // namespace acaciahill::test
--- a/packages/workload/test/scheduler_driver_worker.cpp
+++ b/packages/workload/test/scheduler_driver_worker.cpp
@@ -26,8 +26,11 @@
       unavailableUntil_.erase(until);
       const bool hasRestarted = !worker.up_;
       worker.isPartitioned_ = false;
-      worker.up_ = true;
       worker.inUpkeep_ = false;
+      worker.up_ = pools_.at(id) != detail::kOffPool;
+      if (!worker.up_) {
+        continue;
+      }
       if (hasRestarted && faults_.slowRestartPermille_ > 0 &&
           OccursWith(faults_.slowRestartPermille_)) {
         worker.answersFrom_ = now_ + kSlowRestartTime;
--- /dev/null
+++ b/packages/workload/test/waiting_model_test.cpp
@@ -0,0 +1,186 @@
+#include "workload/test/scheduler_jobs.h"
+
+#include "workload/workload_text_func.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <array>
+
+using namespace acaciahill;
+using namespace acaciahill::test;
+
+namespace {
+
+// The platform's rule on long-running tasks: from 6 s after its last run on, a
+// task must not wait for 3 s beside room for two of it, when those 3 s and the
+// 4 s before them had no fault.
+constexpr Millis kTimeToRunAgain{ 6000 };
+constexpr Millis kTimeWithRoom{ 3000 };
+constexpr Millis kCalmTime{ 7000 };
+constexpr Millis kCheckInterval{ 50 };
+
+/// Finds long-running tasks that wait though there is room.
+class WaitChecker
+{
+public:
+  WaitChecker(SchedulerDriver& aDriver, std::vector<JobSpec> aJobs)
+    : driver_(aDriver)
+    , jobs_(std::move(aJobs))
+  {
+  }
+
+  void NoteFault() { calmSince_ = driver_.Now(); }
+
+  void RunFor(Millis aTime)
+  {
+    for (Millis ran{ 0 }; ran < aTime; ran += kCheckInterval) {
+      driver_.RunFor(kCheckInterval);
+      for (const auto& job : jobs_) {
+        for (std::uint32_t index = 0; index < job.steps_[0].tasks_; ++index) {
+          Check({ job.id_, 0, 0, index }, job.steps_[0]);
+        }
+      }
+    }
+  }
+
+  const std::vector<std::string>& Found() const { return found_; }
+
+private:
+  struct Wait
+  {
+    MonotonicTime lastRunAt_{};
+    MonotonicTime noRoomAt_{};
+  };
+
+  void Check(const TaskKey& aTask, const StepSpec& aStep)
+  {
+    auto& wait = waits_[aTask];
+    const auto now = driver_.Now();
+    const auto& workers = driver_.Workers();
+    const bool runs =
+      std::any_of(workers.begin(), workers.end(), [&](const auto& aEntry) {
+        return aEntry.second.up_ && aEntry.second.runs_.contains(aTask);
+      });
+    if (runs) {
+      wait.lastRunAt_ = now;
+    }
+    if (CountPlaces(aTask, aStep) < 2) {
+      wait.noRoomAt_ = now;
+    }
+    if (now - wait.lastRunAt_ >= kTimeToRunAgain &&
+        now - wait.noRoomAt_ >= kTimeWithRoom &&
+        now - calmSince_ >= kCalmTime) {
+      found_.push_back(TaskText(aTask) + " waits with room at " +
+                       std::to_string(now.time_since_epoch().count()));
+    }
+  }
+
+  std::size_t CountPlaces(const TaskKey& aTask, const StepSpec& aStep) const
+  {
+    std::size_t places = 0;
+    for (const auto& [id, worker] : driver_.Workers()) {
+      if (!worker.up_ || worker.isPartitioned_ || worker.draining_ ||
+          driver_.PoolOf(id) != "p") {
+        continue;
+      }
+      TaskNeed left{ detail::kWorkerMilliCores, detail::kWorkerMemoryMb, 0 };
+      std::uint32_t peers = 0;
+      for (const auto& [task, run] : worker.runs_) {
+        left = Difference(left, { run.milliCores_, run.memoryMb_, 0 });
+        peers += IsSameStep(task, aTask) ? 1 : 0;
+      }
+      places += Fits(aStep.need_, left) && peers < aStep.maxPerWorker_ ? 1 : 0;
+    }
+    return places;
+  }
+
+  SchedulerDriver& driver_;
+  std::vector<JobSpec> jobs_;
+  std::map<TaskKey, Wait> waits_;
+  MonotonicTime calmSince_{};
+  std::vector<std::string> found_;
+};
+
+JobSpec
+LongRunning(JobId aId,
+            std::uint32_t aTasks,
+            const TaskNeed& aNeed,
+            std::uint32_t aMaxPerWorker)
+{
+  auto spec = LongRunningJob(aId, aTasks);
+  spec.steps_[0].need_ = aNeed;
+  spec.steps_[0].maxPerWorker_ = aMaxPerWorker;
+  return spec;
+}
+
+} // namespace
+
+// Load: long-running tasks of several sizes beside bursts of short jobs in two
+// pools that exchange VMs. Faults: crashes, partitions, planned restarts and
+// changes of the leader in phases; waves and a platform that refuses or does
+// not answer a part of its calls all the time. Guards against long-running
+// tasks that wait though there is room (LOST, issue 39).
+TEST_CASE("long-running tasks do not wait beside room in calm phases")
+{
+  for (std::uint32_t seed = 570; seed <= 609; ++seed) {
+    CAPTURE(seed);
+    SchedulerDriver driver(seed, {});
+    EnableVmMoves(driver);
+    auto config = OnePool();
+    config.pools_["off"] = { "off", false, true };
+    config.pools_["q"] = { "q", false, false };
+    config.queues_["h/r/"] = { "h/r/", "r", "q", 0, 50, 1.6, 600, 3000 };
+    driver.SetConfig(config);
+    driver.carriesOutMoves_ = true;
+    for (int worker = 0; worker < 16; ++worker) {
+      driver.AddWorker("w" + std::to_string(worker),
+                       worker % 2 == 0 ? "p" : "q");
+    }
+    driver.RunFor(Millis(1000));
+    const std::vector<JobSpec> lasting{
+      LongRunning(1, 7, { 500, 1000, 0 }, 1),
+      LongRunning(2, 3, { 1500, 2500, 0 }, 1),
+      LongRunning(3, 6, { 500, 300, 0 }, 2),
+    };
+    for (const auto& job : lasting) {
+      driver.Submit(job);
+    }
+    WaitChecker checker(driver, lasting);
+    constexpr std::array<int, 4> kPlatformFaults{ 0, 300, 700, 1000 };
+    JobId next = 100;
+    for (std::uint64_t round = 1; round <= 4; ++round) {
+      UpkeepWave wave;
+      wave.id_ = round;
+      wave.cap_ = 1 + static_cast<std::int64_t>(seed % 3);
+      wave.dueAtMs_ = 8000 + 4000 * (seed % 4);
+      for (int worker = static_cast<int>(round) - 1; worker < 16; worker += 2) {
+        wave.pendingVms_.push_back("vm-w" + std::to_string(worker));
+      }
+      driver.StartWave(wave);
+      SchedulerDriver::FaultRates faults;
+      faults.workerCrashPermille_ = 3;
+      faults.workerPartitionPermille_ = 1;
+      faults.leaderChangePermille_ = 2;
+      faults.plannedRestartPermille_ = 3;
+      // Seconds: 8 with faults, of which a partition lasts for 9 s at most.
+      for (int second = 0; second < 36; ++second) {
+        driver.SetFaults(second < 8 ? faults : SchedulerDriver::FaultRates{});
+        driver.platformFaultPermille_ =
+          second < 5 ? 0 : kPlatformFaults.at(seed % kPlatformFaults.size());
+        if (second < 18) {
+          checker.NoteFault();
+        }
+        const bool isTurnOfP = (second / 5) % 2 == 0;
+        for (int job = 0; job < 12; ++job) {
+          auto spec = OneStepJob(next++);
+          spec.queue_ = isTurnOfP ? "h/q/" : "h/r/";
+          driver.Submit(spec);
+        }
+        checker.RunFor(Millis(1000));
+      }
+    }
+    CHECK(checker.Found() == std::vector<std::string>{});
+    CHECK(driver.Seen() == Violations{});
+  }
+}
