--- a/packages/workload/scheduler_upkeep.cpp
+++ b/packages/workload/scheduler_upkeep.cpp
@@ -221,20 +221,18 @@
 bool
 Scheduler::CanBeEmptiedAtOnce(const WorkerView& aView) const
 {
-  return std::all_of(
-    aView.runs_.begin(), aView.runs_.end(), [&](const auto& aEntry) {
-      const auto& [task, run] = aEntry;
-      if (run.stopRequested_) {
-        return true;
-      }
-      const auto here = std::count_if(
-        aView.runs_.begin(), aView.runs_.end(), [&](auto& aOther) {
-          return IsSameStep(aOther.first, task) &&
-                 !aOther.second.stopRequested_;
-        });
-      return run.isLongRunning_ && run.phase_ == RunPhase::Running &&
-             CountUnavailablePeers(task) + here <= AbsenceBudgetOf(task);
-    });
+  const auto mayStop = [&](const auto& aEntry) {
+    const TaskKey& task = aEntry.first;
+    const RunView& run = aEntry.second;
+    const auto here = std::count_if(
+      aView.runs_.begin(), aView.runs_.end(), [&task](const auto& aOther) {
+        return IsSameStep(aOther.first, task) && !aOther.second.stopRequested_;
+      });
+    return run.stopRequested_ ||
+           (run.isLongRunning_ && run.phase_ == RunPhase::Running &&
+            CountUnavailablePeers(task) + here <= AbsenceBudgetOf(task));
+  };
+  return std::all_of(aView.runs_.begin(), aView.runs_.end(), mayStop);
 }
 
 void
--- a/packages/workload/test/waiting_model_test.cpp
+++ b/packages/workload/test/waiting_model_test.cpp
@@ -180,7 +180,7 @@
         checker.RunFor(Millis(1000));
       }
     }
-    CHECK(checker.Found() == std::vector<std::string>{});
-    CHECK(driver.Seen() == Violations{});
+    CHECK_THAT(checker.Found(), Catch::Equals(std::vector<std::string>{}));
+    CHECK_THAT(driver.Seen(), Catch::Equals(Violations{}));
   }
 }
