Fix: a VM that is being emptied is not given back for a waiting task

Change: no VM is given back whose tasks are being stopped; idle time begins anew with each end of a run; one VM of a pool is given back before the next placement, looked for once for each step and only while some worker is being emptied; a worker must have answered since the last unanswered order, as its VM may be gone. A refused call of the platform (429) does not keep further VMs from being emptied, only a missing answer does.

--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -403,7 +403,7 @@
   void AdvanceWaves(MonotonicTime aNow);
   void AdvanceWave(const UpkeepWave& aWave, MonotonicTime aNow);
   std::size_t CountVmsDown(const UpkeepWave& aWave) const;
-  /// The platform put off an order of upkeep a short time ago.
+  /// The platform did not answer an order of upkeep a short time ago.
   bool IsUpkeepUnavailable(MonotonicTime aNow) const;
   std::vector<std::string> CandidatesOf(const UpkeepWave& aWave,
                                         MonotonicTime aNow) const;
@@ -424,14 +424,20 @@
   // scheduler_evacuation.cpp: the end of evacuations.
   /// An upkeep or a move of the VM may come, or may have been carried out.
   bool IsOrderExpected(const std::string& aVm) const;
-  /// The platform has not answered an order for the VM yet.
-  bool IsOrderInFlight(const std::string& aVm) const;
+  /// An order for the VM has no answer yet, or got none and its worker has not
+  /// been heard of since.
+  bool MayBeGone(const std::string& aVm, const WorkerView& aView) const;
   /// Ends the evacuations whose order does not come or takes too long, and
   /// those of workers that a long-running task waits for.
   void EndEvacuations(MonotonicTime aNow);
+  void GiveBackForWaitingTasks(const std::vector<std::uint32_t>& aEvacuating,
+                               MonotonicTime aNow);
   /// A worker with a place for the task but for its evacuation; 0 without one.
-  std::uint32_t FindEvacuatingWorkerFor(const TaskKey& aTask,
-                                        MonotonicTime aNow) const;
+  std::uint32_t FindEvacuatingWorkerFor(
+    const TaskKey& aTask,
+    const std::string& aPool,
+    const std::vector<std::uint32_t>& aEvacuating,
+    MonotonicTime aNow) const;
   /// Also puts off further orders for the VM.
   void EndEvacuation(std::uint32_t aWorker,
                      std::string_view aReason,
@@ -478,9 +484,9 @@
   std::map<std::string, PendingMove> moves_;
   /// VMs that waves may take down next; their workers are emptied.
   std::set<std::string> upkeepCandidates_;
-  /// When the platform last refused or did not answer an order of upkeep;
-  /// nothing once it has carried out or decided one.
-  std::optional<MonotonicTime> upkeepPutOffAt_;
+  /// When the platform did not answer an order of upkeep; nothing once it has
+  /// answered a later one.
+  std::optional<MonotonicTime> upkeepUnansweredAt_;
   VmCallBudget vmCalls_;
   MonotonicTime demandsLoggedAt_{};
   DemandMeter demand_;
--- a/packages/workload/scheduler_evacuation.cpp
+++ b/packages/workload/scheduler_evacuation.cpp
@@ -13,8 +13,9 @@
 
 namespace {
 
-// A worker without short tasks waits this long for its order: the VM before it
-// in the wave is down for 2 s, and its return is seen in the next list.
+// A worker that no task leaves any more waits this long for its order: the VM
+// before it in the wave is down for 2 s, and its return is seen in the next
+// list.
 constexpr Millis kMaxIdleEvacuation{ 4000 };
 // A long-running task without another place waits this long for a worker that
 // is being emptied: an order that is sent again may still take the VM down.
@@ -34,20 +35,27 @@
 }
 
 bool
-Scheduler::IsOrderInFlight(const std::string& aVm) const
+Scheduler::MayBeGone(const std::string& aVm, const WorkerView& aView) const
 {
-  const auto vm = vms_.find(aVm);
+  if (const auto vm = vms_.find(aVm); vm != vms_.end()) {
+    const auto& order = vm->second;
+    if (order.orderInFlight_ ||
+        (order.isDown_ && aView.lastContactAt_ <= order.downSince_)) {
+      return true;
+    }
+  }
   const auto move = moves_.find(aVm);
-  return (vm != vms_.end() && vm->second.orderInFlight_) ||
-         (move != moves_.end() && move->second.isInFlight_);
+  return move != moves_.end() &&
+         (move->second.isInFlight_ ||
+          aView.lastContactAt_ <= move->second.requestedAt_);
 }
 
 void
 Scheduler::EndEvacuations(MonotonicTime aNow)
 {
+  std::vector<std::uint32_t> evacuating;
   for (auto& [number, view] : views_) {
     if (!view.evacuating_) {
-      view.idleSince_.reset();
       continue;
     }
     const bool isIdle =
@@ -60,58 +68,86 @@
     if (!IsOrderExpected(vm)) {
       EndEvacuation(number, "no order is expected", aNow);
     } else if (isIdle && aNow - *view.idleSince_ >= kMaxIdleEvacuation &&
-               !IsOrderInFlight(vm)) {
+               !MayBeGone(vm, view)) {
       EndEvacuation(number, "its order does not come", aNow);
+    } else {
+      evacuating.push_back(number);
     }
   }
-  std::optional<TaskKey> last;
+  if (!evacuating.empty()) {
+    GiveBackForWaitingTasks(evacuating, aNow);
+  }
+}
+
+// A worker that is given back may have room for further tasks: only one of a
+// pool is given back before the next placement.
+void
+Scheduler::GiveBackForWaitingTasks(
+  const std::vector<std::uint32_t>& aEvacuating,
+  MonotonicTime aNow)
+{
+  std::optional<TaskKey> tried;
+  std::set<std::string> served;
   for (const auto& [task, since] : waitingSince_) {
-    // One worker at a time for each step.
-    if ((last && IsSameStep(*last, task)) ||
+    if ((tried && IsSameStep(*tried, task)) ||
         aNow - since < kMaxWaitBesideEvacuation) {
       continue;
     }
-    if (const auto worker = FindEvacuatingWorkerFor(task, aNow); worker != 0) {
+    tried = task;
+    const auto* job = state_.FindJob(task.job_);
+    const auto* entry = state_.FindTask(task);
+    const auto queue = job == nullptr ? config_.queues_.end()
+                                      : config_.queues_.find(job->spec_.queue_);
+    if (queue == config_.queues_.end() || IsOver(job->phase_) ||
+        entry == nullptr || entry->state_ != TaskState::Waiting ||
+        served.contains(queue->second.pool_)) {
+      continue;
+    }
+    const auto worker =
+      FindEvacuatingWorkerFor(task, queue->second.pool_, aEvacuating, aNow);
+    if (worker != 0) {
       EndEvacuation(worker, "a long-running task has no other place", aNow);
-      last = task;
+      served.insert(queue->second.pool_);
     }
   }
 }
 
 std::uint32_t
-Scheduler::FindEvacuatingWorkerFor(const TaskKey& aTask,
-                                   MonotonicTime aNow) const
+Scheduler::FindEvacuatingWorkerFor(
+  const TaskKey& aTask,
+  const std::string& aPool,
+  const std::vector<std::uint32_t>& aEvacuating,
+  MonotonicTime aNow) const
 {
-  const auto* job = state_.FindJob(aTask.job_);
-  const auto* task = state_.FindTask(aTask);
-  if (task == nullptr || task->state_ != TaskState::Waiting ||
-      IsOver(job->phase_)) {
-    return 0;
-  }
-  const auto queue = config_.queues_.find(job->spec_.queue_);
-  if (queue == config_.queues_.end()) {
-    return 0;
-  }
+  const auto& job = *state_.FindJob(aTask.job_);
+  const auto& step = job.spec_.steps_[aTask.step_];
   const auto peers = CountTasksByWorker(
-    job->occurrences_.at(aTask.occurrence_).steps_[aTask.step_]);
+    job.occurrences_.at(aTask.occurrence_).steps_[aTask.step_]);
+  const auto hasPlace = [&](std::uint32_t aNumber) {
+    const auto& view = views_.at(aNumber);
+    const auto& worker = *state_.FindWorker(aNumber);
+    // Tasks that are being stopped leave for an order that follows at once.
+    const bool isLeft =
+      std::any_of(view.runs_.begin(), view.runs_.end(), [](const auto& aEntry) {
+        return aEntry.second.stopRequested_;
+      });
+    if (worker.pool_ != aPool || isLeft || !view.evacuating_ ||
+        !view.confirmed_ || aNow < view.avoidUntil_ ||
+        ObstacleOfWorker(worker, view, aNow) != PlacementObstacle::Evacuating ||
+        MayBeGone(worker.vm_, view)) {
+      return false;
+    }
+    const auto onWorker = peers.find(aNumber);
+    return ObstacleOfStep(step,
+                          worker,
+                          view,
+                          Difference(worker.capacity_, view.used_),
+                          onWorker == peers.end() ? 0 : onWorker->second) ==
+           PlacementObstacle::None;
+  };
   const auto found =
-    std::find_if(views_.begin(), views_.end(), [&](const auto& aEntry) {
-      const auto& [number, view] = aEntry;
-      const auto& worker = *state_.FindWorker(number);
-      const auto onWorker = peers.find(number);
-      return ObstacleOfWorker(worker, view, aNow) ==
-               PlacementObstacle::Evacuating &&
-             view.confirmed_ && aNow >= view.avoidUntil_ &&
-             worker.pool_ == queue->second.pool_ &&
-             ObstacleOfStep(job->spec_.steps_[aTask.step_],
-                            worker,
-                            view,
-                            Difference(worker.capacity_, view.used_),
-                            onWorker == peers.end() ? 0 : onWorker->second) ==
-               PlacementObstacle::None &&
-             !IsOrderInFlight(worker.vm_);
-    });
-  return found == views_.end() ? 0 : found->first;
+    std::find_if(aEvacuating.begin(), aEvacuating.end(), hasPlace);
+  return found == aEvacuating.end() ? 0 : *found;
 }
 
 // An order without an answer may still be carried out and end the tasks that
--- a/packages/workload/scheduler_run.cpp
+++ b/packages/workload/scheduler_run.cpp
@@ -61,6 +61,7 @@
   const bool lasts = run->isLongRunning_;
   const bool isEviction = run->isEviction_;
   view.runs_.erase(aTask);
+  view.idleSince_.reset();
 
   const auto* job = state_.FindJob(aTask.job_);
   const auto phaseBefore = job->phase_;
--- a/packages/workload/scheduler_upkeep.cpp
+++ b/packages/workload/scheduler_upkeep.cpp
@@ -16,7 +16,7 @@
 constexpr Millis kListInterval{ 1500 };
 // An order to the platform without an answer is sent again after this time.
 constexpr Millis kUpkeepRetry{ 1500 };
-// No further VM is emptied for this time after the platform has put off an
+// No further VM is emptied for this time after the platform has not answered an
 // order; those that are emptied already are ordered again meanwhile.
 constexpr Millis kUpkeepUnavailable{ 3000 };
 // A VM that is listed as up this long after its order has completed
@@ -305,9 +305,8 @@
   }
   auto& view = found->second;
   view.orderInFlight_ = false;
-  const bool isPutOff =
-    aOutcome == VmOutcome::NoAnswer || aOutcome == VmOutcome::NotNow;
-  upkeepPutOffAt_ = isPutOff ? std::optional(aNow) : std::nullopt;
+  upkeepUnansweredAt_ =
+    aOutcome == VmOutcome::NoAnswer ? std::optional(aNow) : std::nullopt;
   LogInfo("VM maintenance order answered",
           { { "wave", aOrder.wave_ },
             { "vm", aOrder.vm_ },
@@ -347,7 +346,8 @@
 bool
 Scheduler::IsUpkeepUnavailable(MonotonicTime aNow) const
 {
-  return upkeepPutOffAt_ && aNow - *upkeepPutOffAt_ < kUpkeepUnavailable;
+  return upkeepUnansweredAt_ &&
+         aNow - *upkeepUnansweredAt_ < kUpkeepUnavailable;
 }
 
 } // namespace acaciahill
--- /dev/null
+++ b/packages/workload/test/evacuation_test.cpp
@@ -0,0 +1,250 @@
+#include "workload/test/scheduler_jobs.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace acaciahill;
+using namespace acaciahill::test;
+
+// VMs that are emptied for a wave, and the long-running tasks that leave them.
+
+namespace {
+
+constexpr Millis kSample{ 50 };
+
+JobSpec
+LongRunning(JobId aId,
+            std::uint32_t aTasks,
+            const TaskNeed& aNeed,
+            std::uint32_t aMaxPerWorker)
+{
+  auto spec = LongRunningJob(aId, aTasks);
+  spec.steps_[0].need_ = aNeed;
+  spec.steps_[0].maxPerWorker_ = aMaxPerWorker;
+  return spec;
+}
+
+UpkeepWave
+Wave(std::uint64_t aId,
+     std::int64_t aCap,
+     std::uint64_t aDueInMs,
+     std::vector<std::string> aVms)
+{
+  UpkeepWave wave;
+  wave.id_ = aId;
+  wave.cap_ = aCap;
+  wave.dueAtMs_ = aDueInMs;
+  wave.pendingVms_ = std::move(aVms);
+  return wave;
+}
+
+/// A driver with workers in one pool, and VMs that may be moved.
+void
+SetUp(SchedulerDriver& aDriver, int aWorkers)
+{
+  EnableVmMoves(aDriver);
+  AddWorkers(aDriver, aWorkers);
+  aDriver.RunFor(Millis(500));
+}
+
+std::string
+WorkerOf(SchedulerDriver& aDriver, JobId aJob)
+{
+  for (const auto& [id, worker] : aDriver.Workers()) {
+    for (const auto& [task, run] : worker.runs_) {
+      if (task.job_ == aJob) {
+        return id;
+      }
+    }
+  }
+  return {};
+}
+
+std::string
+IdleWorker(SchedulerDriver& aDriver)
+{
+  for (const auto& [id, worker] : aDriver.Workers()) {
+    if (worker.runs_.empty()) {
+      return id;
+    }
+  }
+  return {};
+}
+
+/// Runs until a number of VMs was maintained, at most for aTime; the time that
+/// it took.
+Millis
+RunUntilMaintained(SchedulerDriver& aDriver, std::size_t aVms, Millis aTime)
+{
+  Millis ran{ 0 };
+  for (; ran < aTime && aDriver.maintainedVms_.size() < aVms; ran += kSample) {
+    aDriver.RunFor(kSample);
+  }
+  return ran;
+}
+
+/// Runs for a time; how long fewer than aTasks long-running tasks ran.
+Millis
+TimeWithTasksMissing(SchedulerDriver& aDriver, std::size_t aTasks, Millis aTime)
+{
+  Millis missing{ 0 };
+  for (Millis ran{ 0 }; ran < aTime; ran += kSample) {
+    aDriver.RunFor(kSample);
+    if (CountLongRunningTasks(aDriver) < aTasks) {
+      missing += kSample;
+    }
+  }
+  return missing;
+}
+
+// A task that is moved misses for its stop, the next list and its start.
+constexpr Millis kMoveOfTask{ 500 };
+
+} // namespace
+
+// Fault: stops that take time. Guards against tasks that are stopped for
+// nothing and a wave that does not complete: a VM whose tasks were being
+// stopped was given to a task that waited.
+TEST_CASE("a VM that is being emptied is not given to a waiting task")
+{
+  for (std::uint32_t seed = 1; seed <= 8; ++seed) {
+    CAPTURE(seed);
+    SchedulerDriver driver(seed, {});
+    driver.maxStopMs_ = 200;
+    SetUp(driver, 3);
+    for (JobId job = 1; job <= 9; ++job) {
+      driver.Submit(LongRunning(job, 1, { 500, 1900, 0 }, 1));
+      driver.RunFor(Millis(200));
+    }
+    driver.RunFor(Millis(3000));
+    driver.StartWave(Wave(4, 1, 1, { "vm-w0", "vm-w1", "vm-w2" }));
+    RunUntilMaintained(driver, 3, Millis(60000));
+    CHECK(driver.maintainedVms_.size() == 3);
+    CHECK(driver.Seen().empty());
+  }
+}
+
+// Load: tasks that are ready 3 s after their start, several of one step on each
+// VM. Guards against a wave that does not complete: while tasks left a VM one
+// after the other it counted as idle and was given back.
+TEST_CASE("a VM is emptied though its tasks leave one after the other")
+{
+  SchedulerDriver driver(7, {});
+  driver.readyAfter_ = Millis(3000);
+  SetUp(driver, 4);
+  driver.Submit(LongRunning(1, 9, { 500, 600, 0 }, 4));
+  driver.RunFor(Millis(5000));
+  const std::vector<std::string> vms{ "vm-w0", "vm-w1", "vm-w2", "vm-w3" };
+  driver.StartWave(Wave(4, 1, 90000, vms));
+  JobId next = 100;
+  for (int step = 0; step < 120 && driver.maintainedVms_.size() < 4; ++step) {
+    driver.Submit(OneStepJob(next++));
+    driver.RunFor(Millis(500));
+  }
+  CHECK(driver.maintainedVms_.size() == 4);
+  CHECK(driver.interruptedLongRuns_ == 0);
+}
+
+// Guards against two tasks that are stopped for one place, of which one waits.
+TEST_CASE("a place is found for each task that leaves a VM")
+{
+  SchedulerDriver driver(1, {});
+  SetUp(driver, 2);
+  for (JobId job = 1; job <= 3; ++job) {
+    driver.Submit(LongRunning(job, 1, { 500, 1800, 0 }, 1));
+    driver.RunFor(Millis(300));
+  }
+  const auto shared = WorkerOf(driver, 1);
+  REQUIRE(shared == WorkerOf(driver, 2));
+  REQUIRE(shared != WorkerOf(driver, 3));
+  driver.StartWave(Wave(4, 1, 60000, { "vm-" + shared }));
+  CHECK(TimeWithTasksMissing(driver, 3, Millis(10000)) <= kMoveOfTask);
+}
+
+// Load: short jobs that arrive while a task is being stopped. Guards against a
+// task whose place is taken meanwhile.
+TEST_CASE("the place of a task that is being stopped is kept for it")
+{
+  const auto delay = GENERATE(Millis(0), Millis(50), Millis(150));
+  CAPTURE(delay.count());
+  SchedulerDriver driver(3, {});
+  driver.maxStopMs_ = 200;
+  SetUp(driver, 3);
+  driver.Submit(LongRunning(1, 2, { 2000, 1800, 0 }, 1));
+  driver.RunFor(Millis(1000));
+  driver.StartWave(Wave(4, 1, 60000, { "vm-" + WorkerOf(driver, 1) }));
+  driver.RunFor(Millis(60) + delay);
+  for (JobId job = 100; job < 108; ++job) {
+    driver.runTimes_[job] = Millis(5000);
+    driver.Submit(OneStepJob(job));
+  }
+  CHECK(TimeWithTasksMissing(driver, 2, Millis(8000)) <= kMoveOfTask);
+}
+
+// Guards against a task that is stopped for a place on a VM that another wave
+// empties in the same tick, or that a wave empties while its own worker drains.
+TEST_CASE("a VM that any wave empties is no place for a task")
+{
+  const bool drains = GENERATE(false, true);
+  CAPTURE(drains);
+  SchedulerDriver driver(44, {});
+  SetUp(driver, 4);
+  driver.Submit(LongRunningJob(1, 3));
+  driver.RunFor(Millis(500));
+  const auto holder = WorkerOf(driver, 1);
+  const auto idle = IdleWorker(driver);
+  if (drains) {
+    driver.Drain(holder);
+  } else {
+    driver.StartWave(Wave(4, 1, 40000, { "vm-" + holder }));
+  }
+  driver.StartWave(Wave(5, 1, 40000, { "vm-" + idle }));
+  // A draining worker exits 2 s later, before the other VM is back.
+  const auto time = drains ? Millis(1000) : Millis(10000);
+  CHECK(TimeWithTasksMissing(driver, 3, time) <= kMoveOfTask);
+}
+
+// Guards against several VMs that are given back where one has room for all
+// waiting tasks.
+TEST_CASE("waiting tasks of several steps share a VM that is given back")
+{
+  SchedulerDriver driver(3, {});
+  driver.moveOutcome_ = VmOutcome::NoAnswer;
+  driver.upkeepOutcome_ = VmOutcome::NotNow;
+  SetUp(driver, 6);
+  std::vector<std::string> vms;
+  for (const auto& [id, worker] : driver.Workers()) {
+    vms.push_back("vm-" + id);
+  }
+  driver.StartWave(Wave(4, 6, 1, vms));
+  driver.RunFor(Millis(100));
+  for (JobId job = 1; job <= 5; ++job) {
+    driver.Submit(LongRunning(job, 1, { 500, 500, 0 }, 1));
+  }
+  driver.RunFor(Millis(2500));
+  CHECK(CountLongRunningTasks(driver) == 5);
+  const auto& views = driver.Current().Views();
+  CHECK(std::count_if(views.begin(), views.end(), [](const auto& aEntry) {
+          return aEntry.second.evacuating_;
+        }) == 5);
+}
+
+// Guards against a pool that asks for no VM as it has an idle worker that is
+// too small for the waiting task.
+TEST_CASE("an idle worker that is too small does not stand for a VM")
+{
+  SchedulerDriver driver(41, {});
+  driver.spareVms_ = { { "s-1", "off", VmState::Up, "", "z" } };
+  driver.memoryMb_["w9"] = 1000;
+  SetUp(driver, 3);
+  driver.RunFor(Millis(3000));
+  driver.Submit(LongRunning(1, 3, { 500, 3500, 0 }, 1));
+  driver.RunFor(Millis(1000));
+  driver.AddWorker("w9", "p");
+  driver.RunFor(Millis(1000));
+  driver.Submit(LongRunning(2, 1, { 500, 3000, 0 }, 1));
+  driver.RunFor(Millis(2000));
+  CHECK(std::count(driver.movedVms_.begin(), driver.movedVms_.end(), "s-1") >
+        0);
+}
--- a/packages/workload/test/scheduler_driver.h
+++ b/packages/workload/test/scheduler_driver.h
@@ -38,6 +38,7 @@
     bool gang_ = false;
     bool isGangComplete_ = false;
     MonotonicTime startedAt_{};
+    bool isStopping_ = false;
     std::int64_t milliCores_ = 0;
     std::int64_t memoryMb_ = 0;
   };
@@ -144,6 +145,11 @@
   VmOutcome moveOutcome_ = VmOutcome::Busy;
   VmOutcome upkeepOutcome_ = VmOutcome::Begun;
   std::size_t upkeepOrders_ = 0;
+  /// Time until a long-running task is ready, and maximum time of a stop.
+  Millis readyAfter_{ 0 };
+  int maxStopMs_ = 0;
+  /// Memory of workers by id, in MB, if it is not the usual one.
+  std::map<std::string, std::int64_t> memoryMb_;
   /// Moves are carried out: the VM's worker ends and registers in the new pool
   /// 1.5 s later, and not in the pool "off". Then moveOutcome_ is not used.
   bool carriesOutMoves_ = false;
--- a/packages/workload/worker_view_type.h
+++ b/packages/workload/worker_view_type.h
@@ -87,8 +87,8 @@
   /// The worker is being emptied for maintenance or a move: it gets no new
   /// tasks, and its tasks are moved off.
   bool evacuating_ = false;
-  /// Since when an evacuating worker has had no short tasks; nothing while it
-  /// has some.
+  /// Since when an evacuating worker has had no short tasks and no task has
+  /// left it; nothing before.
   std::optional<MonotonicTime> idleSince_;
   /// Runs that failed since the last successful one.
   int failuresInRow_ = 0;
