Fix: the place of a long-running task is kept for it while it is stopped to move

Cause: a task was stopped as another worker had room, but nothing kept that room: it counted for two tasks, short jobs took it during the stop, the pool's surplus took the VM, and another wave or a wave beside a draining worker emptied the VM in the same tick. Evidence (evacuation_test, failed before): "a place is found for each task that leaves a VM" (a task missing for 3.05 s), "the place of a task that is being stopped is kept for it" (3.05 s), "a VM that any wave empties is no place for a task" (3.1 s; 1.0 s beside draining). Change: a run that is stopped to move names its destination, whose room is taken out of the usable workers until the run has ended; such a VM is not idle for moves. The candidates of all waves are emptied before places are looked for, also for draining workers. A worker that still has long-running tasks is given back after 10 s without progress, an empty one after 4 s: tasks that take seconds to be ready left one VM too slowly for 4 s. Measured: the three tests pass, also "a VM is emptied though its tasks leave one after the other", which failed with 4 s.

--- a/packages/workload/scheduler.cpp
+++ b/packages/workload/scheduler.cpp
@@ -268,8 +268,10 @@
   ExpireLeases(aNow);
   BeginDueOccurrences(aWallMs, aNow);
   ForgetEndedJobs(aNow);
-  EvacuateDrainingWorkers(aNow);
+  // Waves first: a VM that they empty is no place for tasks of draining
+  // workers.
   AdvanceWaves(aNow);
+  EvacuateDrainingWorkers(aNow);
   BalancePools(aNow);
   EndEvacuations(aNow);
   SaveLearnedLoad(aNow);
--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -256,10 +256,11 @@
   std::uint32_t AbsenceBudgetOf(const TaskKey& aTask) const;
   /// Moving the task off keeps its step within the absence budget.
   bool IsEvictionWithinBudget(const TaskKey& aTask) const;
-  /// Another worker of the pool has room for the task now.
-  bool FitsOnOtherWorker(const TaskKey& aTask,
-                         std::uint32_t aWorker,
-                         const UsableByPool& aUsable) const;
+  /// Another worker of the pool that has room for the task now, which is then
+  /// taken out of aUsable; 0 without one.
+  std::uint32_t FindDestination(const TaskKey& aTask,
+                                std::uint32_t aWorker,
+                                UsableByPool& aUsable);
   /// Other tasks of the step that are not ready on a worker that answers.
   std::uint32_t CountUnavailablePeers(const TaskKey& aTask) const;
 
@@ -317,7 +318,10 @@
     const StepSpec& aStep,
     UsableWorkers& aWorkers,
     const std::map<std::uint32_t, std::uint32_t>& aTasksByWorker) const;
+  /// Their room without that of tasks which are being moved to them.
   UsableByPool FindUsableWorkers(MonotonicTime aNow) const;
+  /// Room that tasks will need which are being stopped to move, by worker.
+  std::map<std::uint32_t, TaskNeed> RoomOfMovingTasks() const;
   std::map<std::uint32_t, std::uint32_t> CountTasksByWorker(
     const std::vector<TaskEntry>& aTasks) const;
   void Assign(const TaskKey& aTask,
@@ -401,7 +405,10 @@
 
   // scheduler_upkeep.cpp: maintenance waves.
   void AdvanceWaves(MonotonicTime aNow);
-  void AdvanceWave(const UpkeepWave& aWave, MonotonicTime aNow);
+  void AdvanceWave(const UpkeepWave& aWave,
+                   const std::vector<std::string>& aCandidates,
+                   UsableByPool& aUsable,
+                   MonotonicTime aNow);
   std::size_t CountVmsDown(const UpkeepWave& aWave) const;
   /// The platform did not answer an order of upkeep a short time ago.
   bool IsUpkeepUnavailable(MonotonicTime aNow) const;
@@ -418,7 +425,7 @@
   /// Stops long-running tasks of the worker that another one has a place for,
   /// or all with aNeedsNoPlace, within their absence budgets.
   void EvictLongRunning(std::uint32_t aWorker,
-                        const UsableByPool& aUsable,
+                        UsableByPool& aUsable,
                         bool aNeedsNoPlace);
 
   // scheduler_evacuation.cpp: the end of evacuations.
--- a/packages/workload/scheduler_demand.cpp
+++ b/packages/workload/scheduler_demand.cpp
@@ -191,6 +191,7 @@
       load.keepsWorkers_ = !forecast_.HadTurn(name);
     }
   }
+  const auto destinations = RoomOfMovingTasks();
   for (const auto& [number, view] : views_) {
     const auto& worker = *state_.FindWorker(number);
     const auto load = loads.find(worker.pool_);
@@ -210,7 +211,8 @@
     }
     ++pool.supply_;
     pool.pinnedWorkers_ += HasLongRunningTask(view) ? 1 : 0;
-    if (view.runs_.empty() && view.confirmed_ && !worker.vm_.empty()) {
+    if (view.runs_.empty() && view.confirmed_ && !worker.vm_.empty() &&
+        !destinations.contains(number)) {
       pool.idleVms_.push_back(worker.vm_);
     }
   }
--- a/packages/workload/scheduler_evacuation.cpp
+++ b/packages/workload/scheduler_evacuation.cpp
@@ -13,10 +13,12 @@
 
 namespace {
 
-// A worker that no task leaves any more waits this long for its order: the VM
-// before it in the wave is down for 2 s, and its return is seen in the next
-// list.
+// An empty worker waits this long for its order: the VM before it in the wave
+// is down for 2 s, and its return is seen in the next list.
 constexpr Millis kMaxIdleEvacuation{ 4000 };
+// Long-running tasks may leave one after the other, each when the one before it
+// is ready elsewhere; a worker that none leaves for this time is not emptied.
+constexpr Millis kMaxStuckEvacuation{ 10000 };
 // A long-running task without another place waits this long for a worker that
 // is being emptied: an order that is sent again may still take the VM down.
 constexpr Millis kMaxWaitBesideEvacuation{ 2000 };
@@ -67,7 +69,10 @@
     const auto& vm = state_.FindWorker(number)->vm_;
     if (!IsOrderExpected(vm)) {
       EndEvacuation(number, "no order is expected", aNow);
-    } else if (isIdle && aNow - *view.idleSince_ >= kMaxIdleEvacuation &&
+    } else if (isIdle &&
+               aNow - *view.idleSince_ >= (view.runs_.empty()
+                                             ? kMaxIdleEvacuation
+                                             : kMaxStuckEvacuation) &&
                !MayBeGone(vm, view)) {
       EndEvacuation(number, "its order does not come", aNow);
     } else {
--- a/packages/workload/scheduler_place.cpp
+++ b/packages/workload/scheduler_place.cpp
@@ -170,9 +170,43 @@
         { Difference(worker.capacity_, view.used_), number, &worker, &view });
     }
   }
+  for (const auto& [number, room] : RoomOfMovingTasks()) {
+    const auto* worker = state_.FindWorker(number);
+    const auto pool =
+      worker == nullptr ? workers.end() : workers.find(worker->pool_);
+    if (pool == workers.end()) {
+      continue;
+    }
+    const auto usable = std::find_if(
+      pool->second.begin(), pool->second.end(), [&](const auto& aUsable) {
+        return aUsable.number_ == number;
+      });
+    if (usable != pool->second.end()) {
+      usable->left_ = Difference(usable->left_, room);
+    }
+  }
   return workers;
 }
 
+std::map<std::uint32_t, TaskNeed>
+Scheduler::RoomOfMovingTasks() const
+{
+  std::map<std::uint32_t, TaskNeed> rooms;
+  for (const auto number : unsettledWorkers_) {
+    const auto view = views_.find(number);
+    if (view == views_.end()) {
+      continue;
+    }
+    for (const auto& [task, run] : view->second.runs_) {
+      if (run.stopRequested_ && run.destination_ != 0) {
+        auto& room = rooms[run.destination_];
+        room = Sum(room, ReservedBy(run));
+      }
+    }
+  }
+  return rooms;
+}
+
 void
 Scheduler::PlaceWaitingTasks(MonotonicTime aNow)
 {
--- a/packages/workload/scheduler_run.cpp
+++ b/packages/workload/scheduler_run.cpp
@@ -336,6 +336,7 @@
             { "away", CountUnavailablePeers(aTask) } });
   aRun.stopRequested_ = false;
   aRun.isEviction_ = false;
+  aRun.destination_ = 0;
 }
 
 void
@@ -362,7 +363,7 @@
   if (!isAnyDraining) {
     return;
   }
-  const auto usable = FindUsableWorkers(aNow);
+  auto usable = FindUsableWorkers(aNow);
   for (auto& [number, view] : views_) {
     if (!view.leavesAt_) {
       continue;
@@ -374,9 +375,11 @@
         continue;
       }
       const auto& step = job->spec_.steps_[task.step_];
-      if (exitsSoon
-            ? run.isLongRunning_ || step.checkpoints_
-            : run.isLongRunning_ && FitsOnOtherWorker(task, number, usable)) {
+      if (run.isLongRunning_) {
+        run.destination_ = FindDestination(task, number, usable);
+      }
+      if (run.destination_ != 0 ||
+          (exitsSoon && (run.isLongRunning_ || step.checkpoints_))) {
         RequestStop(number, run, false);
       }
     }
@@ -424,24 +427,35 @@
   return CountUnavailablePeers(aTask) < AbsenceBudgetOf(aTask);
 }
 
-bool
-Scheduler::FitsOnOtherWorker(const TaskKey& aTask,
-                             std::uint32_t aWorker,
-                             const UsableByPool& aUsable) const
+std::uint32_t
+Scheduler::FindDestination(const TaskKey& aTask,
+                           std::uint32_t aWorker,
+                           UsableByPool& aUsable)
 {
   const auto& job = *state_.FindJob(aTask.job_);
+  const auto& step = job.spec_.steps_[aTask.step_];
   const auto& tasks =
     job.occurrences_.at(aTask.occurrence_).steps_[aTask.step_];
   const auto usable = aUsable.find(state_.FindWorker(aWorker)->pool_);
   if (usable == aUsable.end()) {
-    return false;
+    return 0;
+  }
+  auto peers = CountTasksByWorker(tasks);
+  for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+    const TaskKey peer{ aTask.job_, aTask.occurrence_, aTask.step_, index };
+    const auto* run = FindRun(tasks[index].worker_, peer, tasks[index].run_);
+    if (run != nullptr && run->stopRequested_ && run->destination_ != 0) {
+      ++peers[run->destination_];
+    }
+  }
+  // The task's own worker is drained or emptied, so that it is not usable.
+  auto* worker = ChooseWorker(step, usable->second, peers);
+  if (worker == nullptr) {
+    return 0;
   }
-  auto workers = usable->second;
-  std::erase_if(
-    workers, [aWorker](const auto& aEach) { return aEach.number_ == aWorker; });
-  return ChooseWorker(job.spec_.steps_[aTask.step_],
-                      workers,
-                      CountTasksByWorker(tasks)) != nullptr;
+  worker->left_ =
+    Difference(worker->left_, ReservedBy(step.need_, step.usesSpareCores_));
+  return worker->number_;
 }
 
 } // namespace acaciahill
--- a/packages/workload/scheduler_upkeep.cpp
+++ b/packages/workload/scheduler_upkeep.cpp
@@ -85,11 +85,19 @@
   if (!vmListKnown_) {
     return;
   }
+  std::vector<std::pair<std::uint64_t, std::vector<std::string>>> candidates;
   for (const auto& [id, wave] : state_.Waves()) {
     if (!wave.completed_) {
-      AdvanceWave(wave, aNow);
+      const auto cap = MaxVmsDownAtOnce(wave, LogicalNow(aNow));
+      candidates.emplace_back(
+        id, EmptyCandidatesOf(wave, cap + kMaxEvacuatedAhead, aNow));
     }
   }
+  // Workers that any wave empties now have no place for the tasks of others.
+  auto usable = FindUsableWorkers(aNow);
+  for (const auto& [id, vms] : candidates) {
+    AdvanceWave(state_.Waves().at(id), vms, usable, aNow);
+  }
 }
 
 void
@@ -237,37 +245,41 @@
 
 void
 Scheduler::EvictLongRunning(std::uint32_t aWorker,
-                            const UsableByPool& aUsable,
+                            UsableByPool& aUsable,
                             bool aNeedsNoPlace)
 {
   for (auto& [task, run] : views_.at(aWorker).runs_) {
-    if (run.isLongRunning_ && !run.stopRequested_ &&
-        run.phase_ == RunPhase::Running && IsEvictionWithinBudget(task) &&
-        (aNeedsNoPlace || FitsOnOtherWorker(task, aWorker, aUsable))) {
-      LogInfo("moving a task off a VM before maintenance",
-              { { "task", TaskText(task) },
-                { "run", run.run_ },
-                { "vm", state_.FindWorker(aWorker)->vm_ },
-                { "without_place", aNeedsNoPlace },
-                { "away", CountUnavailablePeers(task) } });
-      RequestStop(aWorker, run, true);
+    if (!run.isLongRunning_ || run.stopRequested_ ||
+        run.phase_ != RunPhase::Running || !IsEvictionWithinBudget(task)) {
+      continue;
+    }
+    run.destination_ = FindDestination(task, aWorker, aUsable);
+    if (run.destination_ == 0 && !aNeedsNoPlace) {
+      continue;
     }
+    const auto* destination = state_.FindWorker(run.destination_);
+    LogInfo("moving a task off a VM before maintenance",
+            { { "task", TaskText(task) },
+              { "run", run.run_ },
+              { "vm", state_.FindWorker(aWorker)->vm_ },
+              { "to_vm", destination == nullptr ? "" : destination->vm_ },
+              { "away", CountUnavailablePeers(task) } });
+    RequestStop(aWorker, run, true);
   }
 }
 
 void
-Scheduler::AdvanceWave(const UpkeepWave& aWave, MonotonicTime aNow)
+Scheduler::AdvanceWave(const UpkeepWave& aWave,
+                       const std::vector<std::string>& aCandidates,
+                       UsableByPool& aUsable,
+                       MonotonicTime aNow)
 {
   const auto cap = MaxVmsDownAtOnce(aWave, LogicalNow(aNow));
   // A wave past its planned end also takes down VMs whose tasks have no place
   // on another worker; only the absence budgets limit it then.
   const bool isLate = IsPastPlannedEnd(aWave, LogicalNow(aNow));
-  const auto candidates =
-    EmptyCandidatesOf(aWave, cap + kMaxEvacuatedAhead, aNow);
-  // Workers that are emptied now have no place for the tasks of the others.
-  const auto usable = FindUsableWorkers(aNow);
   auto down = CountVmsDown(aWave);
-  for (const auto& vm : candidates) {
+  for (const auto& vm : aCandidates) {
     auto& view = vms_.at(vm);
     const auto number = FindWorkerOfVm(vm);
     const auto* worker = FindView(number);
@@ -277,7 +289,7 @@
       const bool needsNoPlace = isLate && mayOrder &&
                                 !IsUpkeepUnavailable(aNow) &&
                                 CanBeEmptiedAtOnce(*worker);
-      EvictLongRunning(number, usable, needsNoPlace);
+      EvictLongRunning(number, aUsable, needsNoPlace);
     }
     if (!mayOrder || (worker != nullptr && !IsBeingEmptied(*worker))) {
       continue;
--- a/packages/workload/worker_view_type.h
+++ b/packages/workload/worker_view_type.h
@@ -40,6 +40,9 @@
   /// The stop moves a long-running task to another worker. It is withdrawn when
   /// it would exceed the absence budget of the step by the time it is sent.
   bool isEviction_ = false;
+  /// Number of the worker whose room is kept for the task while this run is
+  /// being stopped; 0 for none.
+  std::uint32_t destination_ = 0;
   bool stopInFlight_ = false;
   MonotonicTime stopSentAt_{};
   /// Fence of the start order; 0 when a former leader sent the order.
