Fix: an idle worker that is too small does not keep a pool from asking for a VM

Cause: idle workers that none of the tasks would get were taken off the pool's need, also when the tasks need further VMs. Change: they are taken off only when all tasks have a place.

--- a/packages/workload/scheduler_room.cpp
+++ b/packages/workload/scheduler_room.cpp
@@ -186,7 +186,9 @@
       placeOn(workers.back());
     }
   }
-  return aSupply - unused.size() + (workers.size() - present);
+  // An idle worker that suits none of the tasks does not stand for a VM.
+  const auto missing = workers.size() - present;
+  return missing > 0 ? aSupply + missing : aSupply - unused.size();
 }
 
 // Long-running tasks may leave cores free on each worker but too little memory
