Fix: the kept place of a moving task is not emptied by a later wave

Change: a wave does not begin to empty a destination; a tick places first. Room is not kept for jobs that are over.

--- a/packages/workload/scheduler.cpp
+++ b/packages/workload/scheduler.cpp
@@ -268,6 +268,8 @@
   ExpireLeases(aNow);
   BeginDueOccurrences(aWallMs, aNow);
   ForgetEndedJobs(aNow);
+  // A task whose run has ended gets its place before the VM there is emptied.
+  PlaceIfDue(aNow);
   // Waves first: a VM that they empty is no place for tasks of draining
   // workers.
   AdvanceWaves(aNow);
@@ -372,18 +374,30 @@
   return aNow - authorityAt_ <= settings_.authority_;
 }
 
-std::vector<SchedulerAction>
-Scheduler::TakeActions(MonotonicTime aNow)
+bool
+Scheduler::MayAct(MonotonicTime aNow) const
 {
   // Once the authority has expired, another leader may be elected, which
   // assumes that this one granted all its leases before.
-  if (!HasAuthority(aNow) || doubtedAt_) {
-    return {};
-  }
-  if (placementDue_) {
+  return HasAuthority(aNow) && !doubtedAt_;
+}
+
+void
+Scheduler::PlaceIfDue(MonotonicTime aNow)
+{
+  if (placementDue_ && MayAct(aNow)) {
     placementDue_ = false;
     PlaceWaitingTasks(aNow);
   }
+}
+
+std::vector<SchedulerAction>
+Scheduler::TakeActions(MonotonicTime aNow)
+{
+  if (!MayAct(aNow)) {
+    return {};
+  }
+  PlaceIfDue(aNow);
   PruneUnsettledWorkers();
   SendRequestedStops(aNow);
   RenewDueLeases(aNow);
--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -155,6 +155,10 @@
   void FlushBatch(MonotonicTime aNow);
   std::uint64_t LogicalNow(MonotonicTime aNow) const;
   bool HasAuthority(MonotonicTime aNow) const;
+  /// This leader may place tasks and send orders now.
+  bool MayAct(MonotonicTime aNow) const;
+  /// Places waiting tasks if something has changed since the last time.
+  void PlaceIfDue(MonotonicTime aNow);
   /// Suspends this leader after an order was refused for an unexplained fence.
   void DoubtAuthority(const std::string& aRefusedBy, MonotonicTime aNow);
   void TrackRecurringJob(const JobSpec& aSpec);
--- a/packages/workload/scheduler_place.cpp
+++ b/packages/workload/scheduler_place.cpp
@@ -198,7 +198,8 @@
       continue;
     }
     for (const auto& [task, run] : view->second.runs_) {
-      if (run.stopRequested_ && run.destination_ != 0) {
+      if (run.stopRequested_ && run.destination_ != 0 &&
+          !IsOver(state_.FindJob(task.job_)->phase_)) {
         auto& room = rooms[run.destination_];
         room = Sum(room, ReservedBy(run));
       }
--- a/packages/workload/scheduler_upkeep.cpp
+++ b/packages/workload/scheduler_upkeep.cpp
@@ -198,12 +198,14 @@
 {
   auto candidates = CandidatesOf(aWave, aNow);
   candidates.resize(std::min(candidates.size(), aMost));
+  const auto destinations = RoomOfMovingTasks();
   std::erase_if(candidates, [&](const auto& aVm) {
-    auto* worker = FindView(FindWorkerOfVm(aVm));
+    const auto number = FindWorkerOfVm(aVm);
+    auto* worker = FindView(number);
     if (worker == nullptr || worker->evacuating_) {
       return false;
     }
-    if (IsUpkeepUnavailable(aNow)) {
+    if (IsUpkeepUnavailable(aNow) || destinations.contains(number)) {
       return true;
     }
     LogInfo("emptying a VM for maintenance",
--- a/packages/workload/test/evacuation_test.cpp
+++ b/packages/workload/test/evacuation_test.cpp
@@ -248,3 +248,81 @@
   CHECK(std::count(driver.movedVms_.begin(), driver.movedVms_.end(), "s-1") >
         0);
 }
+
+// Guards against a pool that draws all spare VMs for a task which is too large
+// for each of them.
+TEST_CASE(
+  "a pool does not ask for VMs without end for a task too large for them")
+{
+  SchedulerDriver driver(41, {});
+  driver.carriesOutMoves_ = true;
+  for (int vm = 10; vm < 22; ++vm) {
+    const auto id = "w" + std::to_string(vm);
+    driver.memoryMb_[id] = 1000;
+  }
+  SetUp(driver, 3);
+  for (int vm = 10; vm < 22; ++vm) {
+    driver.AddWorker("w" + std::to_string(vm), "off");
+  }
+  driver.RunFor(Millis(3000));
+  driver.Submit(LongRunning(1, 3, { 500, 3500, 0 }, 1));
+  driver.RunFor(Millis(1000));
+  driver.Submit(LongRunning(2, 1, { 500, 3000, 0 }, 1));
+  driver.RunFor(Millis(30000));
+  std::size_t inPool = 0;
+  for (const auto& [id, worker] : driver.Workers()) {
+    inPool += driver.PoolOf(id) == "p" ? 1 : 0;
+  }
+  CHECK(inPool > 3);
+  // Of the 12 spare VMs.
+  CHECK(inPool <= 3 + 6);
+}
+
+// Fault: stops that take time. Guards against a task whose kept place is on a
+// VM that a later wave empties.
+TEST_CASE("a later wave does not empty the VM that a task is moved to")
+{
+  for (std::uint32_t seed = 1; seed <= 10; ++seed) {
+    CAPTURE(seed);
+    SchedulerDriver driver(seed, {});
+    driver.maxStopMs_ = 400;
+    SetUp(driver, 3);
+    driver.Submit(LongRunning(1, 2, { 500, 3500, 0 }, 1));
+    driver.RunFor(Millis(1000));
+    const auto idle = IdleWorker(driver);
+    driver.StartWave(Wave(4, 1, 60000, { "vm-" + WorkerOf(driver, 1) }));
+    driver.RunFor(Millis(60));
+    driver.StartWave(Wave(5, 1, 60000, { "vm-" + idle }));
+    CHECK(TimeWithTasksMissing(driver, 2, Millis(10000)) <= kMoveOfTask);
+  }
+}
+
+// Guards against an evacuation that ends in the tick in which it begins: a
+// worker that had been idle before a refused move counted as idle since then.
+TEST_CASE("the idle time of an evacuation begins with it")
+{
+  SchedulerDriver driver(5, {});
+  SetUp(driver, 5);
+  driver.RunFor(Millis(3000));
+  // A pool without workers asks for the idle VMs for a second.
+  auto config = OnePool();
+  config.pools_["off"] = { "off", false, true };
+  auto asking = config;
+  asking.pools_["q"] = { "q", false, false };
+  driver.SetConfig(asking);
+  driver.RunFor(Millis(1000));
+  REQUIRE_FALSE(driver.movedVms_.empty());
+  driver.SetConfig(config);
+  driver.Submit(LongRunningJob(1, 5));
+  driver.RunFor(Millis(12000));
+  REQUIRE(CountLongRunningTasks(driver) == 5);
+  for (const auto& vm : std::set<std::string>(driver.movedVms_.begin(),
+                                              driver.movedVms_.end())) {
+    CAPTURE(vm);
+    const auto maintained = driver.maintainedVms_.size();
+    driver.StartWave(Wave(maintained + 4, 1, 1, { vm }));
+    CHECK(RunUntilMaintained(driver, maintained + 1, Millis(5000)) <=
+          Millis(1000));
+    driver.RunFor(Millis(5000));
+  }
+}
