Fix: the idle time of an evacuation begins with it

Evidence: evacuation_test, "the idle time of an evacuation begins with it". Change: idle time is forgotten while a worker is not emptied; no evacuation ends on time while a run is being stopped.

--- a/packages/workload/scheduler_evacuation.cpp
+++ b/packages/workload/scheduler_evacuation.cpp
@@ -25,6 +25,16 @@
 // Orders for a VM whose evacuation was ended are put off for this time.
 constexpr Millis kOrderPause{ 2000 };
 
+/// Some run of the worker is being stopped.
+bool
+IsBeingLeft(const WorkerView& aView)
+{
+  return std::any_of(
+    aView.runs_.begin(), aView.runs_.end(), [](const auto& aEntry) {
+      return aEntry.second.stopRequested_;
+    });
+}
+
 } // namespace
 
 bool
@@ -58,6 +68,7 @@
   std::vector<std::uint32_t> evacuating;
   for (auto& [number, view] : views_) {
     if (!view.evacuating_) {
+      view.idleSince_.reset();
       continue;
     }
     const bool isIdle =
@@ -73,7 +84,7 @@
                aNow - *view.idleSince_ >= (view.runs_.empty()
                                              ? kMaxIdleEvacuation
                                              : kMaxStuckEvacuation) &&
-               !MayBeGone(vm, view)) {
+               !IsBeingLeft(view) && !MayBeGone(vm, view)) {
       EndEvacuation(number, "its order does not come", aNow);
     } else {
       evacuating.push_back(number);
@@ -132,11 +143,7 @@
     const auto& view = views_.at(aNumber);
     const auto& worker = *state_.FindWorker(aNumber);
     // Tasks that are being stopped leave for an order that follows at once.
-    const bool isLeft =
-      std::any_of(view.runs_.begin(), view.runs_.end(), [](const auto& aEntry) {
-        return aEntry.second.stopRequested_;
-      });
-    if (worker.pool_ != aPool || isLeft || !view.evacuating_ ||
+    if (worker.pool_ != aPool || IsBeingLeft(view) || !view.evacuating_ ||
         !view.confirmed_ || aNow < view.avoidUntil_ ||
         ObstacleOfWorker(worker, view, aNow) != PlacementObstacle::Evacuating ||
         MayBeGone(worker.vm_, view)) {
