Fix: a pool does not draw all spare VMs for a task that none of them suits

Evidence: evacuation_test, "a pool does not ask for VMs without end for a task too large for them": all 12 spare VMs in the pool after 30 s. Change: with four idle workers that suit no waiting task the pool asks for one VM beyond them only.

--- a/packages/workload/scheduler_room.cpp
+++ b/packages/workload/scheduler_room.cpp
@@ -15,6 +15,8 @@
 // Workers that a pool asks for at once for tasks that find no room although
 // most cores are free. They are few: most of these tasks are large.
 constexpr std::size_t kMaxStrandedWorkers = 4;
+// Idle workers that suit no waiting long-running task, while VMs are asked for.
+constexpr std::size_t kMaxUnsuitedWorkers = 4;
 
 } // namespace
 
@@ -186,9 +188,12 @@
       placeOn(workers.back());
     }
   }
-  // An idle worker that suits none of the tasks does not stand for a VM.
+  // An idle worker that suits none of the tasks does not stand for a VM. Some
+  // of them are enough to tell that VMs of another size do not come.
   const auto missing = workers.size() - present;
-  return missing > 0 ? aSupply + missing : aSupply - unused.size();
+  const auto unsuited =
+    missing > 0 ? std::min(unused.size(), kMaxUnsuitedWorkers) : 0;
+  return aSupply - unused.size() + unsuited + missing;
 }
 
 // Long-running tasks may leave cores free on each worker but too little memory
