--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "workload/batch_effects_type.h"
 #include "workload/demand_meter_base.h"
 #include "workload/pool_balance_func.h"
 #include "workload/ready_step_type.h"
@@ -123,23 +124,6 @@
   static constexpr Millis kVmArrival{ 1700 };
 
 private:
-  /// An assignment whose start order waits for the commit.
-  struct PendingStart
-  {
-    TaskKey task_;
-    std::uint32_t run_ = 0;
-    std::uint32_t worker_ = 0;
-  };
-
-  /// Effects that wait for the commit of a batch.
-  struct BatchEffects
-  {
-    std::vector<AnswerRequest> answers_;
-    std::vector<PendingStart> starts_;
-    /// Highest processed end number by worker.
-    std::map<std::uint32_t, std::uint64_t> ends_;
-  };
-
   /// Number of tasks to be placed by the first task of their step.
   using TasksToPlace = std::map<TaskKey, std::uint32_t>;
   using UsableWorkers = std::vector<UsableWorker>;
