--- a/packages/workload/scheduler_place.cpp
+++ b/packages/workload/scheduler_place.cpp
@@ -170,19 +170,19 @@
         { Difference(worker.capacity_, view.used_), number, &worker, &view });
     }
   }
-  for (const auto& [number, room] : RoomOfMovingTasks()) {
-    const auto* worker = state_.FindWorker(number);
+  for (const auto& moving : RoomOfMovingTasks()) {
+    const auto* worker = state_.FindWorker(moving.first);
     const auto pool =
       worker == nullptr ? workers.end() : workers.find(worker->pool_);
     if (pool == workers.end()) {
       continue;
     }
     const auto usable = std::find_if(
-      pool->second.begin(), pool->second.end(), [&](const auto& aUsable) {
-        return aUsable.number_ == number;
+      pool->second.begin(), pool->second.end(), [&moving](const auto& aUsable) {
+        return aUsable.number_ == moving.first;
       });
     if (usable != pool->second.end()) {
-      usable->left_ = Difference(usable->left_, room);
+      usable->left_ = Difference(usable->left_, moving.second);
     }
   }
   return workers;
