Add: orders by way and time by kind of work in the leader's load

The line "leader load" could not tell whether the leader's time goes to decisions, to messages that others could carry, or to orders that it gave up itself. It now counts orders by way, those without an answer in time and those whose agent failed, and the time by kind of work.

--- a/packages/daemon/order_relay.cpp
+++ b/packages/daemon/order_relay.cpp
@@ -62,6 +62,7 @@
   agents_.clear();
   openOrders_.clear();
   directUntil_.clear();
+  counts_ = {};
 }
 
 void
@@ -124,6 +125,7 @@
     std::visit([](const auto& aOne) { return aOne.target_.worker_; }, aOrder);
   const auto agent = AgentFor(worker, aWorkerZone);
   const bool isDirect = agent == agents_.end();
+  ++(isDirect ? counts_.direct_ : counts_.relayed_);
   metrics_.Count("acaciahill_orders_total",
                  { { "way", isDirect ? "direct" : "relayed" } });
   if (isDirect) {
@@ -214,7 +216,8 @@
     agent.isResponding_ = false;
     agent.backoffUntil_ = MonotonicNow() + kAgentBackoff;
     FailOrders(
-      [&aNode](const OpenOrder& aOpen) { return aOpen.agent_ == aNode; });
+      [&aNode](const OpenOrder& aOpen) { return aOpen.agent_ == aNode; },
+      counts_.agentFailed_);
     return;
   }
   const auto& batch = ValueOf(decoded);
@@ -236,7 +239,8 @@
 }
 
 bool
-OrderRelay::FailOrders(const std::function<bool(const OpenOrder&)>& aCondition)
+OrderRelay::FailOrders(const std::function<bool(const OpenOrder&)>& aCondition,
+                       std::uint64_t& aCount)
 {
   std::vector<std::uint64_t> failed;
   for (const auto& [id, open] : openOrders_) {
@@ -244,6 +248,7 @@
       failed.push_back(id);
     }
   }
+  aCount += failed.size();
   const auto current = std::weak_ptr(generation_);
   for (const auto id : failed) {
     CompleteOrder({ id, {}, std::nullopt });
@@ -279,9 +284,9 @@
       return;
     }
     const bool stillLeads =
-      FailOrders([now = MonotonicNow()](const OpenOrder& aOpen) {
-        return aOpen.deadline_ <= now;
-      });
+      FailOrders([now = MonotonicNow()](
+                   const OpenOrder& aOpen) { return aOpen.deadline_ <= now; },
+                 counts_.timedOut_);
     if (!stillLeads) {
       return;
     }
--- a/packages/daemon/order_relay_base.h
+++ b/packages/daemon/order_relay_base.h
@@ -18,6 +18,19 @@
   bool operator==(const AgentNode&) const = default;
 };
 
+/// Numbers of orders since the beginning of a leadership.
+struct OrderCounts
+{
+  std::uint64_t direct_ = 0;
+  std::uint64_t relayed_ = 0;
+  /// Relayed orders that the leader gave up without an answer.
+  std::uint64_t timedOut_ = 0;
+  /// Relayed orders whose agent failed.
+  std::uint64_t agentFailed_ = 0;
+
+  bool operator==(const OrderCounts&) const = default;
+};
+
 /// Sends the leader's orders to workers. In a large deployment the orders go
 /// through the other control nodes (agents), many in one call, as each call
 /// costs the leader more than the scheduling decision behind it; an agent in
@@ -59,6 +72,8 @@
   /// Sends the queued orders, one call for each agent.
   void Flush();
 
+  const OrderCounts& Counts() const { return counts_; }
+
 private:
   /// The state of one agent.
   struct Agent
@@ -89,7 +104,8 @@
                                                   const std::string& aZone);
   /// Completes the open orders that match the condition with an unknown
   /// outcome. Returns false when a callback ended the leadership.
-  bool FailOrders(const std::function<bool(const OpenOrder&)>& aCondition);
+  bool FailOrders(const std::function<bool(const OpenOrder&)>& aCondition,
+                  std::uint64_t& aCount);
   void SendDirectly(const WorkerOrder& aOrder, OnAnswer aOnAnswer);
   void SendBatch(const std::string& aNode, Agent& aAgent);
   void HandleAnswers(const std::string& aNode, const CallResult& aResult);
@@ -111,6 +127,7 @@
   /// Workers that agents failed to reach, and until when they are called
   /// directly.
   std::map<std::uint32_t, MonotonicTime> directUntil_;
+  OrderCounts counts_;
 };
 
 } // namespace acaciahill
--- a/packages/daemon/workload_host.cpp
+++ b/packages/daemon/workload_host.cpp
@@ -96,6 +96,7 @@
     metrics_.Set("acaciahill_scheduler_active", {}, IsActive() ? 1 : 0);
     if (scheduler_) {
       ReportLoad();
+      const LeaderMeter::Scope scope(meter_, LeaderWork::Decisions);
       scheduler_->Tick(MonotonicNow(), WallMs());
       Run();
     }
@@ -131,14 +132,36 @@
   metrics_.Set("acaciahill_unexplained_fences",
                {},
                static_cast<double>(scheduler_->UnexplainedFences()));
-  LogInfo("leader load",
-          { { "longest_lag_ms", longestLag_.count() },
-            { "examined_workers", scheduler_->ExaminedWorkers() },
-            { "waiting_requests", waiting_.size() },
-            { "workers", scheduler_->Views().size() },
-            { "jobs", scheduler_->State().Jobs().size() } });
+  const auto& orders = relay_.Counts();
+  const auto times = meter_.Read();
+  LeaderMeter::Export(times, metrics_);
+  const auto cpuMs = [&times](LeaderWork aWork) {
+    return std::chrono::duration_cast<Millis>(
+             times.at(static_cast<std::size_t>(aWork)))
+      .count();
+  };
+  LogInfo(
+    "leader load",
+    { { "longest_lag_ms", longestLag_.count() },
+      { "examined_workers", scheduler_->ExaminedWorkers() },
+      { "waiting_requests", waiting_.size() },
+      { "workers", scheduler_->Views().size() },
+      { "jobs", scheduler_->State().Jobs().size() },
+      { "since_ms", (now - loadReportedAt_).count() },
+      { "direct_orders", orders.direct_ - reportedOrders_.direct_ },
+      { "relayed_orders", orders.relayed_ - reportedOrders_.relayed_ },
+      { "timed_out", orders.timedOut_ - reportedOrders_.timedOut_ },
+      { "agent_failed", orders.agentFailed_ - reportedOrders_.agentFailed_ },
+      { "decisions_cpu_ms", cpuMs(LeaderWork::Decisions) },
+      { "orders_cpu_ms", cpuMs(LeaderWork::Orders) },
+      { "answers_cpu_ms", cpuMs(LeaderWork::Answers) },
+      { "callers_cpu_ms", cpuMs(LeaderWork::Callers) },
+      { "control_cpu_ms", cpuMs(LeaderWork::Control) },
+      { "other_cpu_ms", cpuMs(LeaderWork::Other) } });
   loadReportedAt_ = now;
   longestLag_ = Millis(0);
+  reportedOrders_ = orders;
+  meter_.Reset();
 }
 
 void
@@ -215,6 +238,9 @@
   ++generation_;
   config_ = {};
   relay_.Begin(aTerm);
+  reportedOrders_ = {};
+  loadReportedAt_ = MonotonicNow();
+  meter_.Reset();
   scheduler_.emplace(
     std::move(state), settings_.scheduler_, aTerm, MonotonicNow());
   RefreshConfig();
@@ -321,6 +347,7 @@
 void
 WorkloadHost::DispatchCaller(const HttpRequest& aRequest, Answer aAnswer)
 {
+  const LeaderMeter::Scope scope(meter_, LeaderWork::Callers);
   const auto call = platform::DecodeCallerCall(aRequest, config_);
   const auto now = MonotonicNow();
   if (config_.version_ == 0) {
@@ -346,6 +373,7 @@
 void
 WorkloadHost::DispatchControl(const HttpRequest& aRequest, Answer aAnswer)
 {
+  const LeaderMeter::Scope scope(meter_, LeaderWork::Control);
   auto call = platform::DecodeControlCall(aRequest);
   const auto now = MonotonicNow();
   if (auto* config = std::get_if<platform::ConfigCall>(&call)) {
--- a/packages/daemon/workload_host_base.h
+++ b/packages/daemon/workload_host_base.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "daemon/leader_meter_base.h"
 #include "daemon/order_relay_base.h"
 #include "daemon/replica_service_base.h"
 #include "daemon/workload_settings_type.h"
@@ -126,6 +127,8 @@
   MonotonicTime tickDueAt_{};
   Millis longestLag_{ 0 };
   MonotonicTime loadReportedAt_{};
+  LeaderMeter meter_;
+  OrderCounts reportedOrders_;
   bool isRunScheduled_ = false;
   MonotonicTime lastRunAt_{};
   bool stopped_ = false;
--- a/packages/daemon/workload_orders.cpp
+++ b/packages/daemon/workload_orders.cpp
@@ -58,8 +58,12 @@
   if (scheduler_ && control.isLeader_ && control.term_ == term_) {
     scheduler_->ConfirmAuthority(MonotonicNow() - control.age_);
   }
+  const LeaderMeter::Scope scope(meter_, LeaderWork::Orders);
   while (scheduler_) {
-    const auto actions = scheduler_->TakeActions(MonotonicNow());
+    const auto actions = [this] {
+      const LeaderMeter::Scope decisions(meter_, LeaderWork::Decisions);
+      return scheduler_->TakeActions(MonotonicNow());
+    }();
     if (actions.empty()) {
       relay_.Flush();
       return;
@@ -99,6 +103,7 @@
           Abandon(Describe(*error));
           return;
         }
+        const LeaderMeter::Scope scope(meter_, LeaderWork::Decisions);
         RefreshConfig();
         scheduler_->HandleCommit(batch, MonotonicNow());
         Run();
@@ -135,6 +140,7 @@
                  if (generation != generation_ || !scheduler_) {
                    return;
                  }
+                 const LeaderMeter::Scope scope(meter_, LeaderWork::Answers);
                  onResult(aResult);
                  Run();
                });
@@ -150,6 +156,7 @@
               worker == nullptr ? "" : worker->zone_,
               [this, onAnswer = std::move(aOnAnswer)](const auto& aAnswer,
                                                       const auto& aLists) {
+                const LeaderMeter::Scope scope(meter_, LeaderWork::Answers);
                 onAnswer(aAnswer, aLists);
                 Run();
               });
