Fix: the workers of a failed agent are left to the other agents

Cause: after one failed call to an agent, all its workers counted as unreachable for agents, and the leader called each of them itself for 15 s. Such a call costs it many times what a relayed order does. So did each worker that refused an order or was gone.

Change: calls to an agent decide on the agent alone, and what an agent reports of a worker on that worker's route alone: first the agent of its zone, then the other agents, then a direct call, then the route that failed longest ago. A worker that refuses orders for now was reached.

Evidence: "the workers of an agent that failed are left to the other agents" and "a worker that an agent cannot reach is tried over other routes" failed on the former code.

--- a/packages/daemon/order_relay.cpp
+++ b/packages/daemon/order_relay.cpp
@@ -21,8 +21,8 @@
 constexpr Millis kCallTimeout{ 450 };
 // An agent that refused a call or did not answer is not used for this time.
 constexpr Millis kAgentBackoff{ 2000 };
-// A worker that an agent failed to reach is called directly for this time.
-constexpr Millis kDirectCallTime{ 15000 };
+// A route over which a worker was not reached is avoided for this time.
+constexpr Millis kRouteMemory{ 15000 };
 constexpr Millis kTimeoutCheckInterval{ 50 };
 constexpr std::int64_t kOk = 200;
 
@@ -61,13 +61,21 @@
   generation_.reset();
   agents_.clear();
   openOrders_.clear();
-  directUntil_.clear();
+  failedRoutes_.clear();
   counts_ = {};
 }
 
 void
 OrderRelay::SetAgents(const std::vector<AgentNode>& aAgents)
 {
+  const auto now = MonotonicNow();
+  for (auto& [worker, routes] : failedRoutes_) {
+    std::erase_if(routes, [now](const auto& aRoute) {
+      return now - aRoute.second > kRouteMemory;
+    });
+  }
+  std::erase_if(failedRoutes_,
+                [](const auto& aWorker) { return aWorker.second.empty(); });
   for (auto& [node, agent] : agents_) {
     agent.isListed_ = false;
   }
@@ -78,33 +86,25 @@
     auto& agent = agents_[each.node_];
     agent.zone_ = each.zone_;
     agent.isListed_ = true;
-    if (agent.openCalls_ == 0 && MonotonicNow() >= agent.backoffUntil_) {
+    if (agent.openCalls_ == 0 && now >= agent.backoffUntil_) {
       // The answer shows that the agent is running, and carries its clock.
       SendBatch(each.node_, agent);
     }
   }
 }
 
-std::map<std::string, OrderRelay::Agent>::iterator
+// Agents of the worker's zone come first, then the others, then a direct call.
+// Each worker has its own order of these, so that the agents share the load.
+OrderRelay::Agents::iterator
 OrderRelay::AgentFor(std::uint32_t aWorker, const std::string& aZone)
 {
   const auto now = MonotonicNow();
-  if (const auto found = directUntil_.find(aWorker);
-      found != directUntil_.end()) {
-    if (now < found->second) {
-      return agents_.end();
-    }
-    directUntil_.erase(found);
-  }
-  std::vector<std::map<std::string, Agent>::iterator> near;
-  std::vector<std::map<std::string, Agent>::iterator> all;
+  std::vector<Agents::iterator> near;
+  std::vector<Agents::iterator> far;
   for (auto each = agents_.begin(); each != agents_.end(); ++each) {
     const auto& agent = each->second;
     if (agent.isListed_ && agent.isResponding_ && now >= agent.backoffUntil_) {
-      all.push_back(each);
-      if (agent.zone_ == aZone) {
-        near.push_back(each);
-      }
+      (agent.zone_ == aZone ? near : far).push_back(each);
     }
   }
   // Orders to a worker in the leader's own zone are not relayed through another
@@ -112,8 +112,58 @@
   if (near.empty() && aZone == zone_) {
     return agents_.end();
   }
-  const auto& from = near.empty() ? all : near;
-  return from.empty() ? agents_.end() : from[aWorker % from.size()];
+  const auto rotate = [aWorker](auto& aAgents) {
+    if (!aAgents.empty()) {
+      std::rotate(aAgents.begin(),
+                  aAgents.begin() +
+                    static_cast<std::ptrdiff_t>(aWorker % aAgents.size()),
+                  aAgents.end());
+    }
+  };
+  rotate(near);
+  rotate(far);
+  auto routes = std::move(near);
+  routes.insert(routes.end(), far.begin(), far.end());
+  routes.push_back(agents_.end());
+  const auto failed = failedRoutes_.find(aWorker);
+  if (failed == failedRoutes_.end()) {
+    return routes.front();
+  }
+  const auto failedAt = [&](const Agents::iterator& aRoute) {
+    const auto found =
+      failed->second.find(aRoute == agents_.end() ? "" : aRoute->first);
+    return found == failed->second.end() ? MonotonicTime{} : found->second;
+  };
+  return *std::min_element(routes.begin(),
+                           routes.end(),
+                           [&failedAt](const auto& aOne, const auto& aTwo) {
+                             return failedAt(aOne) < failedAt(aTwo);
+                           });
+}
+
+void
+OrderRelay::NoteRoute(std::uint32_t aWorker,
+                      const std::string& aAgent,
+                      const OrderAnswer& aAnswer)
+{
+  if (aAnswer.outcome_ == OrderOutcome::NotGiven) {
+    return;
+  }
+  // A worker that refuses orders for now tells its clock.
+  const bool isReached =
+    aAnswer.outcome_ != OrderOutcome::Unknown &&
+    (aAnswer.outcome_ != OrderOutcome::WorkerUnavailable || aAnswer.clockMs_);
+  if (!isReached) {
+    failedRoutes_[aWorker][aAgent] = MonotonicNow();
+    return;
+  }
+  const auto failed = failedRoutes_.find(aWorker);
+  if (failed != failedRoutes_.end()) {
+    failed->second.erase(aAgent);
+    if (failed->second.empty()) {
+      failedRoutes_.erase(failed);
+    }
+  }
 }
 
 void
@@ -129,7 +179,7 @@
   metrics_.Count("acaciahill_orders_total",
                  { { "way", isDirect ? "direct" : "relayed" } });
   if (isDirect) {
-    SendDirectly(aOrder, std::move(aOnAnswer));
+    SendDirectly(aOrder, worker, std::move(aOnAnswer));
     return;
   }
   const auto id = nextId_++;
@@ -143,13 +193,18 @@
 }
 
 void
-OrderRelay::SendDirectly(const WorkerOrder& aOrder, OnAnswer aOnAnswer)
+OrderRelay::SendDirectly(const WorkerOrder& aOrder,
+                         std::uint32_t aWorker,
+                         OnAnswer aOnAnswer)
 {
   CallWorker(client_,
              aOrder,
-             [current = std::weak_ptr(generation_),
+             [this,
+              aWorker,
+              current = std::weak_ptr(generation_),
               onAnswer = std::move(aOnAnswer)](const RelayedAnswer& aAnswer) {
                if (!current.expired()) {
+                 NoteRoute(aWorker, "", aAnswer.answer_);
                  onAnswer(aAnswer.answer_, aAnswer.lists_);
                }
              });
@@ -234,6 +289,10 @@
     if (current.expired()) {
       return;
     }
+    if (const auto open = openOrders_.find(each.id_);
+        open != openOrders_.end()) {
+      NoteRoute(open->second.worker_, aNode, each.answer_);
+    }
     CompleteOrder(each);
   }
 }
@@ -266,11 +325,6 @@
   if (open.empty()) {
     return;
   }
-  const auto outcome = aAnswer.answer_.outcome_;
-  if (outcome == OrderOutcome::Unknown ||
-      outcome == OrderOutcome::WorkerUnavailable) {
-    directUntil_[open.mapped().worker_] = MonotonicNow() + kDirectCallTime;
-  }
   open.mapped().onAnswer_(aAnswer.answer_, aAnswer.lists_);
 }
 
--- a/packages/daemon/order_relay_base.h
+++ b/packages/daemon/order_relay_base.h
@@ -35,8 +35,9 @@
 /// through the other control nodes (agents), many in one call, as each call
 /// costs the leader more than the scheduling decision behind it; an agent in
 /// the worker's zone is preferred. A relayed order without an answer may have
-/// been executed, as with a direct call; the worker's next orders are then sent
-/// directly. Used from the context's thread only.
+/// been executed, as with a direct call. What an agent reports about a worker
+/// decides on that worker's next route; whether an agent works is decided by
+/// the calls to it alone. Used from the context's thread only.
 class OrderRelay
 {
 public:
@@ -98,15 +99,24 @@
     std::uint32_t worker_ = 0;
     MonotonicTime deadline_{};
   };
+  using Agents = std::map<std::string, Agent>;
+  /// Times at which a worker could not be reached, by agent; an empty name
+  /// stands for direct calls.
+  using FailedRoutes = std::map<std::string, MonotonicTime>;
 
   /// Chooses the agent for a worker; agents_.end() means a direct call.
-  std::map<std::string, Agent>::iterator AgentFor(std::uint32_t aWorker,
-                                                  const std::string& aZone);
+  Agents::iterator AgentFor(std::uint32_t aWorker, const std::string& aZone);
+  /// Notes whether a worker was reached by a route.
+  void NoteRoute(std::uint32_t aWorker,
+                 const std::string& aAgent,
+                 const OrderAnswer& aAnswer);
   /// Completes the open orders that match the condition with an unknown
   /// outcome. Returns false when a callback ended the leadership.
   bool FailOrders(const std::function<bool(const OpenOrder&)>& aCondition,
                   std::uint64_t& aCount);
-  void SendDirectly(const WorkerOrder& aOrder, OnAnswer aOnAnswer);
+  void SendDirectly(const WorkerOrder& aOrder,
+                    std::uint32_t aWorker,
+                    OnAnswer aOnAnswer);
   void SendBatch(const std::string& aNode, Agent& aAgent);
   void HandleAnswers(const std::string& aNode, const CallResult& aResult);
   void CompleteOrder(const RelayedAnswer& aAnswer);
@@ -121,12 +131,10 @@
   std::uint64_t term_ = 0;
   /// Replaced with each leadership, so that callbacks of former ones expire.
   std::shared_ptr<const std::uint64_t> generation_;
-  std::map<std::string, Agent> agents_;
+  Agents agents_;
   std::map<std::uint64_t, OpenOrder> openOrders_;
   std::uint64_t nextId_ = 1;
-  /// Workers that agents failed to reach, and until when they are called
-  /// directly.
-  std::map<std::uint32_t, MonotonicTime> directUntil_;
+  std::map<std::uint32_t, FailedRoutes> failedRoutes_;
   OrderCounts counts_;
 };
 
--- a/packages/daemon/test/order_relay_test.cpp
+++ b/packages/daemon/test/order_relay_test.cpp
@@ -232,6 +232,69 @@
   CHECK(bench.Batches(kNear).size() == 1);
 }
 
+// Guards against a leader that calls all workers of an agent one by one for
+// 15 s after one failed call to that agent (SHORT, nashta-rota-large).
+TEST_CASE("the workers of an agent that failed are left to the other agents")
+{
+  RelayBench bench({ { kNear, "zone-n" }, { kFar, "zone-f" } });
+  bench.Lead();
+  bench.agents_.at(kNear).behavior_ = AgentBehavior::Hangs;
+  constexpr std::size_t kWorkers = 6;
+  for (std::uint32_t worker = 0; worker < kWorkers; ++worker) {
+    bench.Send(bench.Stop(worker), "zone-n");
+  }
+  bench.relay_.Flush();
+  REQUIRE(bench.RunUntil([&] { return bench.received_.size() == kWorkers; }));
+  for (const auto& each : bench.received_) {
+    CHECK(each.answer_.outcome_ == OrderOutcome::Unknown);
+  }
+  for (std::uint32_t worker = 0; worker < kWorkers; ++worker) {
+    CHECK(bench.SendStop(worker, "zone-n") == OrderOutcome::Taken);
+  }
+  CHECK(bench.Batches(kFar).size() == kWorkers);
+  CHECK(bench.relay_.Counts().direct_ == 0);
+  CHECK(bench.relay_.Counts().agentFailed_ == kWorkers);
+}
+
+// Guards against a worker that gets no orders because the agents cannot reach
+// it, and against one that is called directly although another agent may.
+TEST_CASE("a worker that an agent cannot reach is tried over other routes")
+{
+  RelayBench bench({ { kNear, "zone-n" }, { kFar, "zone-f" } });
+  bench.Lead();
+  auto lost = bench.Stop(1);
+  lost.target_.address_ = JoinAddress(kAbsent, bench.port_);
+  const auto sendLost = [&] {
+    const auto before = bench.received_.size();
+    bench.Send(lost, "zone-n");
+    bench.relay_.Flush();
+    REQUIRE(bench.RunUntil([&] { return bench.received_.size() > before; }));
+    CHECK(bench.received_.back().answer_.outcome_ ==
+          OrderOutcome::WorkerUnavailable);
+  };
+  struct Row
+  {
+    const char* name_;
+    std::size_t near_;
+    std::size_t far_;
+    std::uint64_t direct_;
+  };
+  const std::vector<Row> rows{ { "the agent of its zone", 1, 0, 0 },
+                               { "another agent", 1, 1, 0 },
+                               { "a direct call", 1, 1, 1 },
+                               { "the first again", 2, 1, 1 },
+                               { "the second again", 2, 2, 1 } };
+  for (const auto& row : rows) {
+    INFO(row.name_);
+    sendLost();
+    CHECK(bench.Batches(kNear).size() == row.near_);
+    CHECK(bench.Batches(kFar).size() == row.far_);
+    CHECK(bench.relay_.Counts().direct_ == row.direct_);
+    // Routes that fail in the same millisecond have no order.
+    bench.RunFor(5ms);
+  }
+}
+
 // Guards against a worker that gets no orders because its agent cannot reach
 // it.
 TEST_CASE("a worker that an agent cannot reach is called directly next time")
