Fix: a late leader does not take its own lateness for silence

Cause: a batch waits for the leader's thread before it is sent, and its answer before it is read. With ticks some 125 ms late a call to an agent that answers within 0.2 s took over its 0.45 s, and an order over its 0.1 s for the detour. The leader then gave up orders that were carried out, raised fences, asked for lists, and called the workers itself, which made it later.

Change: the thread's recent lateness, measured at its timer, is added twice to both timeouts. An order through an agent that answers is no longer given up before that agent must have reported on it.

--- a/packages/daemon/order_relay.cpp
+++ b/packages/daemon/order_relay.cpp
@@ -11,19 +11,24 @@
 
 namespace {
 
-// Added to the timeout of an order for the detour over the agent.
-constexpr Millis kRelayTimeoutMargin{ 100 };
 // An agent relays only orders that reach it within this time. It is shorter
 // than the leader's timeout of any order, so that the agent never starts an
 // order that the leader has already given up.
 constexpr Millis kMaxTransitTime{ 300 };
 // An agent answers each call within 0.2 s.
 constexpr Millis kCallTimeout{ 450 };
+// Added to the timeout of an order for the detour over the agent. An agent that
+// does not work is noticed by its calls before.
+constexpr Millis kRelayTimeoutMargin = kMaxTransitTime + kCallTimeout;
 // An agent that refused a call or did not answer is not used for this time.
 constexpr Millis kAgentBackoff{ 2000 };
 // A route over which a worker was not reached is avoided for this time.
 constexpr Millis kRouteMemory{ 15000 };
 constexpr Millis kTimeoutCheckInterval{ 50 };
+// A delay of this thread counts in timeouts for this time.
+constexpr Millis kLatenessMemory{ 2000 };
+// Longer delays, such as those of a suspended machine, count as this one.
+constexpr Millis kMaxLateness{ 1000 };
 constexpr std::int64_t kOk = 200;
 
 } // namespace
@@ -61,6 +66,7 @@
   openOrders_.clear();
   failedRoutes_.clear();
   counts_ = {};
+  lateness_ = Millis(0);
 }
 
 void
@@ -181,7 +187,8 @@
     OpenOrder{ std::move(aOnAnswer),
                agent->first,
                worker,
-               MonotonicNow() + OrderTimeout(aOrder) + kRelayTimeoutMargin });
+               MonotonicNow() +
+                 WithLateness(OrderTimeout(aOrder) + kRelayTimeoutMargin) });
   agent->second.queued_.push_back({ id, std::move(aOrder) });
 }
 
@@ -236,7 +243,7 @@
   ++aAgent.openCalls_;
   client_.Call(aNode + ":" + internalPort_,
                std::move(request),
-               kCallTimeout,
+               WithLateness(kCallTimeout),
                [this, current = std::weak_ptr(generation_), aNode](
                  const CallResult& aResult) {
                  if (!current.expired()) {
@@ -321,15 +328,33 @@
   open.mapped().onAnswer_(aAnswer.answer_, aAnswer.lists_);
 }
 
+void
+OrderRelay::NoteLateness(Millis aLateness)
+{
+  const auto now = MonotonicNow();
+  if (aLateness >= lateness_ || now - latenessAt_ > kLatenessMemory) {
+    lateness_ = std::clamp(aLateness, Millis(0), kMaxLateness);
+    latenessAt_ = now;
+  }
+}
+
+Millis
+OrderRelay::WithLateness(Millis aTimeout) const
+{
+  return aTimeout + 2 * lateness_;
+}
+
 void
 OrderRelay::WatchTimeouts()
 {
+  const auto due = MonotonicNow() + kTimeoutCheckInterval;
   timer_.expires_after(kTimeoutCheckInterval);
-  timer_.async_wait([this, current = std::weak_ptr(generation_)](
+  timer_.async_wait([this, due, current = std::weak_ptr(generation_)](
                       const boost::system::error_code& aError) {
     if (aError || current.expired()) {
       return;
     }
+    NoteLateness(MonotonicNow() - due);
     const bool stillLeads =
       FailOrders([now = MonotonicNow()](
                    const OpenOrder& aOpen) { return aOpen.deadline_ <= now; },
--- a/packages/daemon/order_relay_base.h
+++ b/packages/daemon/order_relay_base.h
@@ -120,6 +120,11 @@
   void HandleAnswers(const std::string& aNode, const CallResult& aResult);
   void CompleteOrder(const RelayedAnswer& aAnswer);
   void WatchTimeouts();
+  /// Notes how late a handler of this thread runs.
+  void NoteLateness(Millis aLateness);
+  /// The timeout with what this thread's own lateness adds to it: a request
+  /// waits for the thread before it is sent, and its answer before it is read.
+  Millis WithLateness(Millis aTimeout) const;
 
   AsyncClient& client_;
   boost::asio::steady_timer timer_;
@@ -134,6 +139,9 @@
   std::uint64_t nextId_ = 1;
   std::map<std::uint32_t, FailedRoutes> failedRoutes_;
   OrderCounts counts_;
+  /// The longest recent delay of this thread, and when it was seen.
+  Millis lateness_{ 0 };
+  MonotonicTime latenessAt_{};
 };
 
 } // namespace acaciahill
--- a/packages/daemon/test/order_relay_test.cpp
+++ b/packages/daemon/test/order_relay_test.cpp
@@ -1,5 +1,7 @@
 #include "daemon/test/order_relay_bench.h"
 
+#include <thread>
+
 using namespace acaciahill;
 using namespace acaciahill::testing;
 using namespace std::chrono_literals;
@@ -257,6 +259,31 @@
   CHECK(bench.relay_.Counts().agentFailed_ == kWorkers);
 }
 
+// Guards against a late leader that takes its own lateness for the silence of
+// its agents (SHORT, nashta-rota-large): it gave up orders that were answered,
+// and called all workers one by one, which made it later.
+TEST_CASE("agents are not given up while the leader itself is late")
+{
+  RelayBench bench(kOneAgent);
+  bench.Lead();
+  // The agent answers as soon as the leader's thread, which is also its own,
+  // gets to it.
+  bench.agents_.at(kNear).behavior_ = AgentBehavior::Repeats;
+  std::uint32_t sent = 0;
+  for (const auto late : { 100ms, 200ms, 350ms, 600ms, 700ms, 700ms }) {
+    bench.Send(bench.Stop(++sent), "zone-n");
+    bench.relay_.Flush();
+    std::this_thread::sleep_for(late);
+    bench.context_.restart();
+    bench.context_.poll();
+  }
+  REQUIRE(bench.RunUntil([&] { return bench.received_.size() == sent; }));
+  for (const auto& each : bench.received_) {
+    CHECK(each.answer_.outcome_ == OrderOutcome::Taken);
+  }
+  CHECK(bench.relay_.Counts() == OrderCounts{ 0, sent, 0, 0 });
+}
+
 // Guards against a worker that gets no orders because the agents cannot reach
 // it, and against one that is called directly although another agent may.
 TEST_CASE("a worker that an agent cannot reach is tried over other routes")
