Fix: a withdrawn stop counts until it can't be carried out any more

Cause: a stop without an answer was withdrawn when peers were lost, and the run counted as at work at once. The order was carried out 0.1 s later, after another task had been stopped in its place. A new leader knew nothing of the former one's stops either.

Change: the withdrawal raises the worker's fence, so that the order is refused once the worker has seen that. Until a list under the higher fence, and another one a stop's time later, show the run, it counts as away for the budget, and keeps its place elsewhere. Long-running tasks that a new leader takes over are treated alike.

--- a/packages/workload/scheduler.cpp
+++ b/packages/workload/scheduler.cpp
@@ -89,6 +89,9 @@
           run.usesSpareCores_ = spec.usesSpareCores_;
           run.targetMs_ = spec.targetMs_;
           run.stopRequested_ = IsOver(job.phase_);
+          if (spec.isLongRunning_) {
+            run.staleStopFence_ = 0;
+          }
           unsettledWorkers_.insert(task.worker_);
           view->used_ = Sum(view->used_, ReservedBy(run));
           view->runs_.emplace(TaskKey{ id, number, step, index }, run);
--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -200,6 +200,7 @@
   void AcceptLateCompletion(const EndedRun& aEnd, MonotonicTime aNow);
   void ProcessRunningTasks(std::uint32_t aWorker,
                            const WorkerLists& aLists,
+                           const RenewLease& aOrder,
                            MonotonicTime aNow);
   void CheckMissingRuns(std::uint32_t aWorker,
                         const WorkerLists& aLists,
@@ -237,7 +238,9 @@
   /// Stops the run with the next actions. aIsEviction as RunView::isEviction_.
   void RequestStop(std::uint32_t aWorker, RunView& aRun, bool aIsEviction);
   void SendRequestedStops(MonotonicTime aNow);
-  void WithdrawEviction(const TaskKey& aTask, RunView& aRun) const;
+  void WithdrawEviction(std::uint32_t aWorker,
+                        const TaskKey& aTask,
+                        RunView& aRun);
   void RequestStopsOfJob(JobId aJob);
   void EvacuateDrainingWorkers(MonotonicTime aNow);
   /// Tasks of the step that may be unavailable because of the system.
--- a/packages/workload/scheduler_lease.cpp
+++ b/packages/workload/scheduler_lease.cpp
@@ -61,10 +61,11 @@
     const bool hasUnconfirmed =
       std::any_of(view.runs_.begin(), view.runs_.end(), [](const auto& aEntry) {
         const auto& run = aEntry.second;
-        // Runs of a former leader are resolved by the first renewal.
-        return run.phase_ == RunPhase::Unconfirmed &&
-               (run.stopAcceptedAt_ ||
-                (!run.stopRequested_ && run.startFence_ > 0));
+        // Runs of a former leader are resolved by the first renewals.
+        return (run.phase_ == RunPhase::Unconfirmed &&
+                (run.stopAcceptedAt_ ||
+                 (!run.stopRequested_ && run.startFence_ > 0))) ||
+               (run.staleStopFence_ && *run.staleStopFence_ > 0);
       });
     if (hasUnconfirmed && !view.probeInFlight_ && view.missedRenewals_ == 0 &&
         aNow - view.probeSentAt_ >= kProbeInterval) {
@@ -162,7 +163,7 @@
     view->nextRenewalAt_ = aLists->ended_.empty() ? aNow : aNow + kRenewalPause;
   }
   ProcessEndedRuns(number, *aLists, aNow);
-  ProcessRunningTasks(number, *aLists, aNow);
+  ProcessRunningTasks(number, *aLists, aOrder, aNow);
   CheckMissingRuns(number, *aLists, aOrder, aNow);
   PaceFillingRuns(number, aNow);
 }
--- a/packages/workload/scheduler_lists.cpp
+++ b/packages/workload/scheduler_lists.cpp
@@ -16,6 +16,27 @@
 constexpr std::size_t kMaxEndsInList = 500;
 // Minimum time between two stop orders for the same unexpected run.
 constexpr Millis kUnexpectedStopInterval{ 500 };
+// A run ends within this time after its worker has taken the stop order.
+constexpr Millis kMaxStopTime{ 300 };
+
+/// Whether the run, which is in the lists of this renewal, has outlived a stop
+/// order that may have been carried out late.
+void
+CheckStaleStop(RunView& aRun, const RenewLease& aOrder, MonotonicTime aNow)
+{
+  if (!aRun.staleStopFence_ || aOrder.target_.fence_ <= *aRun.staleStopFence_) {
+    return;
+  }
+  if (!aRun.staleStopBarredAt_) {
+    aRun.staleStopBarredAt_ = aNow;
+  } else if (aOrder.sentAt_ >= *aRun.staleStopBarredAt_ + kMaxStopTime) {
+    aRun.staleStopFence_.reset();
+    aRun.staleStopBarredAt_.reset();
+    if (!aRun.stopRequested_) {
+      aRun.destination_ = 0;
+    }
+  }
+}
 
 } // namespace
 
@@ -69,6 +90,7 @@
 void
 Scheduler::ProcessRunningTasks(std::uint32_t aWorker,
                                const WorkerLists& aLists,
+                               const RenewLease& aOrder,
                                MonotonicTime aNow)
 {
   for (const auto& running : aLists.running_) {
@@ -81,6 +103,7 @@
       run->phase_ = RunPhase::Running;
       run->since_ = aNow;
     }
+    CheckStaleStop(*run, aOrder, aNow);
     run->percent_ = running.percent_;
     run->gauge_ = running.gauge_;
     if (!running.checkpoint_.empty()) {
--- a/packages/workload/scheduler_place.cpp
+++ b/packages/workload/scheduler_place.cpp
@@ -198,8 +198,8 @@
       continue;
     }
     for (const auto& [task, run] : view->second.runs_) {
-      if (run.stopRequested_ && run.destination_ != 0 &&
-          !IsOver(state_.FindJob(task.job_)->phase_)) {
+      if ((run.stopRequested_ || run.staleStopFence_) &&
+          run.destination_ != 0 && !IsOver(state_.FindJob(task.job_)->phase_)) {
         auto& room = rooms[run.destination_];
         room = Sum(room, ReservedBy(run));
       }
--- a/packages/workload/scheduler_run.cpp
+++ b/packages/workload/scheduler_run.cpp
@@ -289,6 +289,7 @@
     return;
   }
   run->stopInFlight_ = false;
+  run->stopUnanswered_ |= aAnswer.outcome_ == OrderOutcome::Unknown;
   if (aAnswer.outcome_ == OrderOutcome::Taken && !run->stopAcceptedAt_) {
     run->stopAcceptedAt_ = aNow;
   }
@@ -313,7 +314,7 @@
         continue;
       }
       if (run.isEviction_ && !IsEvictionWithinBudget(task)) {
-        WithdrawEviction(task, run);
+        WithdrawEviction(number, task, run);
         continue;
       }
       run.stopInFlight_ = true;
@@ -326,17 +327,27 @@
 
 // Peers may have been lost since the stop was requested, or since it was sent
 // without an answer. An order that is still on its way may be carried out all
-// the same; the worker's lists tell.
+// the same, until the worker has seen a higher fence.
 void
-Scheduler::WithdrawEviction(const TaskKey& aTask, RunView& aRun) const
+Scheduler::WithdrawEviction(std::uint32_t aWorker,
+                            const TaskKey& aTask,
+                            RunView& aRun)
 {
   LogInfo("withdrawing a stop: too many tasks of the step are unavailable",
           { { "task", TaskText(aTask) },
             { "run", aRun.run_ },
-            { "away", CountUnavailablePeers(aTask) } });
+            { "away", CountUnavailablePeers(aTask) },
+            { "unanswered", aRun.stopUnanswered_ } });
   aRun.stopRequested_ = false;
   aRun.isEviction_ = false;
-  aRun.destination_ = 0;
+  if (!aRun.stopUnanswered_) {
+    aRun.destination_ = 0;
+    return;
+  }
+  aRun.stopUnanswered_ = false;
+  aRun.staleStopFence_ = FenceOf(*state_.FindWorker(aWorker));
+  aRun.staleStopBarredAt_.reset();
+  ++views_.at(aWorker).unansweredStarts_;
 }
 
 void
@@ -406,7 +417,7 @@
     }
     const bool isReady = run != nullptr && run->phase_ == RunPhase::Running &&
                          run->percent_ >= kReadyPercent &&
-                         !run->stopRequested_ &&
+                         !run->stopRequested_ && !run->staleStopFence_ &&
                          view->second.missedRenewals_ == 0;
     unavailable += isReady ? 0 : 1;
   }
@@ -444,7 +455,8 @@
   for (std::uint32_t index = 0; index < tasks.size(); ++index) {
     const TaskKey peer{ aTask.job_, aTask.occurrence_, aTask.step_, index };
     const auto* run = FindRun(tasks[index].worker_, peer, tasks[index].run_);
-    if (run != nullptr && run->stopRequested_ && run->destination_ != 0) {
+    if (run != nullptr && (run->stopRequested_ || run->staleStopFence_) &&
+        run->destination_ != 0) {
       ++peers[run->destination_];
     }
   }
--- a/packages/workload/scheduler_worker.cpp
+++ b/packages/workload/scheduler_worker.cpp
@@ -304,6 +304,7 @@
            std::none_of(
              view->runs_.begin(), view->runs_.end(), [](const auto& aEntry) {
                return aEntry.second.stopRequested_ ||
+                      aEntry.second.staleStopFence_ ||
                       aEntry.second.phase_ == RunPhase::Unconfirmed;
              });
   });
--- a/packages/workload/test/scheduler_driver.cpp
+++ b/packages/workload/test/scheduler_driver.cpp
@@ -311,9 +311,13 @@
   if (worker == nullptr) {
     return {};
   }
-  if (OccursWith(faults_.delayedOrderPermille_)) {
+  const bool isDelayedStop =
+    std::is_same_v<Order, StopRun> && stopDelay_.has_value();
+  if (isDelayedStop || OccursWith(faults_.delayedOrderPermille_)) {
     delayedOrders_.push_back(
-      { now_ + Millis(2000 + RandomBelow(10000)), aOrder });
+      { now_ +
+          (isDelayedStop ? *stopDelay_ : Millis(2000 + RandomBelow(10000))),
+        aOrder });
     std::sort(
       delayedOrders_.begin(),
       delayedOrders_.end(),
--- a/packages/workload/test/scheduler_driver.h
+++ b/packages/workload/test/scheduler_driver.h
@@ -115,6 +115,8 @@
   bool hasMajority_ = true;
   /// Workers execute start orders, but the answers are lost.
   bool losesStartAnswers_ = false;
+  /// Workers leave stop orders unanswered and carry them out after this time.
+  std::optional<Millis> stopDelay_;
   /// Tasks of gangs that ended because the other tasks did not start in time.
   std::size_t incompleteGangEnds_ = 0;
   /// Number of orders sent to workers.
--- a/packages/workload/worker_view_type.h
+++ b/packages/workload/worker_view_type.h
@@ -45,6 +45,15 @@
   std::uint32_t destination_ = 0;
   bool stopInFlight_ = false;
   MonotonicTime stopSentAt_{};
+  /// A stop order got no answer: it may be carried out, even later.
+  bool stopUnanswered_ = false;
+  /// The run may end by a stop that was withdrawn, or that a former leader
+  /// sent: highest fence of such an order. Nothing once a list shows that the
+  /// run has outlived it.
+  std::optional<std::uint64_t> staleStopFence_;
+  /// When a list under a higher fence first had the run: from then on the
+  /// worker refuses that order, but may still be carrying it out.
+  std::optional<MonotonicTime> staleStopBarredAt_;
   /// Fence of the start order; 0 when a former leader sent the order.
   std::uint64_t startFence_ = 0;
   /// When the worker accepted the stop order; nothing before.
