Change: queued jobs are counted at most five times a second

The counts of all queues are now made together, and are 0.2 s old at most; 2 s and more are allowed.

Not measured by itself; no test of its own.

--- a/packages/daemon/workload_host.cpp
+++ b/packages/daemon/workload_host.cpp
@@ -23,6 +23,9 @@
 constexpr Millis kFormationTimeout{ 3000 };
 
 constexpr Millis kLoadReportInterval{ 2000 };
+// Counts of queued jobs are answered for this time before the jobs, thousands
+// of them, are looked at again.
+constexpr Millis kQueuedJobsMaxAge{ 200 };
 
 std::uint64_t
 WallMs()
@@ -236,6 +239,7 @@
   term_ = aTerm;
   ++generation_;
   config_ = {};
+  queuedJobsCountedAt_ = {};
   relay_.Begin(aTerm);
   reportedOrders_ = {};
   loadReportedAt_ = MonotonicNow();
@@ -450,17 +454,24 @@
 }
 
 HttpAnswer
-WorkloadHost::PendingCountAnswer(const std::string& aQueue) const
+WorkloadHost::PendingCountAnswer(const std::string& aQueue)
 {
-  return replica_.Read([&aQueue](const Fleet& aFleet) {
-    const auto& jobs = aFleet.GetWorkload().Jobs();
-    const auto count =
-      std::count_if(jobs.begin(), jobs.end(), [&aQueue](const auto& aEntry) {
-        return aEntry.second.phase_ == JobPhase::Queued &&
-               aEntry.second.spec_.queue_ == aQueue;
-      });
-    return platform::EncodePending(static_cast<std::uint64_t>(count));
-  });
+  const auto now = MonotonicNow();
+  if (now - queuedJobsCountedAt_ >= kQueuedJobsMaxAge) {
+    queuedJobsCountedAt_ = now;
+    queuedJobs_ = replica_.Read([](const Fleet& aFleet) {
+      std::map<std::string, std::uint64_t> counts;
+      for (const auto& [id, job] : aFleet.GetWorkload().Jobs()) {
+        if (job.phase_ == JobPhase::Queued) {
+          ++counts[job.spec_.queue_];
+        }
+      }
+      return counts;
+    });
+  }
+  const auto found = queuedJobs_.find(aQueue);
+  return platform::EncodePending(found == queuedJobs_.end() ? 0
+                                                            : found->second);
 }
 
 } // namespace acaciahill
--- a/packages/daemon/workload_host_base.h
+++ b/packages/daemon/workload_host_base.h
@@ -89,7 +89,7 @@
   void AnswerAfterBarrier(Answer aAnswer,
                           std::function<HttpAnswer(const Workload&)> aMake);
   HttpAnswer JobStateAnswer(JobId aJob, const std::string& aQueue) const;
-  HttpAnswer PendingCountAnswer(const std::string& aQueue) const;
+  HttpAnswer PendingCountAnswer(const std::string& aQueue);
 
   void Execute(const AppendBatch& aAction);
   void Execute(const AnswerRequest& aAction);
@@ -146,6 +146,9 @@
   /// Incremented with each scheduler, so that callbacks of a former one are
   /// ignored.
   std::uint64_t generation_ = 0;
+  /// Jobs of which no task has started, by queue, and when they were counted.
+  std::map<std::string, std::uint64_t> queuedJobs_;
+  MonotonicTime queuedJobsCountedAt_{};
   RequestToken nextToken_ = 1;
   std::map<RequestToken, Answer> waiting_;
 };
