--- a/packages/workload/scheduler_run.cpp
+++ b/packages/workload/scheduler_run.cpp
@@ -341,7 +341,7 @@
   aRun.stopRequested_ = false;
   aRun.isEviction_ = false;
   if (!aRun.stopUnanswered_) {
-    aRun.destination_ = 0;
+    aRun.destination_ = aRun.staleStopFence_ ? aRun.destination_ : 0;
     return;
   }
   aRun.stopUnanswered_ = false;
--- a/packages/workload/test/stale_stop_test.cpp
+++ b/packages/workload/test/stale_stop_test.cpp
@@ -2,8 +2,6 @@
 
 #include <catch2/catch.hpp>
 
-#include <algorithm>
-
 using namespace acaciahill;
 using namespace acaciahill::test;
 
@@ -17,11 +15,10 @@
 {
   std::size_t ready = 0;
   for (const auto& [id, worker] : aDriver.Workers()) {
-    ready += static_cast<std::size_t>(std::count_if(
-      worker.runs_.begin(), worker.runs_.end(), [&](const auto& aEntry) {
-        return worker.up_ &&
-               aDriver.Now() - aEntry.second.startedAt_ >= kReadyAfter;
-      }));
+    for (const auto& [task, run] : worker.runs_) {
+      const bool isReady = aDriver.Now() - run.startedAt_ >= kReadyAfter;
+      ready += worker.up_ && isReady ? 1 : 0;
+    }
   }
   return ready;
 }
