Fix: the deadline of relayed orders allows for the leader's lateness

What callers saw: as before; agents dropped orders of a late leader as "not relayed".

Cause: the time for the way to an agent was fixed, and counted from the agent's clock as the last answer had shown it. A late leader reads that answer late, and writes late, which took most of the 0.3 s.

Change: the largest difference of the clocks that an answer has shown in 2 s is used, each of which errs on the early side, and the leader's lateness is added, up to 0.4 s; the order's own timeout stays longer. When the timer comes late, open orders get that time as well. Orders not given are counted in the line of the leader's load.

The deadline itself has no test of its own yet: agents in the tests share the leader's thread, and are as late as it is.

--- a/packages/daemon/order_relay.cpp
+++ b/packages/daemon/order_relay.cpp
@@ -11,10 +11,14 @@
 
 namespace {
 
-// An agent relays only orders that reach it within this time. It is shorter
-// than the leader's timeout of any order, so that the agent never starts an
-// order that the leader has already given up.
+// An agent relays only orders that reach it within this time, and within the
+// leader's lateness up to kMaxTransitLateness more. It is shorter than the
+// leader's timeout of any order, so that the agent never starts an order that
+// the leader has already given up.
 constexpr Millis kMaxTransitTime{ 300 };
+constexpr Millis kMaxTransitLateness{ 400 };
+// What an answer shows of an agent's clock is used for this time.
+constexpr Millis kClockMemory{ 2000 };
 // An agent answers each call within 0.2 s.
 constexpr Millis kCallTimeout{ 450 };
 // Added to the timeout of an order for the detour over the agent. An agent that
@@ -146,6 +150,7 @@
                       const OrderAnswer& aAnswer)
 {
   if (aAnswer.outcome_ == OrderOutcome::NotGiven) {
+    ++counts_.notGiven_;
     return;
   }
   // A worker that refuses orders for now tells its clock.
@@ -223,7 +228,6 @@
 void
 OrderRelay::SendBatch(const std::string& aNode, Agent& aAgent)
 {
-  const auto now = MonotonicNow();
   OrderBatch batch;
   batch.term_ = term_;
   batch.orders_ = std::exchange(aAgent.queued_, {});
@@ -231,10 +235,7 @@
   std::erase_if(batch.orders_, [this](const RelayedOrder& aOrder) {
     return !openOrders_.contains(aOrder.id_);
   });
-  // The agent read its clock before its answer arrived here, so that this
-  // deadline errs on the early side.
-  batch.untilMs_ =
-    aAgent.clockMs_ + (now - aAgent.answeredAt_ + kMaxTransitTime).count();
+  batch.untilMs_ = DeadlineFor(aAgent);
   HttpRequest request;
   request.method_ = "POST";
   request.target_ = kOrdersPath;
@@ -264,11 +265,12 @@
   if (!IsOk(decoded)) {
     if (agent.isResponding_) {
       LogWarning(
-        "a control node does not relay orders; calling workers directly",
+        "a control node does not relay orders; its workers go to others",
         { { "agent", aNode },
           { "status", answer == nullptr ? 0 : answer->status_ } });
     }
     agent.isResponding_ = false;
+    agent.clockAheadMs_.reset();
     agent.backoffUntil_ = MonotonicNow() + kAgentBackoff;
     FailOrders(
       [&aNode](const OpenOrder& aOpen) { return aOpen.agent_ == aNode; },
@@ -276,8 +278,7 @@
     return;
   }
   const auto& batch = ValueOf(decoded);
-  agent.clockMs_ = batch.clockMs_;
-  agent.answeredAt_ = MonotonicNow();
+  ReadClock(agent, batch.clockMs_);
   agent.isResponding_ = true;
   // One call is always kept open, so that the agent can return answers at any
   // time.
@@ -328,6 +329,30 @@
   open.mapped().onAnswer_(aAnswer.answer_, aAnswer.lists_);
 }
 
+void
+OrderRelay::ReadClock(Agent& aAgent, std::int64_t aClockMs)
+{
+  const auto now = MonotonicNow();
+  const auto ahead = aClockMs - now.time_since_epoch().count();
+  if (!aAgent.clockAheadMs_ || ahead >= *aAgent.clockAheadMs_ ||
+      now - aAgent.clockReadAt_ > kClockMemory) {
+    aAgent.clockAheadMs_ = ahead;
+    aAgent.clockReadAt_ = now;
+  }
+}
+
+std::int64_t
+OrderRelay::DeadlineFor(const Agent& aAgent) const
+{
+  if (!aAgent.clockAheadMs_) {
+    return 0;
+  }
+  const auto transit =
+    kMaxTransitTime + std::min(lateness_, kMaxTransitLateness);
+  return (MonotonicNow().time_since_epoch() + transit).count() +
+         *aAgent.clockAheadMs_;
+}
+
 void
 OrderRelay::NoteLateness(Millis aLateness)
 {
@@ -354,7 +379,14 @@
     if (aError || current.expired()) {
       return;
     }
-    NoteLateness(MonotonicNow() - due);
+    const auto late = MonotonicNow() - due;
+    NoteLateness(late);
+    if (late > kTimeoutCheckInterval) {
+      // Answers may have waited for this thread as long.
+      for (auto& [id, open] : openOrders_) {
+        open.deadline_ += late;
+      }
+    }
     const bool stillLeads =
       FailOrders([now = MonotonicNow()](
                    const OpenOrder& aOpen) { return aOpen.deadline_ <= now; },
--- a/packages/daemon/order_relay_base.h
+++ b/packages/daemon/order_relay_base.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace acaciahill {
@@ -27,6 +28,8 @@
   std::uint64_t timedOut_ = 0;
   /// Relayed orders whose agent failed.
   std::uint64_t agentFailed_ = 0;
+  /// Relayed orders that reached their agent after their deadline.
+  std::uint64_t notGiven_ = 0;
 
   bool operator==(const OrderCounts&) const = default;
 };
@@ -80,9 +83,10 @@
   {
     std::string zone_;
     std::vector<RelayedOrder> queued_;
-    /// The agent's clock in its last answer, and the local arrival time.
-    std::int64_t clockMs_ = 0;
-    MonotonicTime answeredAt_{};
+    /// The agent's clock less this node's, as far as an answer has shown: an
+    /// answer is read late, so that a larger difference is closer to the truth.
+    std::optional<std::int64_t> clockAheadMs_;
+    MonotonicTime clockReadAt_{};
     /// The agent gets no orders before this time.
     MonotonicTime backoffUntil_{};
     int openCalls_ = 0;
@@ -118,6 +122,7 @@
                     OnAnswer aOnAnswer);
   void SendBatch(const std::string& aNode, Agent& aAgent);
   void HandleAnswers(const std::string& aNode, const CallResult& aResult);
+  static void ReadClock(Agent& aAgent, std::int64_t aClockMs);
   void CompleteOrder(const RelayedAnswer& aAnswer);
   void WatchTimeouts();
   /// Notes how late a handler of this thread runs.
@@ -125,6 +130,8 @@
   /// The timeout with what this thread's own lateness adds to it: a request
   /// waits for the thread before it is sent, and its answer before it is read.
   Millis WithLateness(Millis aTimeout) const;
+  /// Time on the agent's clock after which it must not send a batch of now.
+  std::int64_t DeadlineFor(const Agent& aAgent) const;
 
   AsyncClient& client_;
   boost::asio::steady_timer timer_;
--- a/packages/daemon/workload_host.cpp
+++ b/packages/daemon/workload_host.cpp
@@ -154,6 +154,7 @@
       { "relayed_orders", orders.relayed_ - reportedOrders_.relayed_ },
       { "timed_out", orders.timedOut_ - reportedOrders_.timedOut_ },
       { "agent_failed", orders.agentFailed_ - reportedOrders_.agentFailed_ },
+      { "not_given", orders.notGiven_ - reportedOrders_.notGiven_ },
       { "decisions_cpu_ms", cpuMs(LeaderWork::Decisions) },
       { "orders_cpu_ms", cpuMs(LeaderWork::Orders) },
       { "answers_cpu_ms", cpuMs(LeaderWork::Answers) },
