Fix: a list of VMs does not undo what was learned after it was asked for

What callers would see: tasks at work that end when their VM is moved to another pool (a move takes no VM with tasks), and more VMs of a wave down for upkeep than its cap.

Asked for before a move or an upkeep was answered and read after it, it showed the moved VM as switched off in its former pool for up to 10 s, in which the balance of pools moved it once more, and a VM in upkeep as up.

Change: the request carries its time. What an answer to an order has changed since then stays, and upkeep has ended only in a list asked for later than its order.

Evidence: both cases of late_vm_list_test failed before. "a moved VM is not taken for a spare one": 2 moves, the VM in pool "q" while its task was at work in "p". "an older list does not end the upkeep of a VM": 2 VMs down with a cap of 1, for delays of 1.2, 1.6 and 2.5 s of five delays. Both pass with the change.

--- a/packages/daemon/workload_host_base.h
+++ b/packages/daemon/workload_host_base.h
@@ -105,7 +105,8 @@
   void SendOrder(WorkerOrder aOrder, OrderRelay::OnAnswer aOnAnswer);
   /// Updates the relay's list of control nodes that can forward orders.
   void RefreshAgents();
-  void ReadVmPage(const std::string& aToken,
+  void ReadVmPage(const ListVms& aAction,
+                  const std::string& aToken,
                   std::shared_ptr<std::vector<VmListing>> aSoFar);
   /// Calls the platform; the callback is not called after the end of this
   /// leadership.
--- a/packages/daemon/workload_orders.cpp
+++ b/packages/daemon/workload_orders.cpp
@@ -231,29 +231,30 @@
 }
 
 void
-WorkloadHost::Execute(const ListVms& /*aAction*/)
+WorkloadHost::Execute(const ListVms& aAction)
 {
-  ReadVmPage("", std::make_shared<std::vector<VmListing>>());
+  ReadVmPage(aAction, "", std::make_shared<std::vector<VmListing>>());
 }
 
 void
-WorkloadHost::ReadVmPage(const std::string& aToken,
+WorkloadHost::ReadVmPage(const ListVms& aAction,
+                         const std::string& aToken,
                          std::shared_ptr<std::vector<VmListing>> aSoFar)
 {
   Call(settings_.vmApi_,
        platform::EncodeListVms(settings_.vmApi_, aToken),
        kVmApiTimeout,
-       [this, soFar = std::move(aSoFar)](const CallResult& aResult) {
+       [this, aAction, soFar = std::move(aSoFar)](const CallResult& aResult) {
          const auto page = platform::DecodeVmPage(aResult);
          if (!page) {
-           scheduler_->HandleVms(std::nullopt, MonotonicNow());
+           scheduler_->HandleVms(aAction, std::nullopt, MonotonicNow());
            return;
          }
          soFar->insert(soFar->end(), page->vms_.begin(), page->vms_.end());
          if (page->next_.empty()) {
-           scheduler_->HandleVms(*soFar, MonotonicNow());
+           scheduler_->HandleVms(aAction, *soFar, MonotonicNow());
          } else {
-           ReadVmPage(page->next_, soFar);
+           ReadVmPage(aAction, page->next_, soFar);
          }
        });
 }
--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -82,7 +82,8 @@
                      const std::optional<WorkerLists>& aLists,
                      MonotonicTime aNow);
   /// Nothing when the platform did not answer.
-  void HandleVms(const std::optional<std::vector<VmListing>>& aVms,
+  void HandleVms(const ListVms& aOrder,
+                 const std::optional<std::vector<VmListing>>& aVms,
                  MonotonicTime aNow);
   void HandleUpkeep(const BeginUpkeep& aOrder,
                     VmOutcome aOutcome,
@@ -395,6 +396,8 @@
   void RetryMoves(MonotonicTime aNow);
 
   // scheduler_upkeep.cpp: maintenance waves.
+  /// Asks for the platform's list of VMs if the last one is older.
+  void RefreshVmList(Millis aMaxAge, MonotonicTime aNow);
   void AdvanceWaves(MonotonicTime aNow);
   void AdvanceWave(const UpkeepWave& aWave,
                    const std::vector<std::string>& aCandidates,
--- a/packages/workload/scheduler_pools.cpp
+++ b/packages/workload/scheduler_pools.cpp
@@ -85,11 +85,7 @@
   if (sparePool.empty() || !settings_.movesVms_) {
     return;
   }
-  if (!vmListInFlight_ &&
-      (!vmListKnown_ || aNow - vmListAt_ >= kSpareListInterval)) {
-    vmListInFlight_ = true;
-    actions_.emplace_back(ListVms{});
-  }
+  RefreshVmList(kSpareListInterval, aNow);
   ForgetEndedMoves(aNow);
   RetryMoves(aNow);
   ObserveDemand(aNow);
@@ -212,6 +208,7 @@
       move.hasBegun_ = true;
       if (auto listed = vms_.find(aOrder.vm_); listed != vms_.end()) {
         listed->second.listing_.pool_ = aOrder.pool_;
+        listed->second.changedAt_ = aNow;
         listed->second.noMoveBefore_ = aNow + kVmArrival;
       }
       DropWorker(number, "moved to another pool", aNow);
--- a/packages/workload/scheduler_type.h
+++ b/packages/workload/scheduler_type.h
@@ -202,6 +202,8 @@
 /// Asks the platform for its list of VMs.
 struct ListVms
 {
+  MonotonicTime sentAt_{};
+
   bool operator==(const ListVms&) const = default;
 };
 
--- a/packages/workload/scheduler_upkeep.cpp
+++ b/packages/workload/scheduler_upkeep.cpp
@@ -19,7 +19,7 @@
 // No further VM is emptied for this time after the platform has not answered an
 // order; those that are emptied already are ordered again meanwhile.
 constexpr Millis kUpkeepUnavailable{ 3000 };
-// A VM that is listed as up this long after its order has completed
+// A VM that is up in a list asked for this long after its order has completed
 // maintenance.
 constexpr Millis kMinUpkeepTime{ 1000 };
 // VMs of a wave that are emptied in advance, beyond the cap.
@@ -62,6 +62,15 @@
 
 } // namespace
 
+void
+Scheduler::RefreshVmList(Millis aMaxAge, MonotonicTime aNow)
+{
+  if (!vmListInFlight_ && (!vmListKnown_ || aNow - vmListAt_ >= aMaxAge)) {
+    vmListInFlight_ = true;
+    actions_.emplace_back(ListVms{ aNow });
+  }
+}
+
 void
 Scheduler::AdvanceWaves(MonotonicTime aNow)
 {
@@ -77,11 +86,7 @@
   if (!isActive && !isDown) {
     return;
   }
-  if (!vmListInFlight_ &&
-      (!vmListKnown_ || aNow - vmListAt_ >= kListInterval)) {
-    vmListInFlight_ = true;
-    actions_.emplace_back(ListVms{});
-  }
+  RefreshVmList(kListInterval, aNow);
   if (!vmListKnown_) {
     return;
   }
@@ -101,7 +106,8 @@
 }
 
 void
-Scheduler::HandleVms(const std::optional<std::vector<VmListing>>& aVms,
+Scheduler::HandleVms(const ListVms& aOrder,
+                     const std::optional<std::vector<VmListing>>& aVms,
                      MonotonicTime aNow)
 {
   vmListInFlight_ = false;
@@ -111,18 +117,24 @@
     return;
   }
   vmListKnown_ = true;
+  const auto isNewerThanList = [&aOrder](const VmView& aView) {
+    return aView.changedAt_ && *aView.changedAt_ >= aOrder.sentAt_;
+  };
   std::set<std::string> listed;
   for (const auto& listing : *aVms) {
     auto& view = vms_[listing.vm_];
+    listed.insert(listing.vm_);
+    if (isNewerThanList(view)) {
+      continue;
+    }
     view.listing_ = listing;
     // The move completes before the list is read again.
     if (listing.state_ == VmState::Moving) {
       view.listing_.state_ = VmState::Up;
       view.noMoveBefore_ = std::max(view.noMoveBefore_, aNow + kVmArrival);
     }
-    listed.insert(listing.vm_);
     if (view.isDown_ && listing.state_ == VmState::Up &&
-        aNow - view.downSince_ > kMinUpkeepTime) {
+        aOrder.sentAt_ - view.downSince_ > kMinUpkeepTime) {
       view.isDown_ = false;
     }
   }
@@ -329,6 +341,7 @@
     case VmOutcome::Begun:
       view.isDown_ = true;
       view.downSince_ = aNow;
+      view.changedAt_ = aNow;
       view.listing_.state_ = VmState::Upkeep;
       Decide(WaveVmBegun{ aOrder.wave_, aOrder.vm_ }, aNow);
       // All runs of that worker have ended. The answer may be about an earlier
@@ -346,6 +359,7 @@
       // The VM may still go down, and counts as down until it is listed as up.
       view.isDown_ = true;
       view.downSince_ = aNow;
+      view.changedAt_ = aNow;
       return;
     case VmOutcome::NotNow:
       vmCalls_.NoteRefusal(aNow);
--- /dev/null
+++ b/packages/workload/test/late_vm_list_test.cpp
@@ -0,0 +1,92 @@
+#include "workload/test/scheduler_jobs.h"
+
+#include <catch2/catch.hpp>
+
+using namespace acaciahill;
+using namespace acaciahill::test;
+
+namespace {
+
+// A list that was asked for before an order and arrives after its answer.
+constexpr Millis kListDelay{ 1200 };
+
+/// A pool "q" beside "p" and "off", with a queue of its own.
+WorkloadConfig
+TwoPools()
+{
+  auto config = OnePool();
+  config.pools_["off"] = { "off", false, true };
+  config.pools_["q"] = { "q", false, false };
+  config.queues_["h/r/"] = { "h/r/", "r", "q", 0, 50, 1.6, 600, 3000 };
+  return config;
+}
+
+} // namespace
+
+// Load: two pools that each lack a worker for a long-running job, one after the
+// other, and one switched-off VM. Guards against a VM that an old list of the
+// platform shows as switched off after it was moved: it was moved once more,
+// which ends the tasks that it runs by then.
+TEST_CASE("a moved VM is not taken for a spare one after an older list")
+{
+  SchedulerDriver driver(1, {});
+  EnableVmMoves(driver);
+  driver.SetConfig(TwoPools());
+  driver.carriesOutMoves_ = true;
+  driver.listDelay_ = kListDelay;
+  for (int worker = 0; worker < 3; ++worker) {
+    driver.AddWorker("p" + std::to_string(worker), "p");
+    driver.AddWorker("q" + std::to_string(worker), "q");
+  }
+  driver.AddSpareVm("s0");
+  // The second list is asked for 10 s after the first one has arrived.
+  driver.RunFor(Millis(11500));
+  REQUIRE(driver.movedVms_.empty());
+  driver.Submit(LongRunningJob(1, 4));
+  driver.RunFor(Millis(3000));
+  REQUIRE(driver.movedVms_.size() == 1);
+  REQUIRE(CountLongRunningTasks(driver) == 4);
+  auto other = LongRunningJob(2, 4);
+  other.queue_ = "h/r/";
+  driver.Submit(other);
+  driver.RunFor(Millis(3000));
+  CHECK(driver.movedVms_.size() == 1);
+  CHECK(driver.PoolOf("s0") == "p");
+  CHECK(driver.Workers().at("s0").runs_.size() == 1);
+  CHECK(driver.Seen().empty());
+}
+
+// Load: a wave with a cap of one VM. All workers are busy until shortly after
+// the second request for the platform's list, whose answer is late. Guards
+// against a VM that an old list shows as up after it went down for upkeep: then
+// more VMs than the cap of the wave were down at once (LIMIT).
+TEST_CASE("an older list does not end the upkeep of a VM")
+{
+  const auto delayMs = GENERATE(0, 400, 1200, 1600, 2500);
+  CAPTURE(delayMs);
+  constexpr int kWorkers = 4;
+  // The list is asked for again 1.5 s after it has arrived.
+  constexpr Millis kBeforeWave{ 300 };
+  const auto secondRequest = kBeforeWave + Millis(delayMs + 1500);
+  SchedulerDriver driver(2, {});
+  driver.SetConfig(OnePool());
+  AddWorkers(driver, kWorkers);
+  driver.listDelay_ = Millis(delayMs);
+  driver.RunFor(Millis(500));
+  auto job = OneStepJob(1);
+  job.steps_[0].tasks_ = 4 * kWorkers;
+  driver.runTimes_[1] = secondRequest + Millis(100);
+  driver.Submit(job);
+  driver.RunFor(kBeforeWave);
+  UpkeepWave wave;
+  wave.id_ = 1;
+  wave.cap_ = 1;
+  wave.dueAtMs_ = 60000;
+  for (const auto& [id, worker] : driver.Workers()) {
+    wave.pendingVms_.push_back("vm-" + id);
+  }
+  driver.StartWave(wave);
+  driver.RunFor(Millis(60000));
+  CHECK(driver.maxVmsDown_ <= 1);
+  CHECK(driver.maintainedVms_.size() == kWorkers);
+}
--- a/packages/workload/test/scheduler_driver.cpp
+++ b/packages/workload/test/scheduler_driver.cpp
@@ -70,6 +70,15 @@
   Report(worker);
 }
 
+void
+SchedulerDriver::AddSpareVm(const std::string& aId)
+{
+  auto& worker = workers_[aId];
+  worker.id_ = aId;
+  worker.up_ = false;
+  pools_[aId] = detail::kOffPool;
+}
+
 void
 SchedulerDriver::Report(const FakeWorker& aWorker)
 {
@@ -157,6 +166,7 @@
       },
       delayed.order_);
   }
+  DeliverLists();
   StepPlannedRestarts();
   StepWorkers();
   AnswerRenewals();
--- a/packages/workload/test/scheduler_driver.h
+++ b/packages/workload/test/scheduler_driver.h
@@ -96,6 +96,8 @@
   SchedulerDriver(std::uint32_t aSeed, FaultRates aFaults);
 
   void AddWorker(const std::string& aId, const std::string& aPool);
+  /// Adds a VM that is switched off; its worker runs once the VM was moved.
+  void AddSpareVm(const std::string& aId);
   /// Submits a job to the scheduler; Accepted() lists it once it is answered.
   void Submit(const JobSpec& aSpec);
   void Cancel(JobId aJob);
@@ -158,6 +160,9 @@
   /// Share of moves and orders of upkeep that the platform refuses or does not
   /// answer. It carries out half of those without an answer.
   int platformFaultPermille_ = 0;
+  /// Time until the platform's answer to a request for its list arrives. The
+  /// list tells what was true at the request.
+  Millis listDelay_{ 0 };
   void SetFaults(FaultRates aFaults) { faults_ = aFaults; }
   /// The pool of a worker, also while it is not up.
   const std::string& PoolOf(const std::string& aWorker) const
@@ -166,6 +171,13 @@
   }
 
 private:
+  struct DelayedList
+  {
+    MonotonicTime at_{};
+    std::uint64_t term_ = 0;
+    ListVms order_;
+    std::vector<VmListing> vms_;
+  };
   struct DelayedOrder
   {
     MonotonicTime at_{};
@@ -185,6 +197,7 @@
   /// arrives a second time, seconds later.
   void StepPlannedRestarts();
   void StepGangs();
+  void DeliverLists();
   /// All tasks of the gang of a task; only the task itself without a gang.
   std::vector<TaskKey> GangMembers(const TaskKey& aTask) const;
   void AnswerRenewals();
@@ -226,6 +239,7 @@
   std::unique_ptr<Scheduler> scheduler_;
   std::deque<std::pair<MonotonicTime, AppendBatch>> log_;
   std::deque<DelayedOrder> delayedOrders_;
+  std::deque<DelayedList> delayedLists_;
   std::multimap<MonotonicTime, std::string> delayedLeaves_;
   /// Lease renewals that wait at their workers: term, due time and order.
   std::vector<std::tuple<std::uint64_t, MonotonicTime, RenewLease>> renewals_;
--- a/packages/workload/test/scheduler_driver_platform.cpp
+++ b/packages/workload/test/scheduler_driver_platform.cpp
@@ -30,7 +30,7 @@
 }
 
 void
-SchedulerDriver::Execute(const ListVms& /*aAction*/)
+SchedulerDriver::Execute(const ListVms& aAction)
 {
   std::vector<VmListing> vms;
   for (const auto& [id, worker] : workers_) {
@@ -42,7 +42,22 @@
                     "z" });
   }
   vms.insert(vms.end(), spareVms_.begin(), spareVms_.end());
-  scheduler_->HandleVms(vms, now_);
+  delayedLists_.push_back({ now_ + listDelay_, term_, aAction, vms });
+  if (listDelay_ == Millis(0)) {
+    DeliverLists();
+  }
+}
+
+void
+SchedulerDriver::DeliverLists()
+{
+  while (!delayedLists_.empty() && delayedLists_.front().at_ <= now_) {
+    const auto list = std::move(delayedLists_.front());
+    delayedLists_.pop_front();
+    if (list.term_ == term_) {
+      scheduler_->HandleVms(list.order_, list.vms_, now_);
+    }
+  }
 }
 
 std::pair<VmOutcome, bool>
--- a/packages/workload/test/unexplained_fence_test.cpp
+++ b/packages/workload/test/unexplained_fence_test.cpp
@@ -99,6 +99,7 @@
          } },
     Row{ "upkeep", [](Scheduler& aScheduler) {
           aScheduler.HandleVms(
+            ListVms{ kStart },
             std::vector<VmListing>{ { "vm-v", "p", VmState::Up, "v", "z" } },
             kStart);
           aScheduler.HandleUpkeep(
--- a/packages/workload/test/upkeep_answer_test.cpp
+++ b/packages/workload/test/upkeep_answer_test.cpp
@@ -34,7 +34,9 @@
   wave.pendingVms_ = { "vm-w" };
   scheduler.StartWave(2, wave, kStart);
   scheduler.HandleVms(
-    std::vector<VmListing>{ { "vm-w", "p", VmState::Up, "w", "z" } }, kStart);
+    ListVms{ kStart },
+    std::vector<VmListing>{ { "vm-w", "p", VmState::Up, "w", "z" } },
+    kStart);
   // The budget of calls to the platform fills with time.
   scheduler.Tick(kStart + Millis(500), 0);
   const auto actions = TakeCommitted(scheduler);
--- a/packages/workload/vm_view_type.h
+++ b/packages/workload/vm_view_type.h
@@ -3,6 +3,7 @@
 #include "kernel/time_type.h"
 #include "workload/scheduler_type.h"
 
+#include <optional>
 #include <string>
 
 namespace acaciahill {
@@ -11,6 +12,9 @@
 struct VmView
 {
   VmListing listing_;
+  /// When the answer to an order last changed this view. Lists that were asked
+  /// for before do not count.
+  std::optional<MonotonicTime> changedAt_;
   /// The VM must not be moved before that time.
   MonotonicTime noMoveBefore_{};
   /// The VM is no candidate of a wave before that time.
