Change: names in the fence and in the tests of the relay say what they hold now

unansweredStarts_ also counts withdrawn stops since, and kOrderTimeLimit is the timeout of a call to an agent since.

--- a/packages/daemon/test/order_relay_bench.h
+++ b/packages/daemon/test/order_relay_bench.h
@@ -39,7 +39,7 @@
 inline constexpr Millis kTestTimeout{ 5000 };
 /// Timeout of a call to an agent, which fails its orders. The slack is for slow
 /// machines.
-inline constexpr Millis kOrderTimeLimit{ 450 };
+inline constexpr Millis kAgentCallTimeout{ 450 };
 /// Timeout of an order through an agent that answers its calls: 0.3 s for its
 /// way to the agent, 0.3 s for the worker and 0.45 s for a call.
 inline constexpr Millis kRelayedOrderTimeLimit{ 1050 };
--- a/packages/daemon/test/order_relay_test.cpp
+++ b/packages/daemon/test/order_relay_test.cpp
@@ -132,13 +132,13 @@
   bench.agents_.at(kNear).behavior_ = AgentBehavior::Hangs;
   CHECK(bench.SendStop(1, "zone-n") == OrderOutcome::Unknown);
   REQUIRE(bench.received_.size() == 1);
-  CHECK(bench.received_[0].after_ >= kOrderTimeLimit);
-  CHECK(bench.received_[0].after_ < kOrderTimeLimit + kSlack);
+  CHECK(bench.received_[0].after_ >= kAgentCallTimeout);
+  CHECK(bench.received_[0].after_ < kAgentCallTimeout + kSlack);
   CHECK(bench.orders_.empty());
   CHECK(bench.Batches(kNear).size() == 1);
 
   CHECK(bench.SendStop(1, "zone-n") == OrderOutcome::Taken);
-  CHECK(bench.received_[1].after_ < kOrderTimeLimit);
+  CHECK(bench.received_[1].after_ < kAgentCallTimeout);
   CHECK(bench.orders_.size() == 1);
   CHECK(bench.Batches(kNear).size() == 1);
   // The agent's calls have failed by then, so that it gets no orders for other
@@ -197,7 +197,7 @@
   agent.behavior_ = AgentBehavior::Refuses;
   // The order was in the call that was refused.
   CHECK(bench.SendStop(1, "zone-n") == OrderOutcome::Unknown);
-  CHECK(bench.received_[0].after_ < kOrderTimeLimit + kSlack);
+  CHECK(bench.received_[0].after_ < kAgentCallTimeout + kSlack);
   CHECK(bench.orders_.empty());
   CHECK(bench.SendStop(2, "zone-n") == OrderOutcome::Taken);
   CHECK(agent.batches_.size() == 1);
--- a/packages/workload/scheduler_run.cpp
+++ b/packages/workload/scheduler_run.cpp
@@ -252,7 +252,7 @@
       // fence prevents that, and its lists tell whether the run has started: a
       // run in progress goes on.
       if (run->phase_ == RunPhase::Sent) {
-        ++view.unansweredStarts_;
+        ++view.unclearOrders_;
         run->phase_ = RunPhase::Unconfirmed;
         run->since_ = aNow;
         unsettledWorkers_.insert(worker);
@@ -347,7 +347,7 @@
   aRun.stopUnanswered_ = false;
   aRun.staleStopFence_ = FenceOf(*state_.FindWorker(aWorker));
   aRun.staleStopBarredAt_.reset();
-  ++views_.at(aWorker).unansweredStarts_;
+  ++views_.at(aWorker).unclearOrders_;
 }
 
 void
--- a/packages/workload/scheduler_worker.cpp
+++ b/packages/workload/scheduler_worker.cpp
@@ -19,10 +19,10 @@
 constexpr Millis kLeaseMargin{ 100 };
 // Ids of ignored workers are kept up to this number to log each one once.
 constexpr std::size_t kMaxIgnoredWorkers = 1000;
-// Bits of a fence below the term: the worker's number, then its unanswered
-// starts. JSON numbers are exact up to 53 bits, which leaves 21 for the term.
+// Bits of a fence below the term: the worker's number, then its unclear
+// orders. JSON numbers are exact up to 53 bits, which leaves 21 for the term.
 constexpr std::uint64_t kWorkerBits = 20;
-constexpr std::uint64_t kUnansweredStartBits = 12;
+constexpr std::uint64_t kUnclearOrderBits = 12;
 
 } // namespace
 
@@ -65,17 +65,16 @@
   return found == workers.rend() ? 0 : found->first;
 }
 
-// A higher term, a newer incarnation under the same id and a start order
-// without an answer each raise the fence, so that a worker refuses older orders
-// once a newer one has arrived.
+// A higher term, a newer incarnation under the same id and an order whose
+// outcome is unclear each raise the fence, so that a worker refuses older
+// orders once a newer one has arrived.
 std::uint64_t
 Scheduler::FenceOf(const WorkerEntry& aWorker) const
 {
-  return (term_ << (kWorkerBits + kUnansweredStartBits)) |
-         ((aWorker.number_ & ((1U << kWorkerBits) - 1))
-          << kUnansweredStartBits) |
-         std::min(views_.at(aWorker.number_).unansweredStarts_,
-                  (1U << kUnansweredStartBits) - 1);
+  return (term_ << (kWorkerBits + kUnclearOrderBits)) |
+         ((aWorker.number_ & ((1U << kWorkerBits) - 1)) << kUnclearOrderBits) |
+         std::min(views_.at(aWorker.number_).unclearOrders_,
+                  (1U << kUnclearOrderBits) - 1);
 }
 
 OrderTarget
--- a/packages/workload/worker_view_type.h
+++ b/packages/workload/worker_view_type.h
@@ -72,8 +72,9 @@
   /// By then every lease granted so far has expired on the worker, even if its
   /// clock is slow.
   MonotonicTime leaseExpiresAt_{};
-  /// Start orders with an unclear outcome so far; part of the fence.
-  std::uint32_t unansweredStarts_ = 0;
+  /// Starts and withdrawn stops with an unclear outcome so far; part of the
+  /// fence.
+  std::uint32_t unclearOrders_ = 0;
   /// A newer incarnation of the worker has registered.
   bool isSuperseded_ = false;
   /// The worker has answered a lease renewal of this leader.
