--- a/packages/daemon/workload_host.cpp
+++ b/packages/daemon/workload_host.cpp
@@ -23,9 +23,6 @@
 constexpr Millis kFormationTimeout{ 3000 };
 
 constexpr Millis kLoadReportInterval{ 2000 };
-// Counts of queued jobs are answered for this time before the jobs, thousands
-// of them, are looked at again.
-constexpr Millis kQueuedJobsMaxAge{ 200 };
 
 std::uint64_t
 WallMs()
@@ -240,7 +237,7 @@
   term_ = aTerm;
   ++generation_;
   config_ = {};
-  queuedJobsCountedAt_ = {};
+  queuedJobs_.Reset();
   relay_.Begin(aTerm);
   reportedOrders_ = {};
   loadReportedAt_ = MonotonicNow();
@@ -457,11 +454,9 @@
 HttpAnswer
 WorkloadHost::PendingCountAnswer(const std::string& aQueue)
 {
-  const auto now = MonotonicNow();
-  if (now - queuedJobsCountedAt_ >= kQueuedJobsMaxAge) {
-    queuedJobsCountedAt_ = now;
-    queuedJobs_ = replica_.Read([](const Fleet& aFleet) {
-      std::map<std::string, std::uint64_t> counts;
+  return platform::EncodePending(queuedJobs_.Of(aQueue, MonotonicNow(), [this] {
+    return replica_.Read([](const Fleet& aFleet) {
+      QueuedJobCounts::Counts counts;
       for (const auto& [id, job] : aFleet.GetWorkload().Jobs()) {
         if (job.phase_ == JobPhase::Queued) {
           ++counts[job.spec_.queue_];
@@ -469,10 +464,7 @@
       }
       return counts;
     });
-  }
-  const auto found = queuedJobs_.find(aQueue);
-  return platform::EncodePending(found == queuedJobs_.end() ? 0
-                                                            : found->second);
+  }));
 }
 
 } // namespace acaciahill
--- a/packages/daemon/workload_host_base.h
+++ b/packages/daemon/workload_host_base.h
@@ -2,6 +2,7 @@
 
 #include "daemon/leader_meter_base.h"
 #include "daemon/order_relay_base.h"
+#include "daemon/queued_job_counts_base.h"
 #include "daemon/replica_service_base.h"
 #include "daemon/workload_settings_type.h"
 #include "http/async_client_base.h"
@@ -147,9 +148,7 @@
   /// Incremented with each scheduler, so that callbacks of a former one are
   /// ignored.
   std::uint64_t generation_ = 0;
-  /// Jobs of which no task has started, by queue, and when they were counted.
-  std::map<std::string, std::uint64_t> queuedJobs_;
-  MonotonicTime queuedJobsCountedAt_{};
+  QueuedJobCounts queuedJobs_;
   RequestToken nextToken_ = 1;
   std::map<RequestToken, Answer> waiting_;
 };
