Add: a test of VMs that are switched off while a list is under way

Between the two the run's number rose by one, and a number is taken with each assignment, so that no other worker was tried: the task had no place. A pool gets a place from the switched-off VMs that the list shows; the list is read each 10 s when no wave is on, and a move takes 1.5 s.

That this was the cause of the record stays suspected: it has no trace.

--- a/packages/workload/test/late_vm_list_test.cpp
+++ b/packages/workload/test/late_vm_list_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace acaciahill;
 using namespace acaciahill::test;
 
@@ -45,6 +47,44 @@
   CHECK(driver.Seen().empty());
 }
 
+// Load: a turn of a pool, after which its idle VMs are switched off, and then a
+// long-running job with one task per worker that needs some of them again. The
+// turn ends at different times between two requests for the platform's list.
+// Guards against VMs that an old list shows in the pool after they were
+// switched off: the task waited for the next list, 10 s later (LOST, issues 42
+// and 46).
+TEST_CASE("a VM that was switched off during a list can be moved again")
+{
+  // The platform's limit for a task that runs again.
+  constexpr Millis kTimeToRunAgain{ 6000 };
+  constexpr std::size_t kWorkers = 16;
+  for (Millis before{ 0 }; before < Millis(12000); before += Millis(400)) {
+    CAPTURE(before.count());
+    SchedulerDriver driver(3, {});
+    EnableVmMoves(driver);
+    driver.carriesOutMoves_ = true;
+    driver.listDelay_ = kListDelay;
+    AddWorkers(driver, kWorkers);
+    driver.RunFor(Millis(2000) + before);
+    for (JobId job = 100; job < 180; ++job) {
+      driver.Submit(OneStepJob(job));
+      if (job % 4 == 3) {
+        driver.RunFor(Millis(250));
+      }
+    }
+    driver.RunFor(Millis(6000));
+    const auto isOff = [&driver](const auto& aEntry) {
+      return driver.PoolOf(aEntry.first) == detail::kOffPool;
+    };
+    const auto& workers = driver.Workers();
+    REQUIRE(std::count_if(workers.begin(), workers.end(), isOff) >= 10);
+    constexpr std::uint32_t kTasks = 6;
+    driver.Submit(LongRunningJob(1, kTasks));
+    driver.RunFor(kTimeToRunAgain);
+    CHECK(CountLongRunningTasks(driver) == kTasks);
+  }
+}
+
 // Load: a wave with a cap of one VM. All workers are busy until shortly after
 // the second request for the platform's list, whose answer is late. Guards
 // against a VM that an old list shows as up after it went down for upkeep: then
