--- a/packages/workload/scheduler_upkeep.cpp
+++ b/packages/workload/scheduler_upkeep.cpp
@@ -121,10 +121,12 @@
     return aView.changedAt_ && *aView.changedAt_ >= aOrder.sentAt_;
   };
   std::set<std::string> listed;
+  std::size_t outdated = 0;
   for (const auto& listing : *aVms) {
     auto& view = vms_[listing.vm_];
     listed.insert(listing.vm_);
     if (isNewerThanList(view)) {
+      ++outdated;
       continue;
     }
     view.listing_ = listing;
@@ -138,6 +140,12 @@
       view.isDown_ = false;
     }
   }
+  if (outdated > 0) {
+    LogInfo("a list of VMs is older than answers to orders",
+            { { "vms", listed.size() },
+              { "outdated", outdated },
+              { "took_ms", (aNow - aOrder.sentAt_).count() } });
+  }
   std::erase_if(vms_, [&listed](const auto& aEntry) {
     return !listed.contains(aEntry.first);
   });
