Fix: a list of VMs that could not be read is read again soon

What callers would see: a long-running task, or a pool in its turn, waits up to 10 s longer for a switched-off VM after the platform was away.

Cause: a failed read counted as a new list, so that the next one came with the usual interval; without any list yet it was repeated at each tick.

Change: a failed read is tried again after 0.5 s, and the age of the last list goes on.

Evidence: "a list that could not be read is read again soon" failed before (no VM moved within 6 s) and passes with the change.

--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -500,7 +500,9 @@
   std::map<std::string, MonotonicTime> surplusSince_;
   bool vmListInFlight_ = false;
   bool vmListKnown_ = false;
+  /// When the last list was read, and when a failed read is tried again.
   MonotonicTime vmListAt_{};
+  MonotonicTime vmListRetryAt_{};
   MonotonicTime endedJobsForgottenAt_{};
 };
 
--- a/packages/workload/scheduler_upkeep.cpp
+++ b/packages/workload/scheduler_upkeep.cpp
@@ -14,6 +14,8 @@
 
 // Age at which the platform's list is read again during a wave.
 constexpr Millis kListInterval{ 1500 };
+// A list that could not be read is asked for again after this time.
+constexpr Millis kListRetry{ 500 };
 // An order to the platform without an answer is sent again after this time.
 constexpr Millis kUpkeepRetry{ 1500 };
 // No further VM is emptied for this time after the platform has not answered an
@@ -65,7 +67,8 @@
 void
 Scheduler::RefreshVmList(Millis aMaxAge, MonotonicTime aNow)
 {
-  if (!vmListInFlight_ && (!vmListKnown_ || aNow - vmListAt_ >= aMaxAge)) {
+  if (!vmListInFlight_ && aNow >= vmListRetryAt_ &&
+      (!vmListKnown_ || aNow - vmListAt_ >= aMaxAge)) {
     vmListInFlight_ = true;
     actions_.emplace_back(ListVms{ aNow });
   }
@@ -111,11 +114,12 @@
                      MonotonicTime aNow)
 {
   vmListInFlight_ = false;
-  vmListAt_ = aNow;
   if (!aVms) {
     LogWarning("cannot read the platform's list of VMs");
+    vmListRetryAt_ = aNow + kListRetry;
     return;
   }
+  vmListAt_ = aNow;
   vmListKnown_ = true;
   const auto isNewerThanList = [&aOrder](const VmView& aView) {
     return aView.changedAt_ && *aView.changedAt_ >= aOrder.sentAt_;
--- a/packages/workload/test/late_vm_list_test.cpp
+++ b/packages/workload/test/late_vm_list_test.cpp
@@ -85,6 +85,27 @@
   }
 }
 
+// Load: a VM of the spare pool comes up while the platform's list can't be
+// read, and then a long-running job needs it. Guards against a failed read that
+// counts as a new list: the next one came 10 s later (LOST, issues 42 and 46).
+TEST_CASE("a list that could not be read is read again soon")
+{
+  constexpr Millis kTimeToRunAgain{ 6000 };
+  SchedulerDriver driver(4, {});
+  EnableVmMoves(driver);
+  driver.spareVms_ = { { "s-1", "off", VmState::Down, "", "z" } };
+  AddWorkers(driver, 3);
+  driver.RunFor(Millis(9000));
+  driver.spareVms_[0].state_ = VmState::Up;
+  // The second list is due 10 s after the first one.
+  driver.losesLists_ = true;
+  driver.RunFor(Millis(2500));
+  driver.losesLists_ = false;
+  driver.Submit(LongRunningJob(1, 4));
+  driver.RunFor(kTimeToRunAgain);
+  CHECK(!driver.movedVms_.empty());
+}
+
 // Load: a wave with a cap of one VM. All workers are busy until shortly after
 // the second request for the platform's list, whose answer is late. Guards
 // against a VM that an old list shows as up after it went down for upkeep: then
--- a/packages/workload/test/scheduler_driver.h
+++ b/packages/workload/test/scheduler_driver.h
@@ -165,6 +165,8 @@
   /// Time until the platform's answer to a request for its list arrives. The
   /// list tells what was true at the request.
   Millis listDelay_{ 0 };
+  /// Requests for the list fail.
+  bool losesLists_ = false;
   void SetFaults(FaultRates aFaults) { faults_ = aFaults; }
   /// The pool of a worker, also while it is not up.
   const std::string& PoolOf(const std::string& aWorker) const
--- a/packages/workload/test/scheduler_driver_platform.cpp
+++ b/packages/workload/test/scheduler_driver_platform.cpp
@@ -32,6 +32,10 @@
 void
 SchedulerDriver::Execute(const ListVms& aAction)
 {
+  if (losesLists_) {
+    scheduler_->HandleVms(aAction, std::nullopt, now_);
+    return;
+  }
   std::vector<VmListing> vms;
   for (const auto& [id, worker] : workers_) {
     const auto& pool = pools_.at(id);
