Fix: a worker to which no connection can be made is removed

What operators and callers would see: the leader keeps each worker that was lost for good, and each life of a VM before a move whose answer was lost, for the rest of its term.

Cause: an order that could not be sent counted as contact with its worker, as it has the outcome of a worker that takes no orders for now. The time of the last contact went on, and a silent worker is removed 20 s after it.

Change: contact needs an answer of the worker. The relay's choice of routes knew that; both ask one function now.

--- a/packages/daemon/order_relay.cpp
+++ b/packages/daemon/order_relay.cpp
@@ -3,6 +3,7 @@
 #include "kernel/error_func.h"
 #include "kernel/log_func.h"
 #include "kernel/os_clock_func.h"
+#include "workload/order_answer_func.h"
 
 #include <algorithm>
 #include <utility>
@@ -153,11 +154,7 @@
     ++counts_.notGiven_;
     return;
   }
-  // A worker that refuses orders for now tells its clock.
-  const bool isReached =
-    aAnswer.outcome_ != OrderOutcome::Unknown &&
-    (aAnswer.outcome_ != OrderOutcome::WorkerUnavailable || aAnswer.clockMs_);
-  if (!isReached) {
+  if (!IsFromWorker(aAnswer)) {
     failedRoutes_[aWorker][aAgent] = MonotonicNow();
     return;
   }
--- a/packages/workload/scheduler_worker.cpp
+++ b/packages/workload/scheduler_worker.cpp
@@ -1,6 +1,7 @@
 #include "workload/scheduler_base.h"
 
 #include "kernel/log_func.h"
+#include "workload/order_answer_func.h"
 #include "workload/workload_text_func.h"
 
 #include <algorithm>
@@ -351,8 +352,7 @@
       !IsOvertaken(*view, aTarget.fence_, *state_.FindWorker(number))) {
     HandleUnexplainedFence(aTarget, aNow);
   }
-  if (aAnswer.outcome_ != OrderOutcome::Unknown &&
-      aAnswer.outcome_ != OrderOutcome::NotGiven) {
+  if (IsFromWorker(aAnswer)) {
     view->lastContactAt_ = aNow;
   }
   return false;
