Fix: a VM that has registered in another pool is not a switched-off one

Cause: the answer to a move was the only thing that told the leader of the VM's new pool. Without it, and until the next list up to 10 s later, the VM counted as switched off, though its worker had registered.

Change: a registration is news of the VM like an answer to an order. It completes a move, also for earlier lives of the VM, whose workers are removed. An answer to an earlier order for another pool does not count.

--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -387,6 +387,14 @@
   /// VMs that are being moved to the pool and have not registered there.
   std::size_t CountArrivingVms(const std::string& aPool) const;
   void ForgetEndedMoves(MonotonicTime aNow);
+  /// Keeps what an answer or a registration has shown, until a later list.
+  void NotePoolOfVm(const std::string& aVm,
+                    const std::string& aPool,
+                    MonotonicTime aNow);
+  /// Removes the VM's workers in other pools than that.
+  void DropWorkersOfMovedVm(const std::string& aVm,
+                            const std::string& aPool,
+                            MonotonicTime aNow);
   void BalancePools(MonotonicTime aNow);
   /// Logs the demands that the next moves are based on.
   void LogDemands(const std::vector<PoolDemand>& aDemands) const;
--- a/packages/workload/scheduler_pools.cpp
+++ b/packages/workload/scheduler_pools.cpp
@@ -37,7 +37,8 @@
     }));
 }
 
-// Drops the moves that are complete, and those whose VM does not arrive.
+// Drops the moves that are complete, and those whose VM does not arrive. The
+// registration also completes a move whose answer was lost.
 void
 Scheduler::ForgetEndedMoves(MonotonicTime aNow)
 {
@@ -46,15 +47,53 @@
   }
   std::set<std::pair<std::string_view, std::string_view>> registered;
   for (const auto& [number, worker] : state_.Workers()) {
-    registered.emplace(worker.vm_, worker.pool_);
+    // A silent one may be an earlier life of the VM.
+    if (views_.at(number).missedRenewals_ == 0) {
+      registered.emplace(worker.vm_, worker.pool_);
+    }
   }
+  std::vector<std::pair<std::string, std::string>> complete;
   std::erase_if(moves_, [&](const auto& aEntry) {
     const auto& [vm, move] = aEntry;
-    const bool isOver =
-      move.toSpare_ || aNow - move.requestedAt_ > kMoveTimeout;
-    return (!move.isInFlight_ && registered.contains({ vm, move.pool_ })) ||
-           (move.hasBegun_ && isOver);
+    if (!move.isInFlight_ && registered.contains({ vm, move.pool_ })) {
+      complete.emplace_back(vm, move.pool_);
+      return true;
+    }
+    return move.hasBegun_ &&
+           (move.toSpare_ || aNow - move.requestedAt_ > kMoveTimeout);
   });
+  for (const auto& [vm, pool] : complete) {
+    DropWorkersOfMovedVm(vm, pool, aNow);
+  }
+}
+
+void
+Scheduler::NotePoolOfVm(const std::string& aVm,
+                        const std::string& aPool,
+                        MonotonicTime aNow)
+{
+  if (const auto listed = vms_.find(aVm); listed != vms_.end()) {
+    listed->second.listing_.pool_ = aPool;
+    listed->second.changedAt_ = aNow;
+    listed->second.noMoveBefore_ =
+      std::max(listed->second.noMoveBefore_, aNow + kVmArrival);
+  }
+}
+
+void
+Scheduler::DropWorkersOfMovedVm(const std::string& aVm,
+                                const std::string& aPool,
+                                MonotonicTime aNow)
+{
+  std::vector<std::uint32_t> gone;
+  for (const auto& [number, worker] : state_.Workers()) {
+    if (worker.vm_ == aVm && worker.pool_ != aPool) {
+      gone.push_back(number);
+    }
+  }
+  for (const auto number : gone) {
+    DropWorker(number, "moved to another pool", aNow);
+  }
 }
 
 std::set<std::string>
@@ -188,30 +227,20 @@
                       MonotonicTime aNow)
 {
   const auto found = moves_.find(aOrder.vm_);
-  if (found == moves_.end()) {
+  if (found == moves_.end() || found->second.pool_ != aOrder.pool_) {
     return;
   }
   auto& move = found->second;
   move.isInFlight_ = false;
   move.requestedAt_ = aNow;
-  std::uint32_t number = 0;
-  for (const auto& [each, worker] : state_.Workers()) {
-    if (worker.vm_ == aOrder.vm_ && worker.pool_ != aOrder.pool_) {
-      number = each;
-    }
-  }
   if (aOutcome == VmOutcome::Fenced) {
     DoubtAuthority("platform, move of " + aOrder.vm_, aNow);
   }
   switch (aOutcome) {
     case VmOutcome::Begun:
       move.hasBegun_ = true;
-      if (auto listed = vms_.find(aOrder.vm_); listed != vms_.end()) {
-        listed->second.listing_.pool_ = aOrder.pool_;
-        listed->second.changedAt_ = aNow;
-        listed->second.noMoveBefore_ = aNow + kVmArrival;
-      }
-      DropWorker(number, "moved to another pool", aNow);
+      NotePoolOfVm(aOrder.vm_, aOrder.pool_, aNow);
+      DropWorkersOfMovedVm(aOrder.vm_, aOrder.pool_, aNow);
       return;
     case VmOutcome::NoAnswer:
       // The move may still be carried out: the VM is kept empty, and the move
@@ -228,8 +257,10 @@
         "a VM cannot be moved now",
         { { "vm", aOrder.vm_ }, { "outcome", static_cast<int>(aOutcome) } });
       moves_.erase(found);
-      if (auto* view = FindView(number)) {
-        view->evacuating_ = false;
+      for (const auto& [number, worker] : state_.Workers()) {
+        if (worker.vm_ == aOrder.vm_) {
+          views_.at(number).evacuating_ = false;
+        }
       }
       if (auto listed = vms_.find(aOrder.vm_); listed != vms_.end()) {
         listed->second.noMoveBefore_ = aNow + kFailedMovePause;
--- a/packages/workload/scheduler_worker.cpp
+++ b/packages/workload/scheduler_worker.cpp
@@ -155,6 +155,7 @@
               { "draining", entry.draining_ } });
     Decide(WorkerJoined{ entry }, aNow);
     AddView(entry, aNow);
+    NotePoolOfVm(entry.vm_, entry.pool_, aNow);
     if (number != 0) {
       Supersede(number, entry.number_);
     }
--- a/packages/workload/test/late_vm_list_test.cpp
+++ b/packages/workload/test/late_vm_list_test.cpp
@@ -15,16 +15,28 @@
 } // namespace
 
 // Load: two pools that each lack a worker for a long-running job, one after the
-// other, and one switched-off VM. Guards against a VM that an old list of the
-// platform shows as switched off after it was moved: it was moved once more,
-// which ends the tasks that it runs by then.
-TEST_CASE("a moved VM is not taken for a spare one after an older list")
+// other, and one switched-off VM. Guards against a VM that counts as switched
+// off after it was moved, since an old list shows it so or since the answer to
+// the move was lost: it was moved once more, which ends the tasks that it runs
+// by then.
+TEST_CASE("a moved VM is not taken for a spare one")
 {
+  struct Row
+  {
+    const char* name_;
+    Millis listDelay_;
+    bool losesAnswers_;
+  };
+  const auto row =
+    GENERATE(values<Row>({ { "an older list", kListDelay, false },
+                           { "no answer to the move", Millis(0), true } }));
+  INFO(row.name_);
   SchedulerDriver driver(1, {});
   EnableVmMoves(driver);
   driver.SetConfig(TwoPools());
   driver.carriesOutMoves_ = true;
-  driver.listDelay_ = kListDelay;
+  driver.listDelay_ = row.listDelay_;
+  driver.losesMoveAnswers_ = row.losesAnswers_;
   for (int worker = 0; worker < 3; ++worker) {
     driver.AddWorker("p" + std::to_string(worker), "p");
     driver.AddWorker("q" + std::to_string(worker), "q");
@@ -35,13 +47,15 @@
   REQUIRE(driver.movedVms_.empty());
   driver.Submit(LongRunningJob(1, 4));
   driver.RunFor(Millis(3000));
-  REQUIRE(driver.movedVms_.size() == 1);
+  const auto moves = driver.movedVms_.size();
+  REQUIRE(moves > 0);
   REQUIRE(CountLongRunningTasks(driver) == 4);
   auto other = LongRunningJob(2, 4);
   other.queue_ = "h/r/";
   driver.Submit(other);
   driver.RunFor(Millis(3000));
-  CHECK(driver.movedVms_.size() == 1);
+  CHECK(driver.movedVms_.size() == moves);
+  CHECK(driver.runsEndedByMoves_ == 0);
   CHECK(driver.PoolOf("s0") == "p");
   CHECK(driver.Workers().at("s0").runs_.size() == 1);
   CHECK(driver.Seen().empty());
--- a/packages/workload/test/scheduler_driver.h
+++ b/packages/workload/test/scheduler_driver.h
@@ -154,6 +154,8 @@
   int maxStopMs_ = 0;
   /// Memory of workers by id, in MB, if it is not the usual one.
   std::map<std::string, std::int64_t> memoryMb_;
+  /// Moves are carried out, but the answers are lost.
+  bool losesMoveAnswers_ = false;
   /// Runs that ended because their VM was moved.
   std::size_t runsEndedByMoves_ = 0;
   /// Moves are carried out: the VM's worker ends and registers in the new pool
--- a/packages/workload/test/scheduler_driver_platform.cpp
+++ b/packages/workload/test/scheduler_driver_platform.cpp
@@ -113,8 +113,12 @@
     return;
   }
   const auto id = WorkerIdOf(aAction.vm_);
+  const auto answer = [&](VmOutcome aOutcome) {
+    scheduler_->HandleMove(
+      aAction, losesMoveAnswers_ ? VmOutcome::NoAnswer : aOutcome, now_);
+  };
   if (pools_.at(id) == aAction.pool_) {
-    scheduler_->HandleMove(aAction, VmOutcome::Begun, now_);
+    answer(VmOutcome::Begun);
     return;
   }
   const auto [outcome, isCarriedOut] =
@@ -125,7 +129,7 @@
     pools_[id] = aAction.pool_;
     unavailableUntil_[id] = now_ + kMoveTime;
   }
-  scheduler_->HandleMove(aAction, outcome, now_);
+  answer(outcome);
 }
 
 } // namespace acaciahill::test
