Fix: an earlier life of a VM that registers late completes no move

Only the newest life of a VM, by the start of its process, tells its pool now. A VM that registers before the first list is known is noted as well. No test shows either.

--- a/packages/workload/scheduler_pools.cpp
+++ b/packages/workload/scheduler_pools.cpp
@@ -37,25 +37,28 @@
     }));
 }
 
-// Drops the moves that are complete, and those whose VM does not arrive. The
-// registration also completes a move whose answer was lost.
+// Drops the moves that are complete, and those whose VM does not arrive. A
+// registration also completes a move whose answer was lost, unless it is an
+// earlier life of the VM that registers late.
 void
 Scheduler::ForgetEndedMoves(MonotonicTime aNow)
 {
   if (moves_.empty()) {
     return;
   }
-  std::set<std::pair<std::string_view, std::string_view>> registered;
+  std::map<std::string_view, const WorkerEntry*> newest;
   for (const auto& [number, worker] : state_.Workers()) {
-    // A silent one may be an earlier life of the VM.
-    if (views_.at(number).missedRenewals_ == 0) {
-      registered.emplace(worker.vm_, worker.pool_);
+    auto& last = newest[worker.vm_];
+    if (last == nullptr || last->processStartMs_ <= worker.processStartMs_) {
+      last = &worker;
     }
   }
   std::vector<std::pair<std::string, std::string>> complete;
   std::erase_if(moves_, [&](const auto& aEntry) {
     const auto& [vm, move] = aEntry;
-    if (!move.isInFlight_ && registered.contains({ vm, move.pool_ })) {
+    const auto worker = newest.find(vm);
+    if (!move.isInFlight_ && worker != newest.end() &&
+        worker->second->pool_ == move.pool_) {
       complete.emplace_back(vm, move.pool_);
       return true;
     }
@@ -72,12 +75,14 @@
                         const std::string& aPool,
                         MonotonicTime aNow)
 {
-  if (const auto listed = vms_.find(aVm); listed != vms_.end()) {
-    listed->second.listing_.pool_ = aPool;
-    listed->second.changedAt_ = aNow;
-    listed->second.noMoveBefore_ =
-      std::max(listed->second.noMoveBefore_, aNow + kVmArrival);
+  if (aVm.empty()) {
+    return;
   }
+  auto& view = vms_[aVm];
+  view.listing_.vm_ = aVm;
+  view.listing_.pool_ = aPool;
+  view.changedAt_ = aNow;
+  view.noMoveBefore_ = std::max(view.noMoveBefore_, aNow + kVmArrival);
 }
 
 void
