Fix: a zone stays unreachable when its silent workers are removed

What callers would see: an availability zone is cut off for longer than 20 s, and pools that need VMs get switched-off ones of that zone, which cannot register.

Cause: a zone counted as unreachable by its silent workers, which are removed after 20 s. Since workers without a connection are removed too, that happens in each such cut.

--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -382,7 +382,7 @@
                          MonotonicTime aNow) const;
 
   // scheduler_pools.cpp: moves of VMs between pools.
-  /// Zones that have workers of which none answers.
+  /// Zones of which no worker answers, or none did when it was removed.
   std::set<std::string> UnreachableZones() const;
   /// VMs that are being moved to the pool and have not registered there.
   std::size_t CountArrivingVms(const std::string& aPool) const;
@@ -489,6 +489,8 @@
   std::map<std::pair<TaskKey, std::uint32_t>, MonotonicTime>
     unexpectedStopSentAt_;
   std::set<std::string> ignoredWorkers_;
+  /// Unreachable zones whose workers were removed, until one registers.
+  std::set<std::string> lostZones_;
   std::map<std::string, VmView> vms_;
   std::map<std::string, PendingMove> moves_;
   /// VMs that waves may take down next; their workers are emptied.
--- a/packages/workload/scheduler_lease.cpp
+++ b/packages/workload/scheduler_lease.cpp
@@ -100,6 +100,10 @@
     } else if (view.runs_.empty() &&
                aNow - view.lastContactAt_ > kSilentWorkerRetention) {
       gone.emplace(number, "silent");
+      const auto& zone = state_.FindWorker(number)->zone_;
+      if (UnreachableZones().contains(zone)) {
+        lostZones_.insert(zone);
+      }
     }
   }
   for (const auto& [number, reason] : gone) {
--- a/packages/workload/scheduler_pools.cpp
+++ b/packages/workload/scheduler_pools.cpp
@@ -104,7 +104,7 @@
 std::set<std::string>
 Scheduler::UnreachableZones() const
 {
-  std::set<std::string> unreachable;
+  auto unreachable = lostZones_;
   std::set<std::string> reachable;
   for (const auto& [number, view] : views_) {
     const bool answers = view.confirmed_ && view.missedRenewals_ == 0;
--- a/packages/workload/scheduler_worker.cpp
+++ b/packages/workload/scheduler_worker.cpp
@@ -156,6 +156,7 @@
     Decide(WorkerJoined{ entry }, aNow);
     AddView(entry, aNow);
     NotePoolOfVm(entry.vm_, entry.pool_, aNow);
+    lostZones_.erase(entry.zone_);
     if (number != 0) {
       Supersede(number, entry.number_);
     }
--- a/packages/workload/test/scheduler_test.cpp
+++ b/packages/workload/test/scheduler_test.cpp
@@ -236,9 +236,11 @@
 
 // Guards against moving switched-off VMs of a partitioned availability zone to
 // a pool that lacks workers: they counted as supply, but could not reach the
-// leader to register.
+// leader to register. After 20 s the workers there are removed.
 TEST_CASE("VMs of a partitioned availability zone are not moved into a pool")
 {
+  const auto cutForMs = GENERATE(1500, 25000);
+  CAPTURE(cutForMs);
   SchedulerDriver driver(11, {});
   EnableVmMoves(driver);
   driver.spareVms_ = { { "s-near", "off", VmState::Up, "", "near" },
@@ -250,7 +252,7 @@
   driver.RunFor(Millis(500));
   driver.Workers().at("w2").isPartitioned_ = true;
   driver.Workers().at("w3").isPartitioned_ = true;
-  driver.RunFor(Millis(1500));
+  driver.RunFor(Millis(cutForMs));
   auto large = TwoStepJob(1);
   large.steps_[0].tasks_ = 60;
   driver.Submit(large);
