Fix: what a client sends beyond any limit no longer takes a node's memory

Cause: the read buffer of a connection had no maximum, so that trailer fields and sizes and extensions of chunks, which the parser needs as a whole, grew it without end; and nothing bounded the bodies of all connections together. Change: the buffer holds little more than the largest header, bodies are read in parts that draw from a budget of each interface, connections are counted, and the longest idle one makes room for a new one. What is refused (413, 431, 503) has not reached the handler. Answers of workers and of the platform are bounded likewise. The budget of the relay (BufferBudget) moved to packages/http and serves both.

--- a/packages/daemon/workload_service.cpp
+++ b/packages/daemon/workload_service.cpp
@@ -103,11 +103,13 @@
       context_,
       std::move(port.handler_),
       HttpLimits{ std::size_t{ 16 } * 1024,
-                  isCallers ? kMaxCallerBodyBytes : kMaxControlBodyBytes });
+                  isCallers ? kMaxCallerBodyBytes : kMaxControlBodyBytes },
+      ListenerTiming{},
+      settings_.listenerLimits_);
     if (auto started = listener->Start(port.address_); !IsOk(started)) {
       return started;
     }
-    listeners_.push_back(std::move(listener));
+    listeners_.push_back({ port.name_, std::move(listener) });
   }
   workGuard_.emplace(context_.get_executor());
   if (host_) {
@@ -161,20 +163,24 @@
     };
   };
   std::vector<Port> ports{
-    { settings_.listenCallers_, onPlane(Plane::Callers) },
-    { settings_.listenControl_, onPlane(Plane::Control) },
-    { settings_.listenReadiness_,
+    { "callers", settings_.listenCallers_, onPlane(Plane::Callers) },
+    { "control", settings_.listenControl_, onPlane(Plane::Control) },
+    { "readiness",
+      settings_.listenReadiness_,
       [this](const HttpRequest& aRequest,
              const AsyncListener::Answer& aAnswer) {
         const bool isOk = platform::IsReadinessCall(aRequest) && IsReady();
         aAnswer(PlainAnswer(isOk ? kOk : kUnavailable));
       } },
-    { settings_.listenInternal_,
+    { "internal",
+      settings_.listenInternal_,
       [this](const HttpRequest& aRequest, AsyncListener::Answer aAnswer) {
         AnswerInternal(aRequest, std::move(aAnswer));
       } },
-    { settings_.listenMetrics_,
+    { "metrics",
+      settings_.listenMetrics_,
       [this](const HttpRequest&, const AsyncListener::Answer& aAnswer) {
+        ExportListeners();
         aAnswer(PlainAnswer(kOk, metrics_.PrometheusText()));
       } }
   };
@@ -183,6 +189,29 @@
   return ports;
 }
 
+void
+WorkloadService::ExportListeners()
+{
+  for (const auto& [name, listener] : listeners_) {
+    const auto counts = listener->Counts();
+    const auto set = [this, &interface = name](const std::string& aName,
+                                               const std::string& aReason,
+                                               std::uint64_t aValue) {
+      MetricLabels labels{ { "interface", interface } };
+      if (!aReason.empty()) {
+        labels.emplace_back("reason", aReason);
+      }
+      metrics_.Set(aName, labels, static_cast<double>(aValue));
+    };
+    set("acaciahill_connections", "", counts.connections_);
+    set("acaciahill_request_buffer_bytes", "", counts.bufferedBytes_);
+    constexpr const char* kRefused = "acaciahill_refused_peers";
+    set(kRefused, "connections", counts.closedConnections_);
+    set(kRefused, "buffers", counts.refusedForBuffers_);
+    set(kRefused, "size", counts.refusedForSize_);
+  }
+}
+
 bool
 WorkloadService::IsReady() const
 {
@@ -227,7 +256,7 @@
 {
   std::size_t inWork = 0;
   for (const auto& listener : listeners_) {
-    inWork += listener->InWork();
+    inWork += listener.listener_->InWork();
   }
   return inWork;
 }
@@ -253,7 +282,7 @@
   }
   RunOnThread([this] {
     for (auto& listener : listeners_) {
-      listener->Drain();
+      listener.listener_->Drain();
     }
   });
   const auto until = MonotonicNow() + settings_.stopGrace_ - kUnreadyNotice;
--- a/packages/daemon/workload_service_base.h
+++ b/packages/daemon/workload_service_base.h
@@ -47,12 +47,22 @@
 private:
   struct Port
   {
+    /// As in the settings.
+    std::string name_;
     std::string address_;
     AsyncListener::Handler handler_;
   };
 
+  struct NamedListener
+  {
+    std::string name_;
+    std::unique_ptr<AsyncListener> listener_;
+  };
+
   LeaderSource MakeLeaderSource();
   std::vector<Port> MakePorts();
+  /// Sets the metrics of connections and refused peers.
+  void ExportListeners();
   bool IsReady() const;
   void AnswerInternal(const HttpRequest& aRequest,
                       AsyncListener::Answer aAnswer);
@@ -76,7 +86,7 @@
   std::optional<ReplicaReader> reader_;
   std::optional<OrderAgent> agent_;
   std::optional<Gateway> gateway_;
-  std::vector<std::unique_ptr<AsyncListener>> listeners_;
+  std::vector<NamedListener> listeners_;
   std::atomic<bool> stopping_{ false };
   std::thread thread_;
 };
--- a/packages/daemon/workload_settings.cpp
+++ b/packages/daemon/workload_settings.cpp
@@ -75,6 +75,13 @@
   made.vmApi_ = settings.Text("platform", "vm_api");
   made.stopGrace_ = time("node", "stop_grace_ms");
 
+  constexpr std::size_t kBytesPerKb = 1024;
+  made.listenerLimits_ = {
+    static_cast<std::size_t>(settings.Integer("limits", "max_connections")),
+    static_cast<std::size_t>(settings.Integer("limits", "request_buffer_kb")) *
+      kBytesPerKb
+  };
+
   auto& control = made.control_;
   control.node_ = settings.Text("node", "id");
   control.zone_ = settings.Text("node", "zone");
--- a/packages/daemon/workload_settings_type.h
+++ b/packages/daemon/workload_settings_type.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemon/daemon_settings_type.h"
+#include "http/async_http_type.h"
 #include "workload/scheduler_type.h"
 
 #include <string>
@@ -32,6 +33,8 @@
   std::string vmApi_;
   SchedulerSettings scheduler_;
   Millis stopGrace_{ 5000 };
+  /// Limits of each HTTP interface.
+  ListenerLimits listenerLimits_;
 
   bool operator==(const WorkloadSettings&) const = default;
 };
--- a/packages/http/async_client.cpp
+++ b/packages/http/async_client.cpp
@@ -22,6 +22,10 @@
 
 namespace {
 
+// Holds the header of an answer, and trailer fields or the size of a chunk, of
+// which the parser has no limits of its own.
+constexpr std::size_t kReadBufferBytes = std::size_t{ 64 } * 1024;
+
 /// An open connection without a call.
 struct IdleConnection
 {
@@ -205,7 +209,7 @@
   std::chrono::steady_clock::time_point deadline_;
   OnResult onResult_;
   std::unique_ptr<beast::tcp_stream> stream_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{ kReadBufferBytes };
   std::optional<http::response_parser<http::string_body>> parser_;
 };
 
--- a/packages/http/async_http_type.h
+++ b/packages/http/async_http_type.h
@@ -3,6 +3,7 @@
 #include "http/http_message_type.h"
 #include "kernel/time_type.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -33,4 +34,33 @@
   bool operator==(const ListenerTiming&) const = default;
 };
 
+/// Limits of all connections of a listener together.
+struct ListenerLimits
+{
+  /// Open connections. A further one takes the place of the one that has been
+  /// idle the longest, or is closed when none is idle.
+  std::size_t maxConnections_ = 3000;
+  /// Bytes of requests that are being read or have no answer yet. A request
+  /// beyond it is refused.
+  std::size_t maxBufferedBytes_ = std::size_t{ 8 } * 1024 * 1024;
+
+  bool operator==(const ListenerLimits&) const = default;
+};
+
+/// What a listener holds, and what it refused so far.
+struct ListenerCounts
+{
+  std::size_t connections_ = 0;
+  std::size_t bufferedBytes_ = 0;
+  /// Idle connections that were closed for new ones, and new ones that were
+  /// closed.
+  std::uint64_t closedConnections_ = 0;
+  /// Requests refused for want of buffers.
+  std::uint64_t refusedForBuffers_ = 0;
+  /// Requests refused because a part of them exceeds the limit of a message.
+  std::uint64_t refusedForSize_ = 0;
+
+  bool operator==(const ListenerCounts&) const = default;
+};
+
 } // namespace acaciahill
--- a/packages/http/async_listener.cpp
+++ b/packages/http/async_listener.cpp
@@ -1,7 +1,9 @@
 #include "http/async_listener_base.h"
 
 #include "http/beast_func.h"
+#include "http/buffer_budget_base.h"
 #include "kernel/log_func.h"
+#include "kernel/os_clock_func.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
@@ -22,6 +24,14 @@
 // Pause after accept() failed, for example for lack of file descriptors.
 constexpr Millis kAcceptPause{ 100 };
 constexpr std::int64_t kStatusInternalError = 500;
+constexpr std::int64_t kStatusUnavailable = 503;
+// The parser reports an oversized header by itself when the buffer can hold
+// more than the limit.
+constexpr std::size_t kBufferSlack = 1024;
+// A larger read buffer is freed between two requests.
+constexpr std::size_t kKeptBufferBytes = 4096;
+// Minimum time between two lines in the log about refused peers.
+constexpr Millis kRefusalLogInterval{ 1000 };
 
 } // namespace
 
@@ -32,22 +42,33 @@
   Impl(asio::io_context& aContext,
        Handler aHandler,
        HttpLimits aLimits,
-       ListenerTiming aTiming)
+       ListenerTiming aTiming,
+       ListenerLimits aTotal)
     : context_(aContext)
     , handler_(std::move(aHandler))
     , limits_(aLimits)
     , timing_(aTiming)
+    , total_(aTotal)
+    , budget_(static_cast<std::int64_t>(aTotal.maxBufferedBytes_))
     , acceptor_(aContext)
     , acceptTimer_(aContext)
   {
   }
 
   void Accept();
+  /// Closes the connection that has been idle the longest; false when none is
+  /// idle.
+  bool CloseLongestIdle();
+  void ReportRefusal(std::string_view aReason);
 
   asio::io_context& context_;
   Handler handler_;
   HttpLimits limits_;
   ListenerTiming timing_;
+  ListenerLimits total_;
+  BufferBudget budget_;
+  ListenerCounts counts_;
+  MonotonicTime refusalLoggedAt_{};
   asio::ip::tcp::acceptor acceptor_;
   asio::steady_timer acceptTimer_;
   std::set<Session*> sessions_;
@@ -63,6 +84,8 @@
   Session(std::shared_ptr<Impl> aOwner, asio::ip::tcp::socket aSocket)
     : owner_(std::move(aOwner))
     , stream_(std::move(aSocket))
+    , buffer_(owner_->limits_.maxHeaderBytes_ + kBufferSlack)
+    , lease_(owner_->budget_, false)
   {
     owner_->sessions_.insert(this);
   }
@@ -84,8 +107,13 @@
     parser_->header_limit(
       static_cast<std::uint32_t>(owner_->limits_.maxHeaderBytes_));
     parser_->body_limit(owner_->limits_.maxBodyBytes_);
+    if (buffer_.size() == 0 && buffer_.capacity() > kKeptBufferBytes) {
+      buffer_.shrink_to_fit();
+    }
+    lease_.Resize(buffer_.capacity());
     stream_.expires_after(owner_->timing_.idle_);
     idle_ = true;
+    idleSince_ = MonotonicNow();
     http::async_read_header(
       stream_,
       buffer_,
@@ -96,10 +124,21 @@
           self->Refuse(aError);
           return;
         }
+        self->parser_->eager(true);
+        self->stream_.expires_after(self->owner_->timing_.read_);
         self->ReadBody();
       });
   }
 
+  /// When the connection began to wait for a request; nothing while it does
+  /// not.
+  std::optional<MonotonicTime> IdleSince() const
+  {
+    return idle_ ? std::optional(idleSince_) : std::nullopt;
+  }
+
+  void Abort() { stream_.close(); }
+
   /// Closes the connection now if it is idle, otherwise after its answer.
   void CloseIfIdle()
   {
@@ -110,10 +149,19 @@
   }
 
 private:
+  /// Reads the body in parts, each of which must fit into the buffers of all
+  /// connections.
   void ReadBody()
   {
-    stream_.expires_after(owner_->timing_.read_);
-    http::async_read(
+    if (!lease_.Resize(buffer_.capacity() + parser_->get().body().capacity())) {
+      RefuseForBuffers();
+      return;
+    }
+    if (parser_->is_done()) {
+      Handle();
+      return;
+    }
+    http::async_read_some(
       stream_,
       buffer_,
       *parser_,
@@ -122,7 +170,7 @@
           self->Refuse(aError);
           return;
         }
-        self->Handle();
+        self->ReadBody();
       });
   }
 
@@ -182,7 +230,9 @@
   void Refuse(beast::error_code aError)
   {
     const bool tooLarge = aError == http::error::body_limit;
-    const bool headerTooLarge = aError == http::error::header_limit;
+    // The buffer is full of what is neither header nor body.
+    const bool headerTooLarge = aError == http::error::header_limit ||
+                                aError == http::error::buffer_overflow;
     const bool malformed =
       aError.category() ==
         http::make_error_code(http::error::bad_method).category() &&
@@ -194,10 +244,35 @@
     }
     HttpAnswer answer;
     answer.status_ = tooLarge ? 413 : (headerTooLarge ? 431 : 400);
-    answer.keepAlive_ = false;
+    if (tooLarge || headerTooLarge) {
+      ++owner_->counts_.refusedForSize_;
+      owner_->ReportRefusal("a part of a request exceeds its limit");
+    }
+    AnswerAndClose(std::move(answer));
+  }
+
+  void RefuseForBuffers()
+  {
+    ++owner_->counts_.refusedForBuffers_;
+    owner_->ReportRefusal("no buffer is left for a request");
+    HttpAnswer answer;
+    answer.status_ = kStatusUnavailable;
+    answer.headers_ = { { "Retry-After", "1" } };
+    AnswerAndClose(std::move(answer));
+  }
+
+  /// Answers a request that did not reach the handler, and frees what was read
+  /// of it.
+  void AnswerAndClose(HttpAnswer aAnswer)
+  {
+    parser_.reset();
+    buffer_.clear();
+    buffer_.shrink_to_fit();
+    lease_.Release();
+    aAnswer.keepAlive_ = false;
     requestInProgress_ = true;
     ++owner_->requestsInProgress_;
-    Write(std::move(answer));
+    Write(std::move(aAnswer));
   }
 
   void Close()
@@ -210,6 +285,8 @@
   std::shared_ptr<Impl> owner_;
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_;
+  BufferLease lease_;
+  MonotonicTime idleSince_{};
   std::optional<http::request_parser<http::string_body>> parser_;
   std::optional<http::response<http::string_body>> response_;
   unsigned version_ = 11;
@@ -239,6 +316,15 @@
         });
         return;
       }
+      if (self->sessions_.size() >= self->total_.maxConnections_) {
+        ++self->counts_.closedConnections_;
+        self->ReportRefusal("too many connections");
+        if (!self->CloseLongestIdle()) {
+          aSocket.close(aError);
+          self->Accept();
+          return;
+        }
+      }
       beast::error_code ignored;
       aSocket.set_option(asio::ip::tcp::no_delay(true), ignored);
       std::make_shared<Session>(self, std::move(aSocket))->ReadNext();
@@ -246,12 +332,51 @@
     });
 }
 
+bool
+AsyncListener::Impl::CloseLongestIdle()
+{
+  Session* longest = nullptr;
+  for (auto* session : sessions_) {
+    if (session->IdleSince() &&
+        (longest == nullptr || *session->IdleSince() < *longest->IdleSince())) {
+      longest = session;
+    }
+  }
+  if (longest != nullptr) {
+    longest->Abort();
+  }
+  return longest != nullptr;
+}
+
+void
+AsyncListener::Impl::ReportRefusal(std::string_view aReason)
+{
+  const auto now = MonotonicNow();
+  if (now - refusalLoggedAt_ < kRefusalLogInterval) {
+    return;
+  }
+  refusalLoggedAt_ = now;
+  LogWarning("refusing a peer",
+             { { "reason", aReason },
+               { "connections", sessions_.size() },
+               { "max_connections", total_.maxConnections_ },
+               { "buffered_bytes", budget_.Used() },
+               { "max_buffered_bytes", total_.maxBufferedBytes_ },
+               { "closed_connections", counts_.closedConnections_ },
+               { "refused_for_buffers", counts_.refusedForBuffers_ },
+               { "refused_for_size", counts_.refusedForSize_ } });
+}
+
 AsyncListener::AsyncListener(asio::io_context& aContext,
                              Handler aHandler,
                              HttpLimits aLimits,
-                             ListenerTiming aTiming)
-  : impl_(
-      std::make_shared<Impl>(aContext, std::move(aHandler), aLimits, aTiming))
+                             ListenerTiming aTiming,
+                             ListenerLimits aTotal)
+  : impl_(std::make_shared<Impl>(aContext,
+                                 std::move(aHandler),
+                                 aLimits,
+                                 aTiming,
+                                 aTotal))
 {
 }
 
@@ -306,4 +431,13 @@
   return impl_->requestsInProgress_;
 }
 
+ListenerCounts
+AsyncListener::Counts() const
+{
+  auto counts = impl_->counts_;
+  counts.connections_ = impl_->sessions_.size();
+  counts.bufferedBytes_ = static_cast<std::size_t>(impl_->budget_.Used());
+  return counts;
+}
+
 } // namespace acaciahill
--- a/packages/http/async_listener_base.h
+++ b/packages/http/async_listener_base.h
@@ -13,7 +13,9 @@
 
 /// HTTP/1.1 server on one address that runs on the context's thread. Each
 /// connection has one request at a time; the handler may answer asynchronously,
-/// at most once.
+/// at most once. Its memory and its descriptors are bounded whatever peers
+/// send: what exceeds a limit is refused with 413, 431 or 503, without having
+/// reached the handler, and its connection is closed.
 class AsyncListener
 {
 public:
@@ -25,7 +27,8 @@
   AsyncListener(boost::asio::io_context& aContext,
                 Handler aHandler,
                 HttpLimits aLimits,
-                ListenerTiming aTiming = {});
+                ListenerTiming aTiming = {},
+                ListenerLimits aTotal = {});
   AsyncListener(const AsyncListener&) = delete;
   AsyncListener& operator=(const AsyncListener&) = delete;
   ~AsyncListener();
@@ -41,6 +44,8 @@
   /// Requests that have no answer yet.
   std::size_t InWork() const;
 
+  ListenerCounts Counts() const;
+
 private:
   struct Impl;
   std::shared_ptr<Impl> impl_;
--- a/packages/relay/buffer_budget_base.h
+++ b/packages/http/buffer_budget_base.h
@@ -60,6 +60,19 @@
     return true;
   }
 
+  /// Changes what the message holds to that many bytes; false, and nothing
+  /// changed, if that exceeds the limit.
+  bool Resize(std::size_t aBytes)
+  {
+    const auto bytes = static_cast<std::int64_t>(aBytes);
+    if (bytes > held_) {
+      return Grow(static_cast<std::size_t>(bytes - held_));
+    }
+    budget_.Release(held_ - bytes);
+    held_ = bytes;
+    return true;
+  }
+
   void Release()
   {
     budget_.Release(held_);
--- a/packages/http/http_message_type.h
+++ b/packages/http/http_message_type.h
@@ -44,7 +44,9 @@
   bool operator==(const HttpAnswer&) const = default;
 };
 
-/// Limits of one message, in bytes.
+/// Limits of one message, in bytes. Whatever a peer sends that is neither
+/// header nor body (trailer fields, sizes and extensions of chunks) may take as
+/// much as the header.
 struct HttpLimits
 {
   std::size_t maxHeaderBytes_ = std::size_t{ 16 } * 1024;
--- a/packages/relay/caller_server_base.h
+++ b/packages/relay/caller_server_base.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "http/buffer_budget_base.h"
 #include "http/http_message_type.h"
 #include "kernel/error_type.h"
-#include "relay/buffer_budget_base.h"
 #include "relay/os_socket_func.h"
 #include "relay/relay_type.h"
 
--- a/packages/relay/relay_impl_base.h
+++ b/packages/relay/relay_impl_base.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "relay/buffer_budget_base.h"
+#include "http/buffer_budget_base.h"
 #include "relay/call_spec_type.h"
 #include "relay/caller_server_base.h"
 #include "relay/relay_base.h"
--- a/tests/hostile/client_bytes_test.cpp
+++ b/tests/hostile/client_bytes_test.cpp
@@ -1,3 +1,4 @@
+#include "platform/standin/documents_func.h"
 #include "support/http_func.h"
 #include "support/process_harness.h"
 
@@ -71,7 +72,7 @@
                { "POST",
                  "/q/" + id.str(),
                  { { "Host", "h" }, { "Content-Type", "application/json" } },
-                 R"({"spec":"x","steps":[{"count":1,"cpu":100,"memMb":10}]})" },
+                 platform::standin::kSmallJob },
                kAnswerTimeout);
     return outcome.Answered() && outcome.answer_.status_ == 200;
   }
@@ -108,15 +109,12 @@
 
   bool Configure()
   {
-    const auto outcome =
-      HttpCall(Address(kControl),
-               { "PUT",
-                 "/config",
-                 { { "Content-Type", "application/json" } },
-                 R"({"version":1,"services":[{"name":"s"}],"routes":[{"name":)"
-                 R"("q","host":"h","pathPrefix":"/q/","service":"s",)"
-                 R"("timeoutMs":3000}]})" },
-               kAnswerTimeout);
+    const auto outcome = HttpCall(Address(kControl),
+                                  { "PUT",
+                                    "/config",
+                                    { { "Content-Type", "application/json" } },
+                                    platform::standin::kOneQueueConfig },
+                                  kAnswerTimeout);
     return outcome.Answered() && outcome.answer_.status_ == 200;
   }
 
