Add: tenants with API keys, caps and shares; refusal of jobs that would be late

Cause: nothing of tenants existed. Change: keys of the configuration in force decide on each request (401); a job keeps its tenant in the replicated state (format 3, 1 and 2 are read); what may be running on any worker counts against the cap; jobs beyond a tenant's weight go after the others; where tenants are configured a job that can't be expected to start in time is refused with the time to come back, and waiting steps whose result is of no use any more leave half of the room to others.

--- a/packages/daemon/gateway.cpp
+++ b/packages/daemon/gateway.cpp
@@ -56,7 +56,8 @@
   passed.status_ = aAnswer.status_;
   passed.body_ = aAnswer.body_;
   for (const auto& header : aAnswer.headers_) {
-    if (header.name_ == "Content-Type" || header.name_ == "Retry-After") {
+    if (header.name_ == "Content-Type" || header.name_ == "Retry-After" ||
+        header.name_ == "WWW-Authenticate") {
       passed.headers_.push_back(header);
     }
   }
--- a/packages/daemon/replica_reader.cpp
+++ b/packages/daemon/replica_reader.cpp
@@ -46,9 +46,9 @@
   }
   return replica_.Read([asked](const Fleet& aFleet) {
     const auto* job = aFleet.GetWorkload().FindJob(asked->job_);
-    return job == nullptr || job->spec_.queue_ != asked->queue_
-             ? std::nullopt
-             : std::optional(platform::EncodeJobState(job->phase_));
+    return job != nullptr && IsVisibleTo(*job, asked->queue_, asked->tenant_)
+             ? std::optional(platform::EncodeJobState(job->phase_))
+             : std::nullopt;
   });
 }
 
--- a/packages/daemon/workload_host.cpp
+++ b/packages/daemon/workload_host.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 // Leadership and requests. The scheduler's actions are executed in
@@ -131,6 +132,10 @@
   metrics_.Set("acaciahill_unexplained_fences",
                {},
                static_cast<double>(scheduler_->UnexplainedFences()));
+  metrics_.Set("acaciahill_refused_jobs",
+               {},
+               static_cast<double>(scheduler_->RefusedJobs()));
+  ReportTenants();
   const auto& orders = relay_.Counts();
   const auto times = meter_.Read();
   LeaderMeter::Export(times, metrics_);
@@ -164,6 +169,40 @@
   meter_.Reset();
 }
 
+// The number of tenants is not bounded, so that only the largest users are
+// reported.
+void
+WorkloadHost::ReportTenants()
+{
+  constexpr std::size_t kMaxReported = 5;
+  constexpr const char* kGauge = "acaciahill_tenant_milli_cores";
+  metrics_.ForgetGauges(kGauge);
+  std::vector<std::pair<std::int64_t, std::string>> largest;
+  for (const auto& [name, used] : scheduler_->Tenants().Used()) {
+    largest.emplace_back(used.milliCores_, name);
+  }
+  const auto reported = std::min(largest.size(), kMaxReported);
+  std::partial_sort(largest.begin(),
+                    largest.begin() + static_cast<std::ptrdiff_t>(reported),
+                    largest.end(),
+                    std::greater<>());
+  for (std::size_t i = 0; i < reported; ++i) {
+    const auto& [milliCores, name] = largest[i];
+    metrics_.Set(
+      kGauge, { { "tenant", name } }, static_cast<double>(milliCores));
+    const auto tenant = config_.tenants_.find(name);
+    const auto cap =
+      tenant == config_.tenants_.end() ? TaskNeed{} : tenant->second.cap_;
+    LogInfo("tenant load",
+            { { "tenant", name },
+              { "tenants", largest.size() },
+              { "milli_cores", milliCores },
+              { "cap_milli_cores", cap.milliCores_ },
+              { "memory_mb", scheduler_->Tenants().UsedBy(name).memoryMb_ },
+              { "cap_memory_mb", cap.memoryMb_ } });
+  }
+}
+
 void
 WorkloadHost::FollowLeadership()
 {
@@ -302,7 +341,8 @@
           { { "version", config_.version_ },
             { "before", known },
             { "queues", config_.queues_.size() },
-            { "pools", config_.pools_.size() } });
+            { "pools", config_.pools_.size() },
+            { "tenants", config_.tenants_.size() } });
   scheduler_->UseConfig(config_, MonotonicNow());
 }
 
@@ -357,12 +397,17 @@
     scheduler_->SubmitJob(
       AddWaitingRequest(std::move(aAnswer)), submit->spec_, now);
   } else if (const auto* state = std::get_if<platform::StateCall>(&call)) {
-    aAnswer(JobStateAnswer(state->job_, state->queue_));
+    aAnswer(JobStateAnswer(*state));
   } else if (const auto* cancel = std::get_if<platform::CancelCall>(&call)) {
-    scheduler_->CancelJob(
-      AddWaitingRequest(std::move(aAnswer)), cancel->job_, cancel->queue_, now);
+    scheduler_->CancelJob(AddWaitingRequest(std::move(aAnswer)),
+                          cancel->job_,
+                          cancel->queue_,
+                          cancel->tenant_,
+                          now);
   } else if (const auto* pending = std::get_if<platform::PendingCall>(&call)) {
     aAnswer(PendingCountAnswer(pending->queue_));
+  } else if (std::holds_alternative<platform::UnauthorizedCall>(call)) {
+    aAnswer(platform::EncodeUnauthorized());
   } else if (const auto* bad = std::get_if<platform::InvalidCall>(&call)) {
     aAnswer(platform::EncodeInvalid(bad->reason_));
   } else {
@@ -441,13 +486,13 @@
 
 // Reads only the committed state, which later leaders report as well.
 HttpAnswer
-WorkloadHost::JobStateAnswer(JobId aJob, const std::string& aQueue) const
+WorkloadHost::JobStateAnswer(const platform::StateCall& aCall) const
 {
   return replica_.Read([&](const Fleet& aFleet) {
-    const auto* job = aFleet.GetWorkload().FindJob(aJob);
-    return job == nullptr || job->spec_.queue_ != aQueue
-             ? platform::EncodeNoJob()
-             : platform::EncodeJobState(job->phase_);
+    const auto* job = aFleet.GetWorkload().FindJob(aCall.job_);
+    return job != nullptr && IsVisibleTo(*job, aCall.queue_, aCall.tenant_)
+             ? platform::EncodeJobState(job->phase_)
+             : platform::EncodeNoJob();
   });
 }
 
--- a/packages/daemon/workload_host_base.h
+++ b/packages/daemon/workload_host_base.h
@@ -70,6 +70,8 @@
   void Tick();
   /// Measures the delay of ticks and reports the longest one periodically.
   void ReportLoad();
+  /// Reports the tenants whose tasks use most.
+  void ReportTenants();
   void FollowLeadership();
   /// Whether the control group is complete enough, or has been waited for long
   /// enough, for this leader to accept requests.
@@ -89,7 +91,7 @@
   /// entries have been committed and applied.
   void AnswerAfterBarrier(Answer aAnswer,
                           std::function<HttpAnswer(const Workload&)> aMake);
-  HttpAnswer JobStateAnswer(JobId aJob, const std::string& aQueue) const;
+  HttpAnswer JobStateAnswer(const platform::StateCall& aCall) const;
   HttpAnswer PendingCountAnswer(const std::string& aQueue);
 
   void Execute(const AppendBatch& aAction);
--- a/packages/workload/scheduler.cpp
+++ b/packages/workload/scheduler.cpp
@@ -94,6 +94,7 @@
           }
           unsettledWorkers_.insert(task.worker_);
           view->used_ = Sum(view->used_, ReservedBy(run));
+          tenantUsage_.Add(job.spec_.tenant_, run.need_);
           view->runs_.emplace(TaskKey{ id, number, step, index }, run);
         }
       }
@@ -115,6 +116,8 @@
   for (const auto& [key, queue] : config_.queues_) {
     queuesOfPool_[queue.pool_].push_back(key);
   }
+  tenantUsage_.SetTenants(config_.tenants_);
+  tenantShares_.Restore(config_, state_);
   FailJobsWithoutAttempts(aNow);
   RequeueAll();
   placementDue_ = true;
@@ -150,7 +153,7 @@
     // A repeated request, as the first answer may have been lost. The job may
     // not be committed yet, so this answer waits for the commit as well.
     AnswerOnCommit(aToken,
-                   known->spec_.queue_ == aSpec.queue_
+                   IsVisibleTo(*known, aSpec.queue_, aSpec.tenant_)
                      ? RequestOutcome::Accepted
                      : RequestOutcome::Unclear);
     return;
@@ -159,22 +162,28 @@
     Answer(aToken, RequestOutcome::RefusedForNow, kTick);
     return;
   }
-  if (!config_.queues_.contains(aSpec.queue_)) {
+  const auto queue = config_.queues_.find(aSpec.queue_);
+  if (queue == config_.queues_.end()) {
     Answer(aToken, RequestOutcome::UnknownQueue);
     return;
   }
+  CountArrival(aSpec, aNow);
+  if (const auto retryAfter = RefusalOf(aSpec, queue->second, aNow)) {
+    Answer(aToken, RequestOutcome::RefusedForNow, *retryAfter);
+    return;
+  }
   Decide(JobAccepted{ aSpec }, aNow);
+  tenantShares_.CountJob(aSpec, state_.FindJob(aSpec.id_)->acceptedAtMs_);
   LogInfo("job accepted",
           { { "job", JobText(aSpec.id_) },
             { "queue", aSpec.queue_ },
             { "steps", aSpec.steps_.size() },
             { "config", config_.version_ },
-            { "waiting_steps",
-              ready_[config_.queues_.at(aSpec.queue_).pool_].size() } });
+            { "tenant", aSpec.tenant_ },
+            { "waiting_steps", ready_[queue->second.pool_].size() } });
   AnswerOnCommit(aToken, RequestOutcome::Accepted);
   QueueJob(*state_.FindJob(aSpec.id_));
   TrackRecurringJob(aSpec);
-  CountArrival(aSpec, aNow);
   placementDue_ = true;
 }
 
@@ -182,10 +191,11 @@
 Scheduler::CancelJob(RequestToken aToken,
                      JobId aJob,
                      const std::string& aQueue,
+                     const std::string& aTenant,
                      MonotonicTime aNow)
 {
   const auto* job = state_.FindJob(aJob);
-  if (job == nullptr || job->spec_.queue_ != aQueue) {
+  if (job == nullptr || !IsVisibleTo(*job, aQueue, aTenant)) {
     Answer(aToken, RequestOutcome::UnknownJob);
     return;
   }
@@ -337,6 +347,7 @@
   for (const auto id : old) {
     Decide(JobRemoved{ id }, aNow);
   }
+  tenantShares_.Prune(state_);
   ForgetEndedWaits();
   // Placement does not look at steps while the pool has no room for them.
   for (auto& [pool, ready] : ready_) {
--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "workload/admission_func.h"
 #include "workload/batch_effects_type.h"
 #include "workload/demand_meter_base.h"
 #include "workload/pool_balance_func.h"
 #include "workload/ready_step_type.h"
 #include "workload/scheduler_type.h"
+#include "workload/tenant_shares_base.h"
+#include "workload/tenant_usage_base.h"
 #include "workload/turn_forecast_base.h"
 #include "workload/usable_worker_type.h"
 #include "workload/vm_call_budget_base.h"
@@ -42,10 +45,12 @@
 
   // Requests. Each token gets one answer.
   void SubmitJob(RequestToken aToken, const JobSpec& aSpec, MonotonicTime aNow);
-  /// A job of another queue is unknown to the customers of this one.
+  /// A job that the tenant's requests to the queue may not see (IsVisibleTo) is
+  /// unknown to them.
   void CancelJob(RequestToken aToken,
                  JobId aJob,
                  const std::string& aQueue,
+                 const std::string& aTenant,
                  MonotonicTime aNow);
   /// The document must be validated. A version that is not higher than the
   /// current one is accepted without effect.
@@ -114,6 +119,10 @@
   const std::map<std::uint32_t, WorkerView>& Views() const { return views_; }
   /// Queued steps with waiting tasks, in all pools.
   std::size_t CountReadySteps() const;
+  /// What the tasks of each tenant reserve on all workers.
+  const TenantUsage& Tenants() const { return tenantUsage_; }
+  /// Jobs that were refused because they would have been late.
+  std::uint64_t RefusedJobs() const { return refusedJobs_; }
   /// Workers that were examined for placements so far: what decisions cost.
   std::uint64_t ExaminedWorkers() const { return examinedWorkers_; }
 
@@ -125,6 +134,11 @@
   static constexpr Millis kVmArrival{ 1700 };
 
 private:
+  /// Standard deviations added to the run time of each step when planning a job
+  /// that has not started: run times vary, and a step ends with its longest
+  /// task.
+  static constexpr double kPlanningDeviations = 2.0;
+
   /// Number of tasks to be placed by the first task of their step.
   using TasksToPlace = std::map<TaskKey, std::uint32_t>;
   using UsableWorkers = std::vector<UsableWorker>;
@@ -150,6 +164,24 @@
   void BeginDueOccurrences(std::uint64_t aWallMs, MonotonicTime aNow);
   void ForgetEndedJobs(MonotonicTime aNow);
 
+  // scheduler_admission.cpp: jobs that are refused at once.
+  /// The delay after which the job should be submitted again; nothing when it
+  /// is accepted now.
+  std::optional<Millis> RefusalOf(const JobSpec& aSpec,
+                                  const QueueSpec& aQueue,
+                                  MonotonicTime aNow);
+  /// What the pool has to do before a job with or without a share left.
+  PoolBacklog BacklogOf(const std::string& aPool,
+                        bool aBeyondShare,
+                        MonotonicTime aNow) const;
+  /// ReadyStep::expiresAtMs_ of a step of the job.
+  std::uint64_t ExpiryOf(const JobEntry& aJob,
+                         const QueueSpec& aQueue,
+                         std::uint32_t aStep) const;
+  /// Milli-cores that tasks of expired jobs leave free: half of what the
+  /// workers have beside long-running tasks.
+  static std::int64_t ReserveBesideExpired(const UsableWorkers& aWorkers);
+
   // scheduler_worker.cpp: workers.
   WorkerView* FindView(std::uint32_t aWorker);
   void AddView(const WorkerEntry& aWorker, MonotonicTime aNow);
@@ -476,6 +508,9 @@
   std::map<std::uint32_t, std::uint32_t> superseded_;
   std::map<std::string, std::set<ReadyStep>> ready_;
   mutable std::uint64_t examinedWorkers_ = 0;
+  TenantUsage tenantUsage_;
+  TenantShares tenantShares_;
+  std::uint64_t refusedJobs_ = 0;
   /// Jobs with several occurrences, of which the next may become due.
   std::set<JobId> recurringJobs_;
   bool placementDue_ = true;
--- a/packages/workload/scheduler_demand.cpp
+++ b/packages/workload/scheduler_demand.cpp
@@ -90,6 +90,9 @@
         return aTask.state_ == TaskState::Waiting;
       });
     const bool isLate = each.latestStartMs_ < now && !each.isLongRunning_;
+    if (isLate && each.expiresAtMs_ <= now) {
+      continue;
+    }
     (isLate ? waiting.lateMilliCores_ : waiting.milliCores_) +=
       count * each.need_.perTask_.milliCores_;
   }
--- a/packages/workload/scheduler_place.cpp
+++ b/packages/workload/scheduler_place.cpp
@@ -19,9 +19,6 @@
 // Long-running tasks of a step are spread over at least this many workers, so
 // that the loss of one worker leaves most of them.
 constexpr std::uint32_t kMinWorkersOfLasting = 3;
-// Standard deviations added to the run time of each step when planning a job
-// that has not started: run times vary, and a step ends with its longest task.
-constexpr double kPlanningDeviations = 2.0;
 // Share of the remaining path used for a job that has started: it counts as on
 // time for longer, as the work done for it would be wasted otherwise.
 constexpr double kStartedPathShare = 0.8;
@@ -41,6 +38,17 @@
   });
 }
 
+std::int64_t
+FreeMilliCores(const std::vector<UsableWorker>& aWorkers)
+{
+  return std::accumulate(aWorkers.begin(),
+                         aWorkers.end(),
+                         std::int64_t{ 0 },
+                         [](std::int64_t aSum, const auto& aWorker) {
+                           return aSum + aWorker.left_.milliCores_;
+                         });
+}
+
 } // namespace
 
 std::vector<double>
@@ -121,7 +129,9 @@
   ready_[queue->second.pool_].insert(
     { queue->second.priority_,
       !hasStarted,
+      tenantShares_.IsBeyondShare(aJob.spec_.id_),
       LatestStartOf(aJob, queue->second, aStep, hasStarted),
+      ExpiryOf(aJob, queue->second, aStep),
       aJob.spec_.id_,
       aOccurrence,
       aStep,
@@ -252,22 +262,31 @@
   {
     Lasting,
     OnTime,
-    Late
+    Late,
+    Expired
   };
   const auto passOf = [&](const ReadyStep& aStep) {
-    return aStep.isLongRunning_ ? Pass::Lasting
-           : isLate(aStep)      ? Pass::Late
-                                : Pass::OnTime;
+    return aStep.isLongRunning_       ? Pass::Lasting
+           : !isLate(aStep)           ? Pass::OnTime
+           : now < aStep.expiresAtMs_ ? Pass::Late
+                                      : Pass::Expired;
   };
   // A step that cannot be placed must not keep those behind it from starting:
   // it may wait for a label or a size that no worker has.
   RoomShortage shortage;
-  for (const auto pass : { Pass::Lasting, Pass::OnTime, Pass::Late }) {
+  const auto reserve = config_.hasTenants_ ? ReserveBesideExpired(aWorkers) : 0;
+  for (const auto pass :
+       { Pass::Lasting, Pass::OnTime, Pass::Late, Pass::Expired }) {
     for (auto step = aReady.begin(); step != aReady.end();) {
       const auto each = step++;
       if (passOf(*each) != pass || shortage.Covers(each->need_)) {
         continue;
       }
+      // Results of expired jobs come too late for their senders, and they would
+      // take room from jobs that arrive while they run.
+      if (pass == Pass::Expired && FreeMilliCores(aWorkers) <= reserve) {
+        break;
+      }
       if (PlaceStep(*each, aWorkers, shortage, aNow)) {
         aReady.erase(each);
       } else if (each->isNotStarted_ && HasStartedTasks(*each)) {
@@ -321,6 +340,9 @@
     if (tasks[index].state_ != TaskState::Waiting) {
       continue;
     }
+    if (!tenantUsage_.MayStart(job->spec_.tenant_, step.need_, 1)) {
+      return false;
+    }
     auto* worker = ChooseWorker(step, aWorkers, tasksByWorker);
     if (worker == nullptr) {
       // Without the step's limit per worker there may be room for others.
@@ -359,6 +381,9 @@
     }
     run = std::max(run, task.run_ + 1);
   }
+  if (!tenantUsage_.MayStart(job->spec_.tenant_, step.need_, step.tasks_)) {
+    return false;
+  }
   const auto need = ReservedBy(step.need_, step.usesSpareCores_);
   std::vector<UsableWorker*> chosen;
   const auto releaseReserved = [&] {
@@ -465,6 +490,7 @@
   aWorker.left_ = Difference(aWorker.left_, reserved);
   auto& view = views_.at(aWorker.number_);
   view.used_ = Sum(view.used_, reserved);
+  tenantUsage_.Add(state_.FindJob(aTask.job_)->spec_.tenant_, run.need_);
   view.runs_.insert_or_assign(aTask, run);
   Decide(RunAssigned{ aTask, aRun, aWorker.number_ }, aNow);
   ReportEndOfWait(aTask, aWorker, aNow);
--- a/packages/workload/scheduler_run.cpp
+++ b/packages/workload/scheduler_run.cpp
@@ -58,12 +58,13 @@
   }
   auto& view = views_.at(aWorker);
   view.used_ = Difference(view.used_, ReservedBy(*run));
+  const auto* job = state_.FindJob(aTask.job_);
+  tenantUsage_.Remove(job->spec_.tenant_, run->need_);
   const bool lasts = run->isLongRunning_;
   const bool isEviction = run->isEviction_;
   view.runs_.erase(aTask);
   view.idleSince_.reset();
 
-  const auto* job = state_.FindJob(aTask.job_);
   const auto phaseBefore = job->phase_;
   const bool isGang = job->spec_.steps_[aTask.step_].gang_;
   const bool isLast = aEnd == RunEnd::Failed && !lasts &&
--- /dev/null
+++ b/packages/workload/test/admission_test.cpp
@@ -0,0 +1,72 @@
+#include "workload/admission_func.h"
+
+#include <catch2/catch.hpp>
+
+#include <vector>
+
+using namespace acaciahill;
+
+// Load: a pool whose queue asks for more than it can serve for longer than the
+// objective of a job. Guards against accepting jobs that are late when they
+// start, and against refusing jobs that still start in time.
+TEST_CASE("a job is accepted when it can be expected to start in time")
+{
+  struct Row
+  {
+    const char* name_;
+    PoolBacklog backlog_;
+    NewJob job_;
+    std::int64_t waitMs_;
+    bool isAccepted_;
+  };
+  const std::vector<Row> rows{
+    { "an idle pool",
+      { 64000, 0, 0, Millis(600) },
+      { 16000, Millis(300) },
+      0,
+      true },
+    { "a full pool without waiting tasks",
+      { 64000, 64000, 0, Millis(600) },
+      { 16000, Millis(300) },
+      150,
+      true },
+    { "tasks wait, but not for too long",
+      { 64000, 64000, 16000, Millis(600) },
+      { 16000, Millis(300) },
+      300,
+      true },
+    { "too much waits",
+      { 64000, 64000, 32000, Millis(600) },
+      { 16000, Millis(300) },
+      450,
+      false },
+    { "a job that is too large for the time left",
+      { 64000, 0, 0, Millis(600) },
+      { 128000, Millis(300) },
+      600,
+      false },
+    { "no worker has registered yet",
+      { 0, 0, 160000, Millis(600) },
+      { 16000, Millis(300) },
+      0,
+      true },
+  };
+  for (const auto& row : rows) {
+    INFO(row.name_);
+    CHECK(ExpectedWait(row.backlog_, row.job_) == Millis(row.waitMs_));
+    CHECK(ShouldAccept(row.backlog_, row.job_) == row.isAccepted_);
+  }
+}
+
+// Load: senders that were refused together. Guards against their return at a
+// time when they would be refused again, and against tenants beyond their share
+// that return before the others.
+TEST_CASE("a refused job returns when the backlog leaves it time")
+{
+  const NewJob job{ 0, Millis(300) };
+  const PoolBacklog busy{ 64000, 64000, 128000, Millis(600) };
+  CHECK(RetryDelay(busy, job, false) == Millis(900));
+  CHECK(RetryDelay(busy, job, true) == Millis(1900));
+  const PoolBacklog flooded{ 64000, 64000, 6400000, Millis(600) };
+  CHECK(RetryDelay(flooded, job, false) == Millis(4000));
+}
--- a/packages/workload/test/scheduler_driver.cpp
+++ b/packages/workload/test/scheduler_driver.cpp
@@ -121,7 +121,7 @@
 SchedulerDriver::Cancel(JobId aJob)
 {
   cancels_[nextToken_] = aJob;
-  scheduler_->CancelJob(nextToken_++, aJob, specs_.at(aJob).queue_, now_);
+  scheduler_->CancelJob(nextToken_++, aJob, specs_.at(aJob).queue_, {}, now_);
 }
 
 void
--- a/packages/workload/workload.cpp
+++ b/packages/workload/workload.cpp
@@ -11,6 +11,16 @@
 
 } // namespace
 
+bool
+IsVisibleTo(const JobEntry& aJob,
+            const std::string& aQueue,
+            const std::string& aTenant)
+{
+  const auto& owner = aJob.spec_.tenant_;
+  return aJob.spec_.queue_ == aQueue &&
+         (owner.empty() || aTenant.empty() || owner == aTenant);
+}
+
 bool
 IsOver(JobPhase aPhase)
 {
--- a/packages/workload/workload_base.h
+++ b/packages/workload/workload_base.h
@@ -77,6 +77,13 @@
   std::uint32_t nextWorker_ = 1;
 };
 
+/// Whether requests of a tenant to a queue may see the job. A job without a
+/// tenant, and a request that needs no API key, are not restricted.
+bool
+IsVisibleTo(const JobEntry& aJob,
+            const std::string& aQueue,
+            const std::string& aTenant);
+
 /// True for the final phases, in which a job starts no more tasks.
 bool
 IsOver(JobPhase aPhase);
--- a/packages/workload/workload_codec.cpp
+++ b/packages/workload/workload_codec.cpp
@@ -1,5 +1,8 @@
 #include "workload/workload_base.h"
 
+// Needed for UserDataAdapter, which tells the functions below the version.
+#define CEREAL_FUTURE_EXPERIMENTAL
+#include <cereal/archives/adapters.hpp>
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/map.hpp>
 #include <cereal/types/string.hpp>
@@ -16,9 +19,21 @@
 namespace {
 
 // Raised when the format changes; an older program refuses a newer version.
-// Version 1 has no learned load.
-constexpr std::uint32_t kFormatVersion = 2;
+// Version 1 has no learned load, version 2 no tenants of jobs.
+constexpr std::uint32_t kFormatVersion = 3;
 constexpr std::uint32_t kFormatWithoutLearnedLoad = 1;
+constexpr std::uint32_t kFormatWithoutTenants = 2;
+
+/// The version that an archive is read or written in.
+struct FormatVersion
+{
+  std::uint32_t value_ = kFormatVersion;
+};
+
+using OutputArchive =
+  cereal::UserDataAdapter<FormatVersion, cereal::PortableBinaryOutputArchive>;
+using InputArchive =
+  cereal::UserDataAdapter<FormatVersion, cereal::PortableBinaryInputArchive>;
 
 } // namespace
 
@@ -71,6 +86,10 @@
            aValue.repeatCount_,
            aValue.startAtMs_,
            aValue.intervalMs_);
+  if (cereal::get_user_data<FormatVersion>(aArchive).value_ >
+      kFormatWithoutTenants) {
+    aArchive(aValue.tenant_);
+  }
 }
 
 template<typename Archive>
@@ -312,7 +331,8 @@
 {
   std::ostringstream stream;
   {
-    cereal::PortableBinaryOutputArchive archive(stream);
+    FormatVersion version;
+    OutputArchive archive(version, stream);
     archive(kFormatVersion);
     aWrite(archive);
   }
@@ -327,16 +347,17 @@
 {
   std::istringstream stream{ std::string(aBytes) };
   try {
-    cereal::PortableBinaryInputArchive archive(stream);
-    std::uint32_t version = 0;
-    archive(version);
-    if (version < kFormatWithoutLearnedLoad || version > kFormatVersion) {
-      return "unknown format version " + std::to_string(version) +
+    FormatVersion version;
+    InputArchive archive(version, stream);
+    archive(version.value_);
+    if (version.value_ < kFormatWithoutLearnedLoad ||
+        version.value_ > kFormatVersion) {
+      return "unknown format version " + std::to_string(version.value_) +
              ", this program reads " +
              std::to_string(kFormatWithoutLearnedLoad) + " to " +
              std::to_string(kFormatVersion);
     }
-    aRead(archive, version);
+    aRead(archive, version.value_);
   } catch (const std::exception& error) {
     return error.what();
   }
--- a/packages/workload/workload_type.h
+++ b/packages/workload/workload_type.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace acaciahill {
@@ -89,6 +90,8 @@
   /// occurrences in ms.
   std::uint64_t startAtMs_ = 0;
   std::uint64_t intervalMs_ = 0;
+  /// Name of the tenant that submitted it; empty without one.
+  std::string tenant_;
 
   bool operator==(const JobSpec&) const = default;
 };
@@ -109,10 +112,24 @@
   double stretch_ = 1;
   std::int64_t latencyMs_ = 0;
   std::int64_t timeoutMs_ = 0;
+  /// Requests need no API key, and its jobs belong to no tenant.
+  bool isPublic_ = false;
 
   bool operator==(const QueueSpec&) const = default;
 };
 
+/// A customer organization that shares the pools with others, as configured.
+struct TenantSpec
+{
+  std::string name_;
+  /// Its share where the pools are full, in jobs a second.
+  double weight_ = 1;
+  /// What its tasks may use on all workers together; 0 for no limit.
+  TaskNeed cap_;
+
+  bool operator==(const TenantSpec&) const = default;
+};
+
 /// A pool of VMs that runs the tasks of its queues.
 struct PoolSpec
 {
@@ -131,6 +148,14 @@
   std::uint64_t version_ = 0;
   std::map<std::string, QueueSpec> queues_;
   std::map<std::string, PoolSpec> pools_;
+  std::map<std::string, TenantSpec> tenants_;
+  /// Tenants share the pools: requests to queues that are not public need the
+  /// API key of one, and jobs that would be of no use to their senders are
+  /// refused.
+  bool hasTenants_ = false;
+  /// The tenant of each API key. A hash table, so that the time of a lookup
+  /// does not depend on how much of a wrong key is right.
+  std::unordered_map<std::string, std::string> tenantOfKey_;
 
   bool operator==(const WorkloadConfig&) const = default;
 };
