Add: pools with late work yield workers that other pools lack

Cause: after its turn a pool served late jobs on all its workers. Change: where tenants are configured, as many workers as other pools lack beyond the free VMs start no late tasks, so that they become idle.

--- a/packages/workload/pool_balance.cpp
+++ b/packages/workload/pool_balance.cpp
@@ -1,6 +1,7 @@
 #include "workload/pool_balance_func.h"
 
 #include <algorithm>
+#include <functional>
 #include <optional>
 
 namespace acaciahill {
@@ -23,6 +24,19 @@
 // time.
 constexpr Millis kLateBacklogTime{ 5000 };
 
+/// Workers that the pool needs for a demand in milli-cores, beside those for
+/// long-running tasks that have no place yet.
+std::size_t
+WorkersFor(const PoolDemand& aPool, std::int64_t aMilliCores)
+{
+  const auto usable = aPool.workerMilliCores_ * kUsablePercent / 100;
+  const auto needed =
+    static_cast<std::size_t>((aMilliCores + usable - 1) / usable);
+  return std::max({ kMinWorkers,
+                    aPool.pinnedWorkers_ + aPool.strandedWorkers_,
+                    needed + kHeadroomWorkers });
+}
+
 std::size_t
 SurplusOf(const PoolDemand& aPool)
 {
@@ -97,29 +111,55 @@
          aChain.count();
 }
 
-std::int64_t
-BacklogMilliCores(const WaitingWork& aWork, Millis aRunTime)
+WaitingWork
+BacklogDemand(const WaitingWork& aWork, Millis aRunTime)
 {
   const auto within = [aRunTime](std::int64_t aMilliCores, Millis aTime) {
     return aMilliCores * aRunTime.count() / (aRunTime + aTime).count();
   };
-  return within(aWork.milliCores_, kBacklogTime) +
-         within(aWork.lateMilliCores_, kLateBacklogTime);
+  return { within(aWork.milliCores_, kBacklogTime),
+           within(aWork.lateMilliCores_, kLateBacklogTime) };
 }
 
 std::size_t
 WantedWorkers(const PoolDemand& aDemand)
 {
-  if (aDemand.workerMilliCores_ <= 0) {
-    return 0;
+  return aDemand.workerMilliCores_ <= 0
+           ? 0
+           : std::max(aDemand.spreadWorkers_,
+                      WorkersFor(aDemand, aDemand.demandMilliCores_));
+}
+
+std::map<std::string, std::size_t>
+PlanYields(const std::vector<PoolDemand>& aPools, std::size_t aSpareVms)
+{
+  std::size_t lacking = 0;
+  std::size_t free = aSpareVms;
+  std::vector<std::pair<std::size_t, const PoolDemand*>> surplus;
+  for (const auto& pool : aPools) {
+    if (pool.workerMilliCores_ <= 0) {
+      continue;
+    }
+    const auto needed =
+      WorkersFor(pool, pool.demandMilliCores_ - pool.lateMilliCores_);
+    if (pool.supply_ < needed) {
+      lacking += needed - pool.supply_;
+    } else if (pool.supply_ > needed) {
+      free += std::min(SurplusOf(pool), pool.supply_ - needed);
+      surplus.emplace_back(pool.supply_ - needed, &pool);
+    }
   }
-  const auto usable = aDemand.workerMilliCores_ * kUsablePercent / 100;
-  const auto needed =
-    static_cast<std::size_t>((aDemand.demandMilliCores_ + usable - 1) / usable);
-  return std::max({ kMinWorkers,
-                    aDemand.pinnedWorkers_ + aDemand.strandedWorkers_,
-                    aDemand.spreadWorkers_,
-                    needed + kHeadroomWorkers });
+  std::sort(surplus.begin(), surplus.end(), std::greater<>());
+  std::map<std::string, std::size_t> yields;
+  auto rest = lacking > free ? lacking - free : 0;
+  for (const auto& [workers, pool] : surplus) {
+    const auto yielded = std::min(workers, rest);
+    if (yielded > 0) {
+      yields.emplace(pool->pool_, yielded);
+      rest -= yielded;
+    }
+  }
+  return yields;
 }
 
 std::vector<VmMove>
--- a/packages/workload/pool_balance_func.h
+++ b/packages/workload/pool_balance_func.h
@@ -3,6 +3,7 @@
 #include "kernel/time_type.h"
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,9 @@
   std::int64_t heldMilliCores_ = 0;
   /// The part of heldMilliCores_ that long-running tasks reserve.
   std::int64_t longRunningMilliCores_ = 0;
+  /// Part of demandMilliCores_ that waiting work makes up which is late
+  /// already.
+  std::int64_t lateMilliCores_ = 0;
   /// The pool's VMs are not switched off, as its next turn (see TurnForecast)
   /// cannot be predicted yet.
   bool keepsWorkers_ = false;
@@ -73,13 +77,20 @@
 /// Demand in milli-cores of waiting work whose tasks run for aRunTime: work
 /// that can still be on time has to start within the slack of its objective,
 /// late work may take longer.
-std::int64_t
-BacklogMilliCores(const WaitingWork& aWork, Millis aRunTime);
+WaitingWork
+BacklogDemand(const WaitingWork& aWork, Millis aRunTime);
 
 /// Number of workers that a pool needs for its demand, including headroom.
 std::size_t
 WantedWorkers(const PoolDemand& aDemand);
 
+/// Plans how many workers of each pool start no late work, so that they become
+/// idle and can be moved: as many as other pools lack for work that can still
+/// be on time, beyond the VMs that are free already. A pool keeps what it needs
+/// for such work itself. Pools that yield none are left out.
+std::map<std::string, std::size_t>
+PlanYields(const std::vector<PoolDemand>& aPools, std::size_t aSpareVms);
+
 /// Plans moves of VMs between pools whose demand peaks at different times. A
 /// pool with too few workers gets idle VMs of pools with a surplus, then
 /// switched-off VMs of the spare pool. VMs of a pool with a lasting surplus are
--- a/packages/workload/scheduler_admission.cpp
+++ b/packages/workload/scheduler_admission.cpp
@@ -5,9 +5,12 @@
 #include "workload/workload_text_func.h"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
+#include <tuple>
 
-// Jobs that would be of no use to their senders, where tenants share the pools.
+// Jobs that would be of no use to their senders, and workers that are kept free
+// of late work, where tenants share the pools.
 
 namespace acaciahill {
 
@@ -58,6 +61,7 @@
     return std::nullopt;
   }
   ++refusedJobs_;
+  refusedAt_.emplace(aSpec.id_, aNow);
   const auto retryAfter = RetryDelay(backlog, job, isBeyondShare);
   LogInfo("job refused: it would be late",
           { { "job", JobText(aSpec.id_) },
@@ -85,14 +89,16 @@
     if (worker.pool_ != aPool) {
       continue;
     }
-    std::int64_t longRunning = 0;
+    std::int64_t longRunningMilliCores = 0;
     for (const auto& [task, run] : view.runs_) {
       const auto reserved = ReservedBy(run).milliCores_;
-      (run.isLongRunning_ ? longRunning : backlog.heldMilliCores_) += reserved;
+      (run.isLongRunning_ ? longRunningMilliCores : backlog.heldMilliCores_) +=
+        reserved;
     }
     workerMilliCores = std::max(workerMilliCores, worker.capacity_.milliCores_);
     if (!worker.draining_ && !view.evacuating_ && view.missedRenewals_ == 0) {
-      backlog.milliCores_ += worker.capacity_.milliCores_ - longRunning;
+      backlog.milliCores_ +=
+        worker.capacity_.milliCores_ - longRunningMilliCores;
     }
   }
   backlog.milliCores_ +=
@@ -122,6 +128,42 @@
   return backlog;
 }
 
+// The same workers yield as long as possible: a worker becomes idle only once
+// its last task has ended.
+void
+Scheduler::RemoveYieldingWorkers(const std::string& aPool,
+                                 UsableWorkers& aWorkers)
+{
+  const auto yields = yields_.find(aPool);
+  if (yields == yields_.end()) {
+    for (const auto& worker : aWorkers) {
+      yieldingWorkers_.erase(worker.number_);
+    }
+    return;
+  }
+  const auto costOf = [this](const UsableWorker& aWorker) {
+    return std::tuple(HasLongRunningTask(*aWorker.view_),
+                      !yieldingWorkers_.contains(aWorker.number_),
+                      aWorker.view_->used_.milliCores_,
+                      aWorker.number_);
+  };
+  std::sort(aWorkers.begin(),
+            aWorkers.end(),
+            [&costOf](const auto& aOne, const auto& aTwo) {
+              return costOf(aOne) < costOf(aTwo);
+            });
+  const auto count = std::min(yields->second, aWorkers.size());
+  const auto kept = aWorkers.begin() + static_cast<std::ptrdiff_t>(count);
+  for (const auto& worker : aWorkers) {
+    yieldingWorkers_.erase(worker.number_);
+  }
+  std::transform(aWorkers.begin(),
+                 kept,
+                 std::inserter(yieldingWorkers_, yieldingWorkers_.end()),
+                 [](const auto& aWorker) { return aWorker.number_; });
+  aWorkers.erase(aWorkers.begin(), kept);
+}
+
 std::uint64_t
 Scheduler::ExpiryOf(const JobEntry& aJob,
                     const QueueSpec& aQueue,
--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -174,6 +174,8 @@
   PoolBacklog BacklogOf(const std::string& aPool,
                         bool aBeyondShare,
                         MonotonicTime aNow) const;
+  /// Takes the workers that yield out of aWorkers.
+  void RemoveYieldingWorkers(const std::string& aPool, UsableWorkers& aWorkers);
   /// ReadyStep::expiresAtMs_ of a step of the job.
   std::uint64_t ExpiryOf(const JobEntry& aJob,
                          const QueueSpec& aQueue,
@@ -322,7 +324,8 @@
   bool AreDependenciesDone(const OccurrenceEntry& aOccurrence,
                            const StepSpec& aStep) const;
   void PlaceWaitingTasks(MonotonicTime aNow);
-  void PlacePool(UsableWorkers& aWorkers,
+  void PlacePool(const std::string& aPool,
+                 UsableWorkers& aWorkers,
                  std::set<ReadyStep>& aReady,
                  MonotonicTime aNow);
   /// True when a run of one of the step's tasks was assigned before.
@@ -394,7 +397,10 @@
   Millis ChainTimeOf(const std::string& aPool) const;
   Millis RunTimeOf(const std::string& aPool) const;
   /// Demand of the pool in milli-cores after kVmArrival.
-  std::int64_t ExpectedDemand(const PoolDemand& aLoad, MonotonicTime aNow);
+  /// aBacklog is the demand of the pool's waiting work.
+  std::int64_t ExpectedDemand(const PoolDemand& aLoad,
+                              const WaitingWork& aBacklog,
+                              MonotonicTime aNow);
   std::vector<PoolDemand> PoolDemands(MonotonicTime aNow);
   /// Writes the learned load to the replicated log for later leaders.
   void SaveLearnedLoad(MonotonicTime aNow);
@@ -511,6 +517,11 @@
   TenantUsage tenantUsage_;
   TenantShares tenantShares_;
   std::uint64_t refusedJobs_ = 0;
+  /// When jobs were refused first, for as long as their senders may return.
+  std::map<JobId, MonotonicTime> refusedAt_;
+  /// Workers of each pool that start no late work (PlanYields), and which.
+  std::map<std::string, std::size_t> yields_;
+  std::set<std::uint32_t> yieldingWorkers_;
   /// Jobs with several occurrences, of which the next may become due.
   std::set<JobId> recurringJobs_;
   bool placementDue_ = true;
--- a/packages/workload/scheduler_demand.cpp
+++ b/packages/workload/scheduler_demand.cpp
@@ -251,7 +251,10 @@
   for (auto& [name, load] : loads) {
     load.workerMilliCores_ =
       load.workerMilliCores_ == 0 ? typical : load.workerMilliCores_;
-    load.demandMilliCores_ = ExpectedDemand(load, aNow);
+    const auto backlog =
+      BacklogDemand(WaitingWorkOf(name, aNow), RunTimeOf(name));
+    load.lateMilliCores_ = backlog.lateMilliCores_;
+    load.demandMilliCores_ = ExpectedDemand(load, backlog, aNow);
     if (const auto workers = usable.find(name); workers != usable.end()) {
       load.strandedWorkers_ = CountStrandedWorkers(name, workers->second);
     }
@@ -269,7 +272,9 @@
 }
 
 std::int64_t
-Scheduler::ExpectedDemand(const PoolDemand& aLoad, MonotonicTime aNow)
+Scheduler::ExpectedDemand(const PoolDemand& aLoad,
+                          const WaitingWork& aBacklog,
+                          MonotonicTime aNow)
 {
   const auto& name = aLoad.pool_;
   // A VM moved now is usable after kVmArrival, when demand has grown.
@@ -278,7 +283,7 @@
                        ArrivingMilliCores(name, aNow) + GrowthOf(name, aNow),
                        ChainTimeOf(name),
                        kVmArrival);
-  expected += BacklogMilliCores(WaitingWorkOf(name, aNow), RunTimeOf(name));
+  expected += aBacklog.milliCores_ + aBacklog.lateMilliCores_;
   const auto turn = forecast_.Next(aNow);
   if (turn && turn->pool_ == name && turn->startsAt_ - aNow <= kMoveLeadTime) {
     expected = std::max(expected, turn->milliCores_);
--- a/packages/workload/scheduler_place.cpp
+++ b/packages/workload/scheduler_place.cpp
@@ -231,7 +231,7 @@
   auto workers = FindUsableWorkers(aNow);
   for (auto& [pool, ready] : ready_) {
     if (!ready.empty()) {
-      PlacePool(workers[pool], ready, aNow);
+      PlacePool(pool, workers[pool], ready, aNow);
     }
   }
 }
@@ -245,7 +245,8 @@
 }
 
 void
-Scheduler::PlacePool(UsableWorkers& aWorkers,
+Scheduler::PlacePool(const std::string& aPool,
+                     UsableWorkers& aWorkers,
                      std::set<ReadyStep>& aReady,
                      MonotonicTime aNow)
 {
@@ -277,6 +278,9 @@
   const auto reserve = config_.hasTenants_ ? ReserveBesideExpired(aWorkers) : 0;
   for (const auto pass :
        { Pass::Lasting, Pass::OnTime, Pass::Late, Pass::Expired }) {
+    if (pass == Pass::Late) {
+      RemoveYieldingWorkers(aPool, aWorkers);
+    }
     for (auto step = aReady.begin(); step != aReady.end();) {
       const auto each = step++;
       if (passOf(*each) != pass || shortage.Covers(each->need_)) {
--- a/packages/workload/scheduler_pools.cpp
+++ b/packages/workload/scheduler_pools.cpp
@@ -149,6 +149,8 @@
     }
   }
   const auto demands = PoolDemands(aNow);
+  yields_ = config_.hasTenants_ ? PlanYields(demands, spares.size())
+                                : std::map<std::string, std::size_t>{};
   const auto moves = PlanMoves(demands, std::move(spares), sparePool);
   std::size_t requested = 0;
   for (const auto& move : moves) {
@@ -192,6 +194,9 @@
               { "with_lasting_tasks", demand.pinnedWorkers_ },
               { "for_long_running", demand.spreadWorkers_ },
               { "stranded", demand.strandedWorkers_ },
+              { "late_milli_cores", demand.lateMilliCores_ },
+              { "yields",
+                yields_.contains(demand.pool_) ? yields_.at(demand.pool_) : 0 },
               { "idle", demand.idleVms_.size() },
               { "surplus_for_ms", demand.surplusFor_.count() } });
   }
--- a/packages/workload/test/pools_test.cpp
+++ b/packages/workload/test/pools_test.cpp
@@ -244,7 +244,60 @@
                             Row{ { 0, 100000 }, Millis(10000), 1, 75 },
                             Row{ { 0, 0 }, Millis(1000), 0, 0 },
                             Row{ { 100000, 100000 }, Millis(0), 0, 0 });
-  const auto demand = BacklogMilliCores(row.waiting_, row.runTime_);
+  const auto backlog = BacklogDemand(row.waiting_, row.runTime_);
+  const auto demand = backlog.milliCores_ + backlog.lateMilliCores_;
   CHECK(demand >= row.leastCores_ * 1000);
   CHECK(demand <= row.mostCores_ * 1000);
 }
+
+// Load: a pool works on the backlog of its turn while the turn of another pool
+// begins (sangpartage-qc-grown, trouble-1). Guards against VMs that never
+// become idle because late tasks follow each other on them.
+TEST_CASE("a pool with late work yields workers that other pools lack")
+{
+  struct Row
+  {
+    const char* name_;
+    std::vector<PoolDemand> pools_;
+    std::size_t spares_;
+    std::map<std::string, std::size_t> yields_;
+  };
+  // A worker has 16 cores, of which 14.4 count; one more is headroom.
+  const auto busy = [](std::int64_t aCores, std::int64_t aLateCores) {
+    auto demand = Demand("cold", aCores + aLateCores, 20, {});
+    demand.lateMilliCores_ = aLateCores * 1000;
+    return demand;
+  };
+  auto pinned = busy(40, 300);
+  pinned.pinnedWorkers_ = 18;
+  const std::vector<Row> rows{
+    { "no pool lacks workers",
+      { Demand("hot", 40, 4, {}), busy(40, 300) },
+      0,
+      {} },
+    { "as many as are lacking",
+      { Demand("hot", 72, 4, {}), busy(40, 300) },
+      0,
+      { { "cold", 2 } } },
+    { "spare VMs come first",
+      { Demand("hot", 72, 4, {}), busy(40, 300) },
+      2,
+      {} },
+    { "what the pool needs itself stays",
+      { Demand("hot", 1000, 4, {}), busy(200, 300) },
+      0,
+      { { "cold", 5 } } },
+    { "workers with long-running tasks stay",
+      { Demand("hot", 1000, 4, {}), pinned },
+      0,
+      { { "cold", 2 } } },
+    { "a pool without late work that is too large",
+      { Demand("hot", 1000, 4, {}), Demand("cold", 280, 20, {}) },
+      0,
+      {} },
+  };
+  for (const auto& row : rows) {
+    INFO(row.name_);
+    CHECK(PlanYields(row.pools_, row.spares_) == row.yields_);
+  }
+}
