--- a/packages/daemon/order_relay.cpp
+++ b/packages/daemon/order_relay.cpp
@@ -377,7 +377,9 @@
       return;
     }
     const auto late = MonotonicNow() - due;
-    NoteLateness(late);
+    // A pause may have begun right after the timer was set.
+    NoteLateness(late > kTimeoutCheckInterval ? late + kTimeoutCheckInterval
+                                              : late);
     if (late > kTimeoutCheckInterval) {
       // Answers may have waited for this thread as long.
       for (auto& [id, open] : openOrders_) {
