--- a/packages/workload/admission.cpp
+++ b/packages/workload/admission.cpp
@@ -20,7 +20,7 @@
   if (excess <= 0 || aBacklog.milliCores_ <= 0) {
     return Millis(0);
   }
-  return Millis(excess * aBacklog.runTime_.count() / aBacklog.milliCores_);
+  return Millis(excess * aBacklog.turnover_.count() / aBacklog.milliCores_);
 }
 
 bool
--- a/packages/workload/admission_func.h
+++ b/packages/workload/admission_func.h
@@ -9,15 +9,15 @@
 /// What a pool has for short tasks, and what it has to do before a new job.
 struct PoolBacklog
 {
-  /// Cores of the workers that get tasks, and of VMs on their way to the pool,
-  /// without those of long-running tasks.
+  /// Cores of the workers that get tasks, and of VMs that arrive soon, without
+  /// those of long-running tasks.
   std::int64_t milliCores_ = 0;
   /// Reserved by short tasks that may be on a worker.
   std::int64_t heldMilliCores_ = 0;
   /// Needed by waiting tasks that go before the new job.
   std::int64_t waitingMilliCores_ = 0;
-  /// Run time of a task of the pool's queues.
-  Millis runTime_{ 0 };
+  /// Time in which the pool frees all its cores once: the run time of a task.
+  Millis turnover_{ 0 };
 
   bool operator==(const PoolBacklog&) const = default;
 };
@@ -33,8 +33,7 @@
   bool operator==(const NewJob&) const = default;
 };
 
-/// The time until all first tasks of the job have started, when each run time
-/// frees all cores of the pool once.
+/// The time until all first tasks of the job have started.
 Millis
 ExpectedWait(const PoolBacklog& aBacklog, const NewJob& aJob);
 
--- a/packages/workload/scheduler_admission.cpp
+++ b/packages/workload/scheduler_admission.cpp
@@ -18,6 +18,8 @@
 
 // A result that takes longer than this many times the objective is of no use.
 constexpr double kUsefulObjectives = 3;
+// VMs that arrive later than this do not help a job to start in time.
+constexpr Millis kArrivalHorizon{ 300 };
 
 } // namespace
 
@@ -85,7 +87,7 @@
                      MonotonicTime aNow) const
 {
   PoolBacklog backlog;
-  backlog.runTime_ = RunTimeOf(aPool);
+  backlog.turnover_ = RunTimeOf(aPool);
   std::int64_t workerMilliCores = 0;
   for (const auto& [number, view] : views_) {
     const auto& worker = *state_.FindWorker(number);
@@ -104,8 +106,13 @@
         worker.capacity_.milliCores_ - longRunningMilliCores;
     }
   }
-  backlog.milliCores_ +=
-    static_cast<std::int64_t>(CountArrivingVms(aPool)) * workerMilliCores;
+  const auto arriving =
+    std::count_if(moves_.begin(), moves_.end(), [&](const auto& aEntry) {
+      const auto& move = aEntry.second;
+      return move.pool_ == aPool &&
+             move.requestedAt_ + kVmArrival <= aNow + kArrivalHorizon;
+    });
+  backlog.milliCores_ += arriving * workerMilliCores;
   const auto ready = ready_.find(aPool);
   if (ready == ready_.end()) {
     return backlog;
