--- a/packages/workload/room_reservation.cpp
+++ b/packages/workload/room_reservation.cpp
@@ -6,6 +6,13 @@
 
 namespace acaciahill {
 
+namespace {
+
+// A reservation whose task did not start counts as missed after this time.
+constexpr Millis kMissedAfter{ 1000 };
+
+} // namespace
+
 std::optional<FutureRoom>
 EarliestRoom(const TaskNeed& aNeed,
              const TaskNeed& aLeft,
@@ -61,4 +68,42 @@
   }
 }
 
+std::uint32_t
+ReservedSteps::WorkerOf(const TaskKey& aStep) const
+{
+  const auto found = steps_.find(aStep);
+  return found == steps_.end() ? 0 : found->second.worker_;
+}
+
+bool
+ReservedSteps::Set(const TaskKey& aStep,
+                   std::uint32_t aWorker,
+                   MonotonicTime aStartsBy)
+{
+  const auto [found, isNew] =
+    steps_.try_emplace(aStep, Step{ aWorker, aStartsBy });
+  found->second.worker_ = aWorker;
+  counts_.made_ += isNew ? 1 : 0;
+  return isNew;
+}
+
+void
+ReservedSteps::NoteStart(const TaskKey& aTask, MonotonicTime aNow)
+{
+  const auto found =
+    steps_.find({ aTask.job_, aTask.occurrence_, aTask.step_, 0 });
+  if (found != steps_.end()) {
+    ++(aNow <= found->second.startsBy_ ? counts_.kept_ : counts_.missed_);
+    steps_.erase(found);
+  }
+}
+
+void
+ReservedSteps::Prune(MonotonicTime aNow)
+{
+  counts_.missed_ += std::erase_if(steps_, [aNow](const auto& aEntry) {
+    return aNow - aEntry.second.startsBy_ > kMissedAfter;
+  });
+}
+
 } // namespace acaciahill
--- a/packages/workload/room_reservation_base.h
+++ b/packages/workload/room_reservation_base.h
@@ -91,4 +91,40 @@
   bool operator==(const ReservationCounts&) const = default;
 };
 
+/// The steps for which room is kept, over the rounds of placement, and what
+/// became of them. Not replicated: a new leader makes its own reservations, as
+/// they follow from what waits and what runs.
+class ReservedSteps
+{
+public:
+  /// Number of the worker where room is kept for a step, by its first task; 0
+  /// without one.
+  std::uint32_t WorkerOf(const TaskKey& aStep) const;
+
+  /// Room is kept on the worker, so that the step's next task is expected to
+  /// start by then. False when it had a reservation before, whose time stays.
+  bool Set(const TaskKey& aStep,
+           std::uint32_t aWorker,
+           MonotonicTime aStartsBy);
+
+  /// A task was placed.
+  void NoteStart(const TaskKey& aTask, MonotonicTime aNow);
+
+  /// A step whose job has ended, or that waits far longer than expected, counts
+  /// as missed and may get a new reservation.
+  void Prune(MonotonicTime aNow);
+
+  const ReservationCounts& Counts() const { return counts_; }
+
+private:
+  struct Step
+  {
+    std::uint32_t worker_ = 0;
+    MonotonicTime startsBy_{};
+  };
+
+  std::map<TaskKey, Step> steps_;
+  ReservationCounts counts_;
+};
+
 } // namespace acaciahill
--- a/packages/workload/scheduler.cpp
+++ b/packages/workload/scheduler.cpp
@@ -15,8 +15,6 @@
 // that more events share one disk sync.
 constexpr std::size_t kMaxBatchesInFlight = 2;
 constexpr Millis kEndedJobsCheckInterval{ 1000 };
-// Senders of refused jobs return within this time or not at all.
-constexpr Millis kReturnTime{ 20000 };
 // Occurrences of one job that are begun at once, and that may be unfinished: a
 // job may be overdue by any number of them. Their tasks are kept one by one.
 constexpr std::uint32_t kMaxOccurrencesAtOnce = 100;
@@ -170,7 +168,7 @@
     return;
   }
   // A refused job that returns was counted before.
-  if (!refusedAt_.contains(aSpec.id_)) {
+  if (!refusedJobs_.IsReturning(aSpec.id_)) {
     CountArrival(aSpec, aNow);
   }
   if (const auto retryAfter = RefusalOf(aSpec, queue->second, aNow)) {
@@ -353,10 +351,8 @@
     Decide(JobRemoved{ id }, aNow);
   }
   tenantShares_.Prune(state_);
-  ForgetMissedReservations(aNow);
-  std::erase_if(refusedAt_, [aNow](const auto& aEntry) {
-    return aNow - aEntry.second > kReturnTime;
-  });
+  reservedSteps_.Prune(aNow);
+  refusedJobs_.Prune(aNow);
   ForgetEndedWaits();
   // Placement does not look at steps while the pool has no room for them.
   for (auto& [pool, ready] : ready_) {
--- a/packages/workload/scheduler_admission.cpp
+++ b/packages/workload/scheduler_admission.cpp
@@ -5,12 +5,9 @@
 #include "workload/workload_text_func.h"
 
 #include <algorithm>
-#include <iterator>
 #include <limits>
-#include <tuple>
 
-// Jobs that would be of no use to their senders, and workers that are kept free
-// of late work, where tenants share the pools.
+// Jobs that would be of no use to their senders, where tenants share the pools.
 
 namespace acaciahill {
 
@@ -65,8 +62,7 @@
     backlogs_.AddWaiting(aQueue.pool_, isBeyondShare, job.milliCores_);
     return std::nullopt;
   }
-  ++refusedJobs_;
-  refusedAt_.emplace(aSpec.id_, aNow);
+  refusedJobs_.Note(aSpec.id_, aNow);
   const auto retryAfter = RetryDelay(backlog, job, isBeyondShare);
   LogInfo("job refused: it would be late",
           { { "job", JobText(aSpec.id_) },
@@ -138,42 +134,6 @@
   return backlog;
 }
 
-// The same workers yield as long as possible: a worker becomes idle only once
-// its last task has ended.
-void
-Scheduler::RemoveYieldingWorkers(const std::string& aPool,
-                                 UsableWorkers& aWorkers)
-{
-  const auto yields = yields_.find(aPool);
-  if (yields == yields_.end()) {
-    for (const auto& worker : aWorkers) {
-      yieldingWorkers_.erase(worker.number_);
-    }
-    return;
-  }
-  const auto costOf = [this](const UsableWorker& aWorker) {
-    return std::tuple(HasLongRunningTask(*aWorker.view_),
-                      !yieldingWorkers_.contains(aWorker.number_),
-                      aWorker.view_->used_.milliCores_,
-                      aWorker.number_);
-  };
-  std::sort(aWorkers.begin(),
-            aWorkers.end(),
-            [&costOf](const auto& aOne, const auto& aTwo) {
-              return costOf(aOne) < costOf(aTwo);
-            });
-  const auto count = std::min(yields->second, aWorkers.size());
-  const auto kept = aWorkers.begin() + static_cast<std::ptrdiff_t>(count);
-  for (const auto& worker : aWorkers) {
-    yieldingWorkers_.erase(worker.number_);
-  }
-  std::transform(aWorkers.begin(),
-                 kept,
-                 std::inserter(yieldingWorkers_, yieldingWorkers_.end()),
-                 [](const auto& aWorker) { return aWorker.number_; });
-  aWorkers.erase(aWorkers.begin(), kept);
-}
-
 std::uint64_t
 Scheduler::ExpiryOf(const JobEntry& aJob,
                     const QueueSpec& aQueue,
--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -5,6 +5,7 @@
 #include "workload/demand_meter_base.h"
 #include "workload/pool_balance_func.h"
 #include "workload/ready_step_type.h"
+#include "workload/refused_jobs_base.h"
 #include "workload/room_reservation_base.h"
 #include "workload/scheduler_type.h"
 #include "workload/tenant_shares_base.h"
@@ -15,6 +16,7 @@
 #include "workload/vm_view_type.h"
 #include "workload/worker_view_type.h"
 #include "workload/workload_base.h"
+#include "workload/yielding_workers_base.h"
 
 #include <map>
 #include <optional>
@@ -123,8 +125,11 @@
   /// What the tasks of each tenant reserve on all workers.
   const TenantUsage& Tenants() const { return tenantUsage_; }
   /// Jobs that were refused because they would have been late.
-  std::uint64_t RefusedJobs() const { return refusedJobs_; }
-  const ReservationCounts& Reservations() const { return reservationCounts_; }
+  std::uint64_t CountRefusedJobs() const { return refusedJobs_.Count(); }
+  const ReservationCounts& Reservations() const
+  {
+    return reservedSteps_.Counts();
+  }
   /// Workers that were examined for placements so far: what decisions cost.
   std::uint64_t ExaminedWorkers() const { return examinedWorkers_; }
 
@@ -176,8 +181,6 @@
   PoolBacklog BacklogOf(const std::string& aPool,
                         bool aBeyondShare,
                         MonotonicTime aNow) const;
-  /// Takes the workers that yield out of aWorkers.
-  void RemoveYieldingWorkers(const std::string& aPool, UsableWorkers& aWorkers);
   /// ReadyStep::expiresAtMs_ of a step of the job.
   std::uint64_t ExpiryOf(const JobEntry& aJob,
                          const QueueSpec& aQueue,
@@ -198,8 +201,6 @@
                    const UsableWorkers& aWorkers,
                    RoomReservations& aReserved,
                    MonotonicTime aNow);
-  void NoteReservedStart(const TaskKey& aTask, MonotonicTime aNow);
-  void ForgetMissedReservations(MonotonicTime aNow);
 
   // scheduler_worker.cpp: workers.
   WorkerView* FindView(std::uint32_t aWorker);
@@ -537,24 +538,11 @@
   mutable std::uint64_t examinedWorkers_ = 0;
   TenantUsage tenantUsage_;
   TenantShares tenantShares_;
-  /// A step with reserved room, and when its next task should have started.
-  struct ReservedStep
-  {
-    std::uint32_t worker_ = 0;
-    MonotonicTime startsBy_{};
-  };
-  /// By the first task of the step. A new leader makes its own reservations, as
-  /// they follow from what waits and what runs.
-  std::map<TaskKey, ReservedStep> reservedSteps_;
-  ReservationCounts reservationCounts_;
+  ReservedSteps reservedSteps_;
   MonotonicTime reservationLoggedAt_{};
   BacklogCache backlogs_;
-  std::uint64_t refusedJobs_ = 0;
-  /// When jobs were refused first, for as long as their senders may return.
-  std::map<JobId, MonotonicTime> refusedAt_;
-  /// Workers of each pool that start no late work (PlanYields), and which.
-  std::map<std::string, std::size_t> yields_;
-  std::set<std::uint32_t> yieldingWorkers_;
+  RefusedJobs refusedJobs_;
+  YieldingWorkers yieldingWorkers_;
   /// Jobs with several occurrences, of which the next may become due.
   std::set<JobId> recurringJobs_;
   bool placementDue_ = true;
--- a/packages/workload/scheduler_lookahead.cpp
+++ b/packages/workload/scheduler_lookahead.cpp
@@ -82,7 +82,7 @@
   const auto peers = CountTasksByWorker(
     job.occurrences_.at(aReady.occurrence_).steps_[aReady.step_]);
   const TaskKey key{ aReady.job_, aReady.occurrence_, aReady.step_, 0 };
-  const auto known = reservedSteps_.find(key);
+  const auto reservedWorker = reservedSteps_.WorkerOf(key);
   std::vector<const UsableWorker*> candidates;
   for (const auto& worker : aWorkers) {
     const auto onWorker = peers.find(worker.number_);
@@ -110,8 +110,7 @@
   for (const auto* worker : candidates) {
     auto room = EarliestRoom(
       need, worker->left_, ExpectedEndsOn(*worker->view_, aNow), aNow);
-    if (room && known != reservedSteps_.end() &&
-        known->second.worker_ == worker->number_) {
+    if (room && worker->number_ == reservedWorker) {
       room->at_ = std::max(aNow, room->at_ - kKeepWorkerMargin);
     }
     if (room && (!bestRoom || room->at_ < bestRoom->at_)) {
@@ -123,15 +122,11 @@
     return;
   }
   aReserved.Add(best->number_, need, *bestRoom);
-  if (known != reservedSteps_.end()) {
-    known->second.worker_ = best->number_;
-    return;
-  }
-  ++reservationCounts_.made_;
-  reservedSteps_.emplace(
-    key, ReservedStep{ best->number_, bestRoom->at_ + kKeptMargin });
-  if (aNow - reservationLoggedAt_ >= kReservationLogInterval) {
+  const bool isNew =
+    reservedSteps_.Set(key, best->number_, bestRoom->at_ + kKeptMargin);
+  if (isNew && aNow - reservationLoggedAt_ >= kReservationLogInterval) {
     reservationLoggedAt_ = aNow;
+    const auto& counts = reservedSteps_.Counts();
     LogInfo("room is kept for a waiting task",
             { { "task", TaskText(key) },
               { "worker", best->entry_->id_ },
@@ -139,34 +134,10 @@
               { "milli_cores", need.milliCores_ },
               { "memory_mb", need.memoryMb_ },
               { "free_milli_cores", best->left_.milliCores_ },
-              { "made", reservationCounts_.made_ },
-              { "kept", reservationCounts_.kept_ },
-              { "missed", reservationCounts_.missed_ } });
-  }
-}
-
-void
-Scheduler::NoteReservedStart(const TaskKey& aTask, MonotonicTime aNow)
-{
-  const auto found =
-    reservedSteps_.find({ aTask.job_, aTask.occurrence_, aTask.step_, 0 });
-  if (found == reservedSteps_.end()) {
-    return;
+              { "made", counts.made_ },
+              { "kept", counts.kept_ },
+              { "missed", counts.missed_ } });
   }
-  ++(aNow <= found->second.startsBy_ ? reservationCounts_.kept_
-                                     : reservationCounts_.missed_);
-  reservedSteps_.erase(found);
-}
-
-// A step whose job has ended, or that waits far longer than expected, counts as
-// missed and may get a new reservation.
-void
-Scheduler::ForgetMissedReservations(MonotonicTime aNow)
-{
-  reservationCounts_.missed_ +=
-    std::erase_if(reservedSteps_, [aNow](const auto& aEntry) {
-      return aNow - aEntry.second.startsBy_ > kReservationLogInterval;
-    });
 }
 
 } // namespace acaciahill
--- a/packages/workload/scheduler_pools.cpp
+++ b/packages/workload/scheduler_pools.cpp
@@ -149,8 +149,9 @@
     }
   }
   const auto demands = PoolDemands(aNow);
-  yields_ = config_.hasTenants_ ? PlanYields(demands, spares.size())
-                                : std::map<std::string, std::size_t>{};
+  yieldingWorkers_.SetCounts(config_.hasTenants_
+                               ? PlanYields(demands, spares.size())
+                               : std::map<std::string, std::size_t>{});
   const auto moves = PlanMoves(demands, std::move(spares), sparePool);
   std::size_t requested = 0;
   for (const auto& move : moves) {
@@ -195,8 +196,7 @@
               { "for_long_running", demand.spreadWorkers_ },
               { "stranded", demand.strandedWorkers_ },
               { "late_milli_cores", demand.lateMilliCores_ },
-              { "yields",
-                yields_.contains(demand.pool_) ? yields_.at(demand.pool_) : 0 },
+              { "yields", yieldingWorkers_.CountOf(demand.pool_) },
               { "idle", demand.idleVms_.size() },
               { "surplus_for_ms", demand.surplusFor_.count() } });
   }
--- a/packages/workload/test/admission_test.cpp
+++ b/packages/workload/test/admission_test.cpp
@@ -1,4 +1,5 @@
 #include "workload/backlog_cache_base.h"
+#include "workload/refused_jobs_base.h"
 
 #include <catch2/catch.hpp>
 
@@ -97,3 +98,20 @@
   CHECK(waiting(false, BacklogCache::kMaxAge + Millis(1)) == 1000);
   CHECK(determined == 3);
 }
+
+// Load: senders that come back again and again. Guards against a demand that
+// grows with each attempt of the same job.
+TEST_CASE("a refused job is known until its sender has given up")
+{
+  RefusedJobs refused;
+  const MonotonicTime start{ Millis(1000) };
+  CHECK_FALSE(refused.IsReturning(1));
+  refused.Note(1, start);
+  refused.Note(1, start + Millis(1000));
+  CHECK(refused.IsReturning(1));
+  CHECK(refused.Count() == 2);
+  refused.Prune(start + Millis(20000));
+  CHECK(refused.IsReturning(1));
+  refused.Prune(start + Millis(20001));
+  CHECK_FALSE(refused.IsReturning(1));
+}
--- a/packages/workload/test/lookahead_test.cpp
+++ b/packages/workload/test/lookahead_test.cpp
@@ -84,6 +84,40 @@
   CHECK_FALSE(reserved.Allows(7, { 1, 1, 0 }, At(500)));
 }
 
+TEST_CASE("a reservation is kept when the task starts by its time")
+{
+  struct Row
+  {
+    const char* name_;
+    /// Nothing when the task never starts.
+    std::optional<MonotonicTime> start_;
+    ReservationCounts counts_;
+  };
+  const std::vector<Row> rows{
+    { "in time", At(100), { 1, 1, 0 } },
+    { "late", At(101), { 1, 0, 1 } },
+    { "never", {}, { 1, 0, 1 } },
+  };
+  for (const auto& row : rows) {
+    INFO(row.name_);
+    ReservedSteps steps;
+    const TaskKey step{ 1, 0, 2, 0 };
+    CHECK(steps.WorkerOf(step) == 0);
+    CHECK(steps.Set(step, 7, At(100)));
+    // The time of the first reservation counts, also on another worker.
+    CHECK_FALSE(steps.Set(step, 8, At(500)));
+    CHECK(steps.WorkerOf(step) == 8);
+    steps.NoteStart({ 1, 0, 1, 0 }, At(0));
+    CHECK(steps.WorkerOf(step) == 8);
+    if (row.start_) {
+      steps.NoteStart({ 1, 0, 2, 5 }, *row.start_);
+    }
+    steps.Prune(At(5000));
+    CHECK(steps.WorkerOf(step) == 0);
+    CHECK(steps.Counts() == row.counts_);
+  }
+}
+
 // Load: small jobs that keep two workers full, and now and then one whose tasks
 // need most of a worker. Guards against the large tasks waiting until the small
 // jobs end, and against tasks that never start because their reserved worker
