--- a/packages/daemon/workload_host.cpp
+++ b/packages/daemon/workload_host.cpp
@@ -8,7 +8,6 @@
 
 #include <boost/asio/post.hpp>
 
-#include <algorithm>
 #include <utility>
 
 // Leadership and requests. The scheduler's actions are executed in
