Change: findings of the read-through

A connection that was chosen for closing is not chosen again; waiting tasks are counted in one place, also for occurrences that have ended; run times are looked up only where placement looks ahead; the room that expired jobs leave is taken from the workers that do not yield.

--- a/packages/http/async_listener.cpp
+++ b/packages/http/async_listener.cpp
@@ -137,7 +137,11 @@
     return idle_ ? std::optional(idleSince_) : std::nullopt;
   }
 
-  void Abort() { stream_.close(); }
+  void Abort()
+  {
+    idle_ = false;
+    stream_.close();
+  }
 
   /// Closes the connection now if it is idle, otherwise after its answer.
   void CloseIfIdle()
--- a/packages/workload/scheduler_admission.cpp
+++ b/packages/workload/scheduler_admission.cpp
@@ -118,18 +118,10 @@
     const bool isLate = !step.isLongRunning_ && step.latestStartMs_ < now;
     const bool isBehind =
       step.isNotStarted_ && step.isBeyondShare_ && !aBeyondShare;
-    const auto* job = state_.FindJob(step.job_);
-    if (isLate || isBehind || job == nullptr || IsOver(job->phase_)) {
-      continue;
+    if (!isLate && !isBehind) {
+      backlog.waitingMilliCores_ +=
+        CountWaitingTasks(step) * step.need_.perTask_.milliCores_;
     }
-    const auto& tasks =
-      job->occurrences_.at(step.occurrence_).steps_[step.step_];
-    backlog.waitingMilliCores_ +=
-      std::count_if(
-        tasks.begin(),
-        tasks.end(),
-        [](const auto& aTask) { return aTask.state_ == TaskState::Waiting; }) *
-      step.need_.perTask_.milliCores_;
   }
   return backlog;
 }
--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -410,6 +410,8 @@
 
   // scheduler_demand.cpp: demand of the pools.
   const std::vector<std::string>& QueuesOf(const std::string& aPool) const;
+  /// Tasks of the step that wait; 0 when its job or occurrence has ended.
+  std::int64_t CountWaitingTasks(const ReadyStep& aReady) const;
   WaitingWork WaitingWorkOf(const std::string& aPool, MonotonicTime aNow) const;
   void CountArrival(const JobSpec& aSpec, MonotonicTime aNow);
   void ObserveDemand(MonotonicTime aNow);
--- a/packages/workload/scheduler_demand.cpp
+++ b/packages/workload/scheduler_demand.cpp
@@ -66,6 +66,23 @@
 
 } // namespace
 
+std::int64_t
+Scheduler::CountWaitingTasks(const ReadyStep& aReady) const
+{
+  const auto* job = state_.FindJob(aReady.job_);
+  if (job == nullptr || IsOver(job->phase_)) {
+    return 0;
+  }
+  const auto occurrence = job->occurrences_.find(aReady.occurrence_);
+  if (occurrence == job->occurrences_.end()) {
+    return 0;
+  }
+  const auto& tasks = occurrence->second.steps_[aReady.step_];
+  return std::count_if(tasks.begin(), tasks.end(), [](const auto& aTask) {
+    return aTask.state_ == TaskState::Waiting;
+  });
+}
+
 WaitingWork
 Scheduler::WaitingWorkOf(const std::string& aPool, MonotonicTime aNow) const
 {
@@ -76,19 +93,7 @@
   const auto now = LogicalNow(aNow);
   WaitingWork waiting;
   for (const auto& each : ready->second) {
-    const auto* job = state_.FindJob(each.job_);
-    if (job == nullptr || IsOver(job->phase_)) {
-      continue;
-    }
-    const auto occurrence = job->occurrences_.find(each.occurrence_);
-    if (occurrence == job->occurrences_.end()) {
-      continue;
-    }
-    const auto& tasks = occurrence->second.steps_[each.step_];
-    const auto count =
-      std::count_if(tasks.begin(), tasks.end(), [](const auto& aTask) {
-        return aTask.state_ == TaskState::Waiting;
-      });
+    const auto count = CountWaitingTasks(each);
     const bool isLate = each.latestStartMs_ < now && !each.isLongRunning_;
     if (isLate && each.expiresAtMs_ <= now) {
       continue;
--- a/packages/workload/scheduler_place.cpp
+++ b/packages/workload/scheduler_place.cpp
@@ -263,11 +263,13 @@
   // it may wait for a label or a size that no worker has.
   RoomShortage shortage;
   RoomReservations reserved;
-  const auto reserve = config_.hasTenants_ ? ReserveBesideExpired(aWorkers) : 0;
+  std::int64_t reserve = 0;
   for (const auto pass :
        { Pass::Lasting, Pass::OnTime, Pass::Late, Pass::Expired }) {
     if (pass == Pass::Late) {
       yieldingWorkers_.RemoveFrom(aWorkers, aPool);
+    } else if (pass == Pass::Expired && config_.hasTenants_) {
+      reserve = ReserveBesideExpired(aWorkers);
     }
     for (auto step = aReady.begin(); step != aReady.end();) {
       const auto each = step++;
@@ -329,8 +331,9 @@
   }
   const auto& tasks = occurrence->second.steps_[aReady.step_];
   auto tasksByWorker = CountTasksByWorker(tasks);
-  const auto runTime =
-    aReady.isLongRunning_ ? std::nullopt : ExpectedRunTime(job->spec_.queue_);
+  const auto runTime = aReady.isLongRunning_ || !LooksAhead()
+                         ? std::nullopt
+                         : ExpectedRunTime(job->spec_.queue_);
   const auto endsAt = runTime ? aNow + *runTime : MonotonicTime::max();
   for (std::uint32_t index = 0; index < tasks.size(); ++index) {
     if (tasks[index].state_ != TaskState::Waiting) {
--- a/packages/workload/yielding_workers.cpp
+++ b/packages/workload/yielding_workers.cpp
@@ -25,13 +25,14 @@
                       aWorker.number_);
   };
   const auto count = std::min(CountOf(aPool), aWorkers.size());
-  if (count > 0) {
-    std::sort(aWorkers.begin(),
-              aWorkers.end(),
-              [&costOf](const auto& aOne, const auto& aTwo) {
-                return costOf(aOne) < costOf(aTwo);
-              });
+  if (count == 0 && yielding_.empty()) {
+    return;
   }
+  std::sort(aWorkers.begin(),
+            aWorkers.end(),
+            [&costOf](const auto& aOne, const auto& aTwo) {
+              return costOf(aOne) < costOf(aTwo);
+            });
   for (const auto& worker : aWorkers) {
     yielding_.erase(worker.number_);
   }
