--- a/review/standin-2/cloud.h
+++ b/review/standin-2/cloud.h
@@ -36,56 +36,105 @@
     machines_[aMachine.name_] = std::move(aMachine);
   }
 
+  void SetState(const std::string& aMachine, const std::string& aState)
+  {
+    const std::lock_guard lock(mutex_);
+    machines_.at(aMachine).state_ = aState;
+  }
+
+  void Remove(const std::string& aMachine)
+  {
+    const std::lock_guard lock(mutex_);
+    machines_.erase(aMachine);
+  }
+
+  /// The machines of each pool.
+  std::string Summary()
+  {
+    const std::lock_guard lock(mutex_);
+    std::map<std::string, int> pools;
+    for (const auto& [name, machine] : machines_) {
+      ++pools[machine.pool_];
+    }
+    std::string text = "machines:";
+    for (const auto& [pool, count] : pools) {
+      text += " " + pool + " " + std::to_string(count);
+    }
+    return text;
+  }
+
   std::int64_t UpkeepsOf(const std::string& aMachine)
   {
     const std::lock_guard lock(mutex_);
     return machines_.at(aMachine).upkeeps_;
   }
 
-  /// The entry of this machine comes from another writer in the next readings.
-  std::string oddMachine_;
-  std::atomic<int> oddReadings_{ 0 };
-  std::atomic<int> readings_{ 0 };
+  /// Each page of the list is answered after this time.
   std::atomic<int> listDelayMs_{ 0 };
+  /// Machines on a page, in the order of their names.
+  std::size_t pageSize_ = 200;
+  /// Called when a page has been read, with its first machine.
+  std::function<void(const std::string&)> onPage_;
   /// A machine goes down for upkeep, or is back.
   std::function<void(const std::string&, bool)> onUpkeep_;
+  /// A machine joins another pool.
+  std::function<void(const std::string&, const std::string&)> onMove_;
   int upkeepMs_ = 2000;
+  int moveMs_ = 1500;
+
+  void SetWorker(const std::string& aMachine, const std::string& aWorker)
+  {
+    const std::lock_guard lock(mutex_);
+    machines_.at(aMachine).worker_ = aWorker;
+  }
 
 private:
+  /// The page that begins at the machine; it is read when it is answered.
+  Response List(const std::string& aFrom)
+  {
+    SleepMs(listDelayMs_);
+    auto list = json::array();
+    json next = nullptr;
+    {
+      const std::lock_guard lock(mutex_);
+      for (auto each = machines_.lower_bound(aFrom); each != machines_.end();
+           ++each) {
+        const auto& [name, machine] = *each;
+        if (list.size() == pageSize_) {
+          next = name;
+          break;
+        }
+        list.push_back(
+          { { "machine", name },
+            { "pool", machine.pool_ },
+            { "state", machine.state_ },
+            { "zone", machine.zone_ },
+            { "labels", { "a", "r1" } },
+            { "capacity",
+              { { "cpu", 16000 }, { "memMb", 32768 }, { "gpu", 0 } } },
+            { "id", machine.worker_ } });
+      }
+    }
+    std::string names;
+    for (const auto& each : list) {
+      names += " " + each["machine"].get<std::string>();
+    }
+    record_.Add("platform lists" + names);
+    if (onPage_) {
+      onPage_(aFrom);
+    }
+    return { 200,
+             json{ { "machines", list }, { "nextPageToken", next } }.dump() };
+  }
+
   Response Serve(const Request& aRequest)
   {
     const auto path = aRequest.path_.substr(0, aRequest.path_.find('?'));
     if (path == "/machines") {
-      auto list = json::array();
-      {
-        const std::lock_guard lock(mutex_);
-        const bool isOdd = oddReadings_ > 0;
-        oddReadings_ -= isOdd ? 1 : 0;
-        ++readings_;
-        for (const auto& [name, machine] : machines_) {
-          json entry{ { "machine", name },
-                      { "pool", machine.pool_ },
-                      { "state", machine.state_ },
-                      { "zone", machine.zone_ },
-                      { "labels", { "a", "r1" } },
-                      { "capacity",
-                        { { "cpu", 16000 }, { "memMb", 32768 }, { "gpu", 0 } } },
-                      { "id", machine.worker_ } };
-          if (isOdd && name == oddMachine_) {
-            entry["state"] = 7;
-            record_.Add("platform lists " + entry.dump());
-          }
-          list.push_back(entry);
-        }
-        record_.Add("platform lists " + std::to_string(list.size()) +
-                    " machines");
-      }
-      if (listDelayMs_ > 0) {
-        SleepMs(listDelayMs_);
-      }
-      return { 200,
-               json{ { "machines", list }, { "nextPageToken", nullptr } }
-                 .dump() };
+      const auto token = aRequest.path_.find("pageToken=");
+      return List(token == std::string::npos
+                    ? std::string()
+                    : aRequest.path_.substr(token + 10));
     }
     const auto body = json::parse(aRequest.body_, nullptr, false);
     if (!body.is_object()) {
@@ -121,6 +170,18 @@
         machines_.at(name).state_ = "up";
       }).detach();
     }
+    const auto pool = body.value("pool", std::string());
+    if (path == "/machine-move" && machine.pool_ != pool) {
+      machine.state_ = "moving";
+      machine.pool_ = pool;
+      std::thread([this, name, pool] {
+        onMove_(name, "");
+        SleepMs(moveMs_);
+        onMove_(name, pool);
+        const std::lock_guard again(mutex_);
+        machines_.at(name).state_ = "up";
+      }).detach();
+    }
     return { 200, "{}" };
   }
 
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -6,6 +6,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 
 #include <condition_variable>
@@ -235,6 +236,10 @@
   /// Begins a life.
   bool Start()
   {
+    const std::lock_guard change(change_);
+    if (isUp_) {
+      return true;
+    }
     {
       const std::lock_guard lock(farm_.mutex_);
       born_ = UnixMs();
@@ -253,6 +258,7 @@
       options_.address_,
       [this](const Request& aRequest) { return Serve(aRequest); });
     if (!server_->Open()) {
+      isUp_ = false;
       return false;
     }
     reporter_ = std::thread([this, life = life_.load()] { Report(life); });
@@ -263,16 +269,21 @@
   /// Ends the life without a word; all that runs ends with it.
   void Crash()
   {
+    const std::lock_guard change(change_);
     {
       const std::lock_guard lock(farm_.mutex_);
       if (!isUp_) {
         return;
       }
       isUp_ = false;
-      for (const auto& [task, run] : runs_) {
+      const auto ended = std::exchange(runs_, {});
+      for (const auto& [task, run] : ended) {
         farm_.Note({ NowMs(), Name(), false, task, run.run_, "crashed" });
+        const auto* shape = ShapeOf(task);
+        if (shape != nullptr && shape->gang_) {
+          EndOthers(task, run.run_, "crashed");
+        }
       }
-      runs_.clear();
       farm_.changed_.notify_all();
     }
     server_->Close();
@@ -673,6 +684,8 @@
   static constexpr std::int64_t kFailAfterMs = 200;
 
   Farm& farm_;
+  /// Held while a life begins or ends.
+  std::mutex change_;
   const WorkerOptions options_;
   std::unique_ptr<Server> server_;
   std::thread reporter_;
@@ -699,6 +712,9 @@
   std::string zone_;
   bool isControl_ = false;
   pid_t pid_ = -1;
+  /// The collector of its log reads nothing for now.
+  std::shared_ptr<std::atomic<bool>> isStalled_ =
+    std::make_shared<std::atomic<bool>>(false);
 };
 
 /// A small deployment on loopback addresses: the processes of the system are
@@ -815,10 +831,19 @@
     std::stringstream text;
     text << in.rdbuf();
     std::ofstream(base + ".conf") << Fill(text.str(), fields);
+    int pipe[2] = { -1, -1 };
+    if (collectsLogs_ && ::pipe2(pipe, O_CLOEXEC) != 0) {
+      return false;
+    }
     const pid_t pid = ::fork();
     if (pid == 0) {
-      const int log = ::open(
-        (base + ".log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+      // It ends with the stand-in, however that ends.
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+      const int log =
+        collectsLogs_
+          ? pipe[1]
+          : ::open(
+              (base + ".log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       ::dup2(log, 1);
       ::dup2(log, 2);
       const auto conf = base + ".conf";
@@ -828,6 +853,25 @@
       ::_exit(127);
     }
     aNode.pid_ = pid;
+    if (collectsLogs_) {
+      ::close(pipe[1]);
+      std::thread([from = pipe[0], isStalled = aNode.isStalled_, base] {
+        std::ofstream file(base + ".log", std::ios::app);
+        char part[4096];
+        while (true) {
+          while (*isStalled) {
+            SleepMs(10);
+          }
+          const auto count = ::read(from, part, sizeof part);
+          if (count <= 0) {
+            ::close(from);
+            return;
+          }
+          file.write(part, count);
+          file.flush();
+        }
+      }).detach();
+    }
     record_.Add("process " + aNode.name_ + " started");
     return pid > 0;
   }
@@ -912,6 +956,8 @@
   }
 
   Record& record_;
+  /// The processes write their logs into pipes, which a collector reads.
+  bool collectsLogs_ = false;
   std::string net_;
   std::string folder_;
   std::string cloud_;
