--- a/review/standin-2/wave.cpp
+++ b/review/standin-2/wave.cpp
@@ -16,7 +16,7 @@
   Farm farm(record);
   Deployment deployment(record, 3, 2);
   Cloud cloud(record, deployment.cloud_);
-  cloud.pageSize_ = 4;
+  cloud.pageSize_ = 8;
   std::mutex mutex;
   std::map<std::string, std::unique_ptr<Worker>> workers;
   const auto workerOf = [&](const std::string& aMachine) -> Worker& {
@@ -84,7 +84,7 @@
     return true;
   };
   bool isReady = true;
-  for (int i = 11; i <= 22; ++i) {
+  for (int i = 11; i <= 34; ++i) {
     isReady &= add(i, 0);
   }
   SleepMs(3000);
@@ -102,10 +102,10 @@
     return answer && answer->status_ == 200;
   };
   if (hasTrouble) {
-    record.Add("TROUBLE the platform answers each reading of its list 1 s late");
-    cloud.listDelayMs_ = 1000;
+    record.Add("TROUBLE the platform answers each page of its list after 0.5 s");
+    cloud.listDelayMs_ = 500;
   }
-  isReady &= startWave(1, { "m-00015", "m-00016", "m-00017" });
+  isReady &= startWave(1, { "m-00020", "m-00021", "m-00022" });
   SleepMs(4000);
 
   // The new machine is listed on the first page, which has just been read.
@@ -119,7 +119,7 @@
   }
   const std::string added = "m-00010";
   isReady &= add(10, 4000);
-  SleepMs(700);
+  SleepMs(200);
   isReady &= startWave(2, { added });
   if (!isReady || !isFirstPageRead) {
     return 2;
