Add: Log lines that tell the runs of a worker's incarnations apart

A run now knows whether a list of its incarnation has shown it. The line of an expired lease says how many runs no list has shown and whether a newer incarnation has registered; the first answer of a new incarnation says which runs of the former one its lists hold.

--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -245,6 +245,9 @@
   void RenewDueLeases(MonotonicTime aNow);
   void ProbeUnconfirmedRuns(MonotonicTime aNow);
   void ExpireLeases(MonotonicTime aNow);
+  /// Logs which runs of a former incarnation the lists of the next one show.
+  void LogNextIncarnation(std::uint32_t aFormer,
+                          const WorkerLists& aLists) const;
 
   // scheduler_lists.cpp: workers' lists of runs.
   void ProcessEndedRuns(std::uint32_t aWorker,
--- a/packages/workload/scheduler_lease.cpp
+++ b/packages/workload/scheduler_lease.cpp
@@ -55,6 +55,32 @@
   }
 }
 
+void
+Scheduler::LogNextIncarnation(std::uint32_t aFormer,
+                              const WorkerLists& aLists) const
+{
+  const auto& view = views_.at(aFormer);
+  const auto isOfFormer = [&view](const TaskKey& aTask, std::uint32_t aRun) {
+    const auto found = view.runs_.find(aTask);
+    return found != view.runs_.end() && found->second.run_ == aRun;
+  };
+  const auto running = std::count_if(
+    aLists.running_.begin(), aLists.running_.end(), [&](const auto& aRun) {
+      return isOfFormer(aRun.task_, aRun.run_);
+    });
+  const auto ended = std::count_if(
+    aLists.ended_.begin(), aLists.ended_.end(), [&](const auto& aEnd) {
+      return isOfFormer(aEnd.task_, aEnd.run_);
+    });
+  LogInfo("the next incarnation of a worker answers",
+          { { "worker", state_.FindWorker(aFormer)->id_ },
+            { "former", aFormer },
+            { "runs", view.runs_.size() },
+            { "never_listed", CountUnlistedRuns(view) },
+            { "runs_on_next", running },
+            { "ended_on_next", ended } });
+}
+
 // A probe, because the renewal in flight may wait long, and its lists decide
 // only about runs whose order was answered before it was sent.
 void
@@ -90,8 +116,11 @@
         !view.runs_.empty()) {
       LogWarning("lease of a silent worker expired",
                  { { "worker", state_.FindWorker(number)->id_ },
+                   { "number", number },
                    { "silent_ms", (aNow - view.lastContactAt_).count() },
-                   { "runs", view.runs_.size() } });
+                   { "runs", view.runs_.size() },
+                   { "never_listed", CountUnlistedRuns(view) },
+                   { "superseded", view.isSuperseded_ } });
       CloseRunsOfWorker(number, RunEnd::Lapsed, aNow);
       placementDue_ = true;
     }
@@ -151,6 +180,7 @@
   }
   if (aLists->processStartMs_ &&
       *aLists->processStartMs_ != state_.FindWorker(number)->processStartMs_) {
+    LogNextIncarnation(number, *aLists);
     DropWorker(number, "restarted", aNow);
     return;
   }
@@ -163,6 +193,7 @@
     placementDue_ = true;
   }
   if (const auto former = superseded_.extract(number); !former.empty()) {
+    LogNextIncarnation(former.mapped(), *aLists);
     DropWorker(former.mapped(), "restarted", aNow);
   }
   view->confirmed_ = true;
--- a/packages/workload/scheduler_lists.cpp
+++ b/packages/workload/scheduler_lists.cpp
@@ -103,6 +103,7 @@
       run->phase_ = RunPhase::Running;
       run->since_ = aNow;
     }
+    run->isListed_ = true;
     CheckStaleStop(*run, aOrder, aNow);
     run->percent_ = running.percent_;
     run->gauge_ = running.gauge_;
--- a/packages/workload/scheduler_worker.cpp
+++ b/packages/workload/scheduler_worker.cpp
@@ -152,7 +152,8 @@
               { "pool", entry.pool_ },
               { "address", entry.address_ },
               { "rack", entry.rack_ },
-              { "draining", entry.draining_ } });
+              { "draining", entry.draining_ },
+              { "former", number } });
     Decide(WorkerJoined{ entry }, aNow);
     AddView(entry, aNow);
     NotePoolOfVm(entry.vm_, entry.pool_, aNow);
--- a/packages/workload/worker_view_type.h
+++ b/packages/workload/worker_view_type.h
@@ -3,6 +3,8 @@
 #include "kernel/time_type.h"
 #include "workload/scheduler_type.h"
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -56,6 +58,9 @@
   std::optional<MonotonicTime> staleStopBarredAt_;
   /// Fence of the start order; 0 when a former leader sent the order.
   std::uint64_t startFence_ = 0;
+  /// A list of this incarnation has shown the run. An answer to the start order
+  /// does not prove that: the next incarnation has the same id and address.
+  bool isListed_ = false;
   /// When the worker accepted the stop order; nothing before.
   std::optional<MonotonicTime> stopAcceptedAt_;
 
@@ -114,4 +119,14 @@
   bool operator==(const WorkerView&) const = default;
 };
 
+/// Number of the worker's runs that no list of it has shown.
+inline std::size_t
+CountUnlistedRuns(const WorkerView& aView)
+{
+  return static_cast<std::size_t>(std::count_if(
+    aView.runs_.begin(), aView.runs_.end(), [](const auto& aEntry) {
+      return !aEntry.second.isListed_;
+    }));
+}
+
 } // namespace acaciahill
