Add: Settings for the longest lease and for late orders

workload.max_lease_ms and workload.max_order_delay_ms: what a worker may do with an order that was meant for its former incarnation. Not used yet.

--- a/packages/daemon/workload_settings.cpp
+++ b/packages/daemon/workload_settings.cpp
@@ -45,6 +45,9 @@
   if (std::any_of(aSettings.seeds_.begin(), aSettings.seeds_.end(), isBad)) {
     return "cluster.seeds: must be numeric addresses with ports";
   }
+  if (aSettings.scheduler_.maxLease_ < aSettings.scheduler_.lease_) {
+    return "workload.max_lease_ms: below workload.lease_ms";
+  }
   return FaultOfTiming(control.raft_);
 }
 
@@ -126,6 +129,8 @@
   scheduler.maxVmCallsPerSecond_ =
     settings.Number("workload", "max_vm_calls_per_s");
   scheduler.lease_ = time("workload", "lease_ms");
+  scheduler.maxLease_ = time("workload", "max_lease_ms");
+  scheduler.maxOrderDelay_ = time("workload", "max_order_delay_ms");
   const auto& lookahead = settings.Text("workload", "lookahead");
   scheduler.lookahead_ = lookahead == "on"    ? Lookahead::On
                          : lookahead == "off" ? Lookahead::Off
--- a/packages/workload/scheduler_type.h
+++ b/packages/workload/scheduler_type.h
@@ -24,6 +24,11 @@
 {
   /// Time for which a worker may keep running without a lease renewal.
   Millis lease_{ 6000 };
+  /// Longest lease that a worker grants; it shortens longer ones to this.
+  Millis maxLease_{ 10000 };
+  /// Time within which a worker may still carry out an order that it has not
+  /// answered.
+  Millis maxOrderDelay_{ 12000 };
   /// Retention period of ended jobs.
   Millis keepEnded_{ 120000 };
   /// Orders are sent for this time after a majority of the voters last
