Fix: A task runs once although its worker is back under its old id

The leader closed all runs of the former one as soon as the new one answered, or one lease after the last renewal, and started the tasks elsewhere while they ran.

The class of fault: a guard that lives in the other process (fence, lease, clock) is gone with it, while orders that rest on it are on their way. A run is now bound to an incarnation once a list of it shows the run, or the answer to its start carries a clock that a later incarnation cannot have. The first lists of the next incarnation decide which runs go on there; without such lists a run that is not bound waits until no incarnation can be running it. The state holds what the next leader needs; the format is 4, older ones are read.

--- a/packages/workload/placement_obstacle.cpp
+++ b/packages/workload/placement_obstacle.cpp
@@ -11,7 +11,7 @@
                  const WorkerView& aView,
                  MonotonicTime aNow)
 {
-  if (aView.missedRenewals_ > 0) {
+  if (aView.missedRenewals_ > 0 || aView.isSuperseded_) {
     return PlacementObstacle::Silent;
   }
   if (aWorker.draining_) {
--- a/packages/workload/scheduler.cpp
+++ b/packages/workload/scheduler.cpp
@@ -88,6 +88,7 @@
           run.isLongRunning_ = spec.isLongRunning_;
           run.usesSpareCores_ = spec.usesSpareCores_;
           run.targetMs_ = spec.targetMs_;
+          run.isBound_ = WasBound(task, aNow);
           run.stopRequested_ = IsOver(job.phase_);
           if (spec.isLongRunning_) {
             run.staleStopFence_ = 0;
--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -213,14 +213,9 @@
   void ReadClock(WorkerView& aView,
                  const std::optional<std::int64_t>& aClockMs,
                  MonotonicTime aNow);
-  void Supersede(std::uint32_t aFormer, std::uint32_t aNew);
-  /// Finds the former incarnations that the leader before had not removed yet.
-  void RestoreSuperseded();
   /// Removes workers without an unconfirmed run or a requested stop from
   /// unsettledWorkers_.
   void PruneUnsettledWorkers();
-  /// Neither the worker nor a former incarnation that it supersedes has runs.
-  bool HoldsNoRuns(std::uint32_t aWorker) const;
   void DropWorker(std::uint32_t aWorker,
                   std::string_view aReason,
                   MonotonicTime aNow);
@@ -241,17 +236,66 @@
                            const OrderAnswer& aAnswer,
                            MonotonicTime aNow);
 
+  // scheduler_incarnation.cpp: workers that are back under their ids.
+  void Supersede(std::uint32_t aFormer, std::uint32_t aNew);
+  /// Finds the former incarnations that the leader before had not removed yet.
+  void RestoreSuperseded();
+  /// Neither the worker nor a former incarnation that it supersedes has runs.
+  bool HoldsNoRuns(std::uint32_t aWorker) const;
+  /// The incarnation has ended. Closes its runs but those whose start order the
+  /// next one may carry out, and removes it when no run is left.
+  void EndIncarnation(std::uint32_t aWorker,
+                      std::string_view aReason,
+                      MonotonicTime aNow);
+  /// Moves the runs that the lists show from the former incarnations to the
+  /// worker. Complete lists prove that the others have ended: they are closed.
+  void TakeOverRuns(std::uint32_t aWorker,
+                    const WorkerLists& aLists,
+                    MonotonicTime aNow);
+  void AdoptRun(std::uint32_t aFormer,
+                std::uint32_t aWorker,
+                const TaskKey& aTask,
+                MonotonicTime aNow);
+  /// Logs which runs of a former incarnation the lists of the next one show.
+  void LogNextIncarnation(std::uint32_t aFormer,
+                          const WorkerLists& aLists) const;
+  /// Whether orders to an earlier incarnation may have left a lease on the
+  /// worker that is longer than those of its own orders.
+  bool MayHoldFormerLease(const WorkerEntry& aWorker, MonotonicTime aNow) const;
+  /// Time for which a worker holds a lease that it shortens to the longest one.
+  Millis LongestLease() const;
+  /// Whether the answer carries the clock of this incarnation: the clock of a
+  /// later one, which begins anew, cannot have come as far yet.
+  static bool IsOwnClock(const WorkerView& aView,
+                         const OrderAnswer& aAnswer,
+                         MonotonicTime aNow);
+  /// By then a run that is not bound (see RunView::isBound_) has ended on any
+  /// incarnation of the silent worker.
+  MonotonicTime UnboundRunsEndBy(const WorkerView& aView) const;
+  /// Whether the state of a former leader shows that the run is bound.
+  bool WasBound(const TaskEntry& aTask, MonotonicTime aNow) const;
+  /// Binds the worker's runs that the lists show as running.
+  void BindListedRuns(std::uint32_t aWorker,
+                      const WorkerLists& aLists,
+                      MonotonicTime aNow);
+  /// Tells later leaders which runs of the worker are bound.
+  void NoteBoundRuns(std::uint32_t aWorker,
+                     const RenewLease& aOrder,
+                     MonotonicTime aNow);
+  /// See WorkerEntry::boundUntilMs_.
+  std::uint64_t BoundUntil(const WorkerView& aView,
+                           const RenewLease& aOrder) const;
+
   // scheduler_lease.cpp: renewal and expiry of leases.
   void RenewDueLeases(MonotonicTime aNow);
   void ProbeUnconfirmedRuns(MonotonicTime aNow);
   void ExpireLeases(MonotonicTime aNow);
-  /// Logs which runs of a former incarnation the lists of the next one show.
-  void LogNextIncarnation(std::uint32_t aFormer,
-                          const WorkerLists& aLists) const;
+  void CloseExpiredRuns(std::uint32_t aWorker, MonotonicTime aNow);
 
   // scheduler_lists.cpp: workers' lists of runs.
   void ProcessEndedRuns(std::uint32_t aWorker,
                         const WorkerLists& aLists,
+                        const RenewLease& aOrder,
                         MonotonicTime aNow);
   void AcceptLateCompletion(const EndedRun& aEnd, MonotonicTime aNow);
   void ProcessRunningTasks(std::uint32_t aWorker,
@@ -536,9 +580,12 @@
   /// Workers that may have unconfirmed runs or requested stops. Only these are
   /// scanned at each decision.
   std::set<std::uint32_t> unsettledWorkers_;
-  /// Former incarnations by the number of the new one. Their runs are closed
-  /// once the new one has answered.
+  /// Former incarnations by the number of the new one. The first lists of the
+  /// new one decide which of their runs go on.
   std::map<std::uint32_t, std::uint32_t> superseded_;
+  /// Ids of workers that were removed, and when: one that is back may take an
+  /// order that was sent before.
+  std::map<std::string, MonotonicTime> removedIds_;
   std::map<std::string, std::set<ReadyStep>> ready_;
   mutable std::uint64_t examinedWorkers_ = 0;
   TenantUsage tenantUsage_;
--- a/packages/workload/scheduler_choice.cpp
+++ b/packages/workload/scheduler_choice.cpp
@@ -94,6 +94,7 @@
   RunView run;
   run.run_ = aRun;
   run.since_ = aNow;
+  run.assignedAt_ = aNow;
   run.need_ = aStep.need_;
   run.isLongRunning_ = aStep.isLongRunning_;
   run.usesSpareCores_ = aStep.usesSpareCores_;
--- /dev/null
+++ b/packages/workload/scheduler_incarnation.cpp
@@ -0,0 +1,277 @@
+#include "workload/scheduler_base.h"
+
+#include "kernel/log_func.h"
+#include "workload/lease_time_func.h"
+#include "workload/worker_lists_func.h"
+#include "workload/workload_text_func.h"
+
+#include <algorithm>
+
+// Workers that are back under their ids. The next incarnation may carry out any
+// order to the former one until it has seen its own, higher fence: it has the
+// same id and address, and has seen no fence.
+
+namespace acaciahill {
+
+namespace {
+
+// Time from the assignment of a run to the last order with a lease that is sent
+// to its worker before the worker counts as silent.
+constexpr Millis kMaxSendTime{ 2000 };
+// Minimum time between two events that tell later leaders of bound runs.
+constexpr Millis kBoundNoteInterval{ 2000 };
+
+} // namespace
+
+void
+Scheduler::Supersede(std::uint32_t aFormer, std::uint32_t aNew)
+{
+  auto& former = views_.at(aFormer);
+  former.isSuperseded_ = true;
+  former.missedRenewals_ = std::max(former.missedRenewals_, 1);
+  superseded_[aNew] = aFormer;
+}
+
+// Numbers increase with each incarnation, so that each entry of an id
+// supersedes the one before it.
+void
+Scheduler::RestoreSuperseded()
+{
+  std::map<std::string, std::uint32_t> lastById;
+  for (const auto& [number, worker] : state_.Workers()) {
+    const auto [last, isFirst] = lastById.try_emplace(worker.id_, number);
+    if (!isFirst) {
+      Supersede(last->second, number);
+      last->second = number;
+    }
+  }
+}
+
+bool
+Scheduler::HoldsNoRuns(std::uint32_t aWorker) const
+{
+  return views_.at(aWorker).runs_.empty() && !superseded_.contains(aWorker);
+}
+
+void
+Scheduler::EndIncarnation(std::uint32_t aWorker,
+                          std::string_view aReason,
+                          MonotonicTime aNow)
+{
+  auto* view = FindView(aWorker);
+  if (view == nullptr) {
+    return;
+  }
+  std::vector<std::tuple<TaskKey, std::uint32_t, std::string>> ended;
+  for (const auto& [task, run] : view->runs_) {
+    if (run.isBound_) {
+      ended.emplace_back(task, run.run_, run.checkpoint_);
+    }
+  }
+  for (const auto& [task, run, checkpoint] : ended) {
+    CloseRun(aWorker, task, run, RunEnd::Lost, checkpoint, aNow);
+  }
+  placementDue_ = true;
+  if (HoldsNoRuns(aWorker)) {
+    DropWorker(aWorker, aReason, aNow);
+    return;
+  }
+  if (!view->isSuperseded_) {
+    LogInfo("worker ended; its next incarnation may carry out its orders",
+            { { "worker", state_.FindWorker(aWorker)->id_ },
+              { "number", aWorker },
+              { "reason", aReason },
+              { "runs", view->runs_.size() } });
+  }
+  view->isSuperseded_ = true;
+  view->missedRenewals_ = std::max(view->missedRenewals_, 1);
+}
+
+void
+Scheduler::TakeOverRuns(std::uint32_t aWorker,
+                        const WorkerLists& aLists,
+                        MonotonicTime aNow)
+{
+  for (auto each = superseded_.find(aWorker); each != superseded_.end();
+       each = superseded_.find(each->second)) {
+    const auto former = each->second;
+    LogNextIncarnation(former, aLists);
+    std::vector<TaskKey> shown;
+    for (const auto& [task, run] : views_.at(former).runs_) {
+      if (detail::ShowsRunning(aLists, task, run.run_) ||
+          detail::ShowsEnded(aLists, task, run.run_)) {
+        shown.push_back(task);
+      }
+    }
+    for (const auto& task : shown) {
+      AdoptRun(former, aWorker, task, aNow);
+    }
+  }
+  if (const auto former = superseded_.find(aWorker);
+      former != superseded_.end() && detail::IsComplete(aLists)) {
+    const auto number = former->second;
+    superseded_.erase(former);
+    DropWorker(number, "restarted", aNow);
+  }
+}
+
+void
+Scheduler::AdoptRun(std::uint32_t aFormer,
+                    std::uint32_t aWorker,
+                    const TaskKey& aTask,
+                    MonotonicTime aNow)
+{
+  auto& former = views_.at(aFormer);
+  auto& view = views_.at(aWorker);
+  const auto& worker = *state_.FindWorker(aWorker);
+  const auto& before = former.runs_.at(aTask);
+  RunView run;
+  run.run_ = before.run_;
+  run.phase_ = RunPhase::Running;
+  run.since_ = before.since_;
+  run.need_ = before.need_;
+  run.isLongRunning_ = before.isLongRunning_;
+  run.usesSpareCores_ = before.usesSpareCores_;
+  run.targetMs_ = before.targetMs_;
+  run.checkpoint_ = before.checkpoint_;
+  run.stopRequested_ = before.stopRequested_;
+  run.isEviction_ = before.isEviction_;
+  run.destination_ = before.stopRequested_ ? before.destination_ : 0;
+  run.staleStopFence_ = before.staleStopFence_;
+  run.startFence_ = FenceOf(worker);
+  run.isBound_ = true;
+  former.used_ = Difference(former.used_, ReservedBy(run));
+  former.runs_.erase(aTask);
+  view.used_ = Sum(view.used_, ReservedBy(run));
+  auto& adopted = view.runs_.insert_or_assign(aTask, run).first->second;
+  unsettledWorkers_.insert(aWorker);
+  Decide(RunAdopted{ aTask, run.run_, aWorker }, aNow);
+
+  const auto& step = state_.FindJob(aTask.job_)->spec_.steps_[aTask.step_];
+  const auto& labels = worker.labels_;
+  const bool isFit =
+    worker.pool_ == state_.FindWorker(aFormer)->pool_ &&
+    (step.label_.empty() ||
+     std::find(labels.begin(), labels.end(), step.label_) != labels.end());
+  if (!isFit || adopted.stopRequested_) {
+    RequestStop(aWorker, adopted, isFit && adopted.isEviction_);
+  }
+}
+
+void
+Scheduler::LogNextIncarnation(std::uint32_t aFormer,
+                              const WorkerLists& aLists) const
+{
+  const auto& view = views_.at(aFormer);
+  std::size_t running = 0;
+  std::size_t ended = 0;
+  for (const auto& [task, run] : view.runs_) {
+    running += detail::ShowsRunning(aLists, task, run.run_) ? 1 : 0;
+    ended += detail::ShowsEnded(aLists, task, run.run_) ? 1 : 0;
+  }
+  LogInfo("the next incarnation of a worker answers",
+          { { "worker", state_.FindWorker(aFormer)->id_ },
+            { "former", aFormer },
+            { "runs", view.runs_.size() },
+            { "unbound", CountUnboundRuns(view) },
+            { "runs_on_next", running },
+            { "ended_on_next", ended } });
+}
+
+bool
+Scheduler::MayHoldFormerLease(const WorkerEntry& aWorker,
+                              MonotonicTime aNow) const
+{
+  const auto lateUntil = settings_.maxOrderDelay_ + LongestLease();
+  return aWorker.returnedAtMs_ > 0 &&
+         LogicalNow(aNow) < aWorker.returnedAtMs_ +
+                              static_cast<std::uint64_t>(lateUntil.count());
+}
+
+Millis
+Scheduler::LongestLease() const
+{
+  return detail::TimeUntilExpired(settings_.maxLease_);
+}
+
+void
+Scheduler::BindListedRuns(std::uint32_t aWorker,
+                          const WorkerLists& aLists,
+                          MonotonicTime aNow)
+{
+  for (const auto& running : aLists.running_) {
+    if (auto* run = FindRun(aWorker, running.task_, running.run_)) {
+      BindRun(*run, aNow);
+    }
+  }
+}
+
+bool
+Scheduler::IsOwnClock(const WorkerView& aView,
+                      const OrderAnswer& aAnswer,
+                      MonotonicTime aNow)
+{
+  return aAnswer.clockMs_ &&
+         *aAnswer.clockMs_ >
+           detail::TimeUntilExpired(aNow - aView.provenAt_).count();
+}
+
+MonotonicTime
+Scheduler::UnboundRunsEndBy(const WorkerView& aView) const
+{
+  return std::max(aView.leaseExpiresAt_,
+                  aView.leaseSentAt_ + settings_.maxOrderDelay_ +
+                    LongestLease());
+}
+
+bool
+Scheduler::WasBound(const TaskEntry& aTask, MonotonicTime aNow) const
+{
+  const auto* worker = state_.FindWorker(aTask.worker_);
+  const auto unboundFor =
+    kMaxSendTime + settings_.maxOrderDelay_ + LongestLease();
+  return aTask.assignedAtMs_ <= worker->boundUntilMs_ ||
+         LogicalNow(aNow) >
+           aTask.assignedAtMs_ + static_cast<std::uint64_t>(unboundFor.count());
+}
+
+// Ends of runs carry the same, so that this matters for workers without any.
+void
+Scheduler::NoteBoundRuns(std::uint32_t aWorker,
+                         const RenewLease& aOrder,
+                         MonotonicTime aNow)
+{
+  auto& view = views_.at(aWorker);
+  const auto& worker = *state_.FindWorker(aWorker);
+  if (aNow - view.boundNotedAt_ < kBoundNoteInterval) {
+    return;
+  }
+  const auto until = BoundUntil(view, aOrder);
+  const bool isNew =
+    std::any_of(view.runs_.begin(), view.runs_.end(), [&](const auto& aEntry) {
+      const auto& run = aEntry.second;
+      if (!run.isBound_ || !run.assignedAt_) {
+        return false;
+      }
+      const auto assignedAtMs = LogicalNow(*run.assignedAt_);
+      return assignedAtMs > worker.boundUntilMs_ && assignedAtMs <= until;
+    });
+  if (isNew) {
+    view.boundNotedAt_ = aNow;
+    Decide(EndsNoted{ aWorker, worker.notedEnds_, until }, aNow);
+  }
+}
+
+std::uint64_t
+Scheduler::BoundUntil(const WorkerView& aView, const RenewLease& aOrder) const
+{
+  auto until = aOrder.sentAt_;
+  for (const auto& [task, run] : aView.runs_) {
+    if (!run.isBound_) {
+      until = std::min(until, run.assignedAt_.value_or(MonotonicTime{}));
+    }
+  }
+  return until <= startedAt_ ? 0 : LogicalNow(until) - 1;
+}
+
+} // namespace acaciahill
--- a/packages/workload/scheduler_lease.cpp
+++ b/packages/workload/scheduler_lease.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <map>
+#include <tuple>
+#include <vector>
 
 // Renewal and expiry of the workers' leases.
 
@@ -55,32 +57,6 @@
   }
 }
 
-void
-Scheduler::LogNextIncarnation(std::uint32_t aFormer,
-                              const WorkerLists& aLists) const
-{
-  const auto& view = views_.at(aFormer);
-  const auto isOfFormer = [&view](const TaskKey& aTask, std::uint32_t aRun) {
-    const auto found = view.runs_.find(aTask);
-    return found != view.runs_.end() && found->second.run_ == aRun;
-  };
-  const auto running = std::count_if(
-    aLists.running_.begin(), aLists.running_.end(), [&](const auto& aRun) {
-      return isOfFormer(aRun.task_, aRun.run_);
-    });
-  const auto ended = std::count_if(
-    aLists.ended_.begin(), aLists.ended_.end(), [&](const auto& aEnd) {
-      return isOfFormer(aEnd.task_, aEnd.run_);
-    });
-  LogInfo("the next incarnation of a worker answers",
-          { { "worker", state_.FindWorker(aFormer)->id_ },
-            { "former", aFormer },
-            { "runs", view.runs_.size() },
-            { "never_listed", CountUnlistedRuns(view) },
-            { "runs_on_next", running },
-            { "ended_on_next", ended } });
-}
-
 // A probe, because the renewal in flight may wait long, and its lists decide
 // only about runs whose order was answered before it was sent.
 void
@@ -114,19 +90,13 @@
   for (auto& [number, view] : views_) {
     if (view.missedRenewals_ > 0 && aNow >= view.leaseExpiresAt_ &&
         !view.runs_.empty()) {
-      LogWarning("lease of a silent worker expired",
-                 { { "worker", state_.FindWorker(number)->id_ },
-                   { "number", number },
-                   { "silent_ms", (aNow - view.lastContactAt_).count() },
-                   { "runs", view.runs_.size() },
-                   { "never_listed", CountUnlistedRuns(view) },
-                   { "superseded", view.isSuperseded_ } });
-      CloseRunsOfWorker(number, RunEnd::Lapsed, aNow);
-      placementDue_ = true;
+      CloseExpiredRuns(number, aNow);
     }
     if (view.leaveReportedAt_ && HoldsNoRuns(number)) {
       gone.emplace(number, "left");
-    } else if (view.runs_.empty() &&
+    } else if (view.isSuperseded_ && HoldsNoRuns(number)) {
+      gone.emplace(number, "ended");
+    } else if (HoldsNoRuns(number) &&
                aNow - view.lastContactAt_ > kSilentWorkerRetention) {
       gone.emplace(number, "silent");
       const auto& zone = state_.FindWorker(number)->zone_;
@@ -138,6 +108,41 @@
   for (const auto& [number, reason] : gone) {
     DropWorker(number, reason, aNow);
   }
+  std::erase_if(removedIds_, [this, aNow](const auto& aEntry) {
+    return aNow - aEntry.second > settings_.maxOrderDelay_;
+  });
+}
+
+// A run that is not bound may be on the worker's next incarnation, which
+// shortens the lease of an order to the former one to the longest that it
+// grants.
+void
+Scheduler::CloseExpiredRuns(std::uint32_t aWorker, MonotonicTime aNow)
+{
+  const auto& view = views_.at(aWorker);
+  const auto unboundEndBy = UnboundRunsEndBy(view);
+  std::vector<std::tuple<TaskKey, std::uint32_t, std::string>> expired;
+  for (const auto& [task, run] : view.runs_) {
+    if (run.isBound_ || aNow >= unboundEndBy) {
+      expired.emplace_back(task, run.run_, run.checkpoint_);
+    }
+  }
+  if (expired.empty()) {
+    return;
+  }
+  LogWarning(
+    "lease of a silent worker expired",
+    { { "worker", state_.FindWorker(aWorker)->id_ },
+      { "number", aWorker },
+      { "silent_ms", (aNow - view.lastContactAt_).count() },
+      { "runs", expired.size() },
+      { "unbound", CountUnboundRuns(view) },
+      { "unbound_wait_ms", std::max(Millis(0), unboundEndBy - aNow).count() },
+      { "superseded", view.isSuperseded_ } });
+  for (const auto& [task, run, checkpoint] : expired) {
+    CloseRun(aWorker, task, run, RunEnd::Lapsed, checkpoint, aNow);
+  }
+  placementDue_ = true;
 }
 
 void
@@ -181,7 +186,15 @@
   if (aLists->processStartMs_ &&
       *aLists->processStartMs_ != state_.FindWorker(number)->processStartMs_) {
     LogNextIncarnation(number, *aLists);
-    DropWorker(number, "restarted", aNow);
+    view->nextProcessStartMs_ = aLists->processStartMs_;
+    EndIncarnation(number, "restarted", aNow);
+    return;
+  }
+  if (view->isSuperseded_) {
+    // A late answer of the former incarnation shows what was carried out there.
+    // It is not renewed any more, and stays silent.
+    BindListedRuns(number, *aLists, aNow);
+    ProcessEndedRuns(number, *aLists, aOrder, aNow);
     return;
   }
   if (view->missedRenewals_ > 0) {
@@ -192,11 +205,17 @@
   if (!view->confirmed_ || view->missedRenewals_ > 0) {
     placementDue_ = true;
   }
-  if (const auto former = superseded_.extract(number); !former.empty()) {
-    LogNextIncarnation(former.mapped(), *aLists);
-    DropWorker(former.mapped(), "restarted", aNow);
+  // From now on the worker refuses orders to its former incarnations.
+  if (!view->confirmed_ &&
+      MayHoldFormerLease(*state_.FindWorker(number), aNow)) {
+    view->leaseExpiresAt_ =
+      std::max(view->leaseExpiresAt_, aNow + LongestLease());
   }
+  TakeOverRuns(number, *aLists, aNow);
   view->confirmed_ = true;
+  if (aLists->processStartMs_) {
+    view->provenAt_ = std::max(view->provenAt_, aOrder.sentAt_);
+  }
   view->refusesFence_ = false;
   view->missedRenewals_ = 0;
   if (view->leaveReportedAt_ && aOrder.sentAt_ >= *view->leaveReportedAt_) {
@@ -205,9 +224,10 @@
   if (!aOrder.isProbe_) {
     view->nextRenewalAt_ = aLists->ended_.empty() ? aNow : aNow + kRenewalPause;
   }
-  ProcessEndedRuns(number, *aLists, aNow);
+  ProcessEndedRuns(number, *aLists, aOrder, aNow);
   ProcessRunningTasks(number, *aLists, aOrder, aNow);
   CheckMissingRuns(number, *aLists, aOrder, aNow);
+  NoteBoundRuns(number, aOrder, aNow);
   PaceFillingRuns(number, aNow);
 }
 
--- a/packages/workload/scheduler_lists.cpp
+++ b/packages/workload/scheduler_lists.cpp
@@ -1,6 +1,7 @@
 #include "workload/scheduler_base.h"
 
 #include "kernel/log_func.h"
+#include "workload/worker_lists_func.h"
 #include "workload/workload_text_func.h"
 
 #include <algorithm>
@@ -12,8 +13,6 @@
 
 namespace {
 
-// Maximum length of a list of ended runs; a full list may be incomplete.
-constexpr std::size_t kMaxEndsInList = 500;
 // Minimum time between two stop orders for the same unexpected run.
 constexpr Millis kUnexpectedStopInterval{ 500 };
 // A run ends within this time after its worker has taken the stop order.
@@ -43,6 +42,7 @@
 void
 Scheduler::ProcessEndedRuns(std::uint32_t aWorker,
                             const WorkerLists& aLists,
+                            const RenewLease& aOrder,
                             MonotonicTime aNow)
 {
   const auto noted = state_.FindWorker(aWorker)->notedEnds_;
@@ -60,7 +60,9 @@
     }
   }
   if (highest > noted) {
-    Decide(EndsNoted{ aWorker, highest }, aNow);
+    Decide(
+      EndsNoted{ aWorker, highest, BoundUntil(views_.at(aWorker), aOrder) },
+      aNow);
     nextEffects_.ends_[aWorker] = highest;
     placementDue_ = true;
   }
@@ -103,7 +105,7 @@
       run->phase_ = RunPhase::Running;
       run->since_ = aNow;
     }
-    run->isListed_ = true;
+    run->isBound_ = true;
     CheckStaleStop(*run, aOrder, aNow);
     run->percent_ = running.percent_;
     run->gauge_ = running.gauge_;
@@ -141,7 +143,7 @@
                             const RenewLease& aOrder,
                             MonotonicTime aNow)
 {
-  if (aLists.ended_.size() + aLists.unreadEnds_ >= kMaxEndsInList) {
+  if (!detail::IsComplete(aLists)) {
     return;
   }
   std::set<std::pair<TaskKey, std::uint32_t>> listed;
--- a/packages/workload/scheduler_pools.cpp
+++ b/packages/workload/scheduler_pools.cpp
@@ -97,7 +97,7 @@
     }
   }
   for (const auto number : gone) {
-    DropWorker(number, "moved to another pool", aNow);
+    EndIncarnation(number, "moved to another pool", aNow);
   }
 }
 
--- a/packages/workload/scheduler_run.cpp
+++ b/packages/workload/scheduler_run.cpp
@@ -207,7 +207,8 @@
     return;
   }
   const auto* worker = state_.FindWorker(aStart.worker_);
-  if (run->stopRequested_ || worker->draining_) {
+  if (run->stopRequested_ || worker->draining_ ||
+      views_.at(aStart.worker_).isSuperseded_) {
     // No order was sent, so the run can never start.
     CloseRun(
       aStart.worker_, aStart.task_, aStart.run_, RunEnd::Rejected, {}, aNow);
@@ -246,6 +247,7 @@
         run->phase_ = RunPhase::Running;
         run->since_ = aNow;
       }
+      run->isBound_ = run->isBound_ || IsOwnClock(view, aAnswer, aNow);
       return;
     case OrderOutcome::Unknown:
     case OrderOutcome::TooOld:
@@ -308,6 +310,10 @@
 Scheduler::SendRequestedStops(MonotonicTime aNow)
 {
   for (const auto number : unsettledWorkers_) {
+    // Runs that the next incarnation takes over are stopped there.
+    if (views_.at(number).isSuperseded_) {
+      continue;
+    }
     for (auto& [task, run] : views_.at(number).runs_) {
       const bool isSent = run.phase_ != RunPhase::CommitPending;
       if (!run.stopRequested_ || !isSent || run.stopInFlight_ ||
--- a/packages/workload/scheduler_upkeep.cpp
+++ b/packages/workload/scheduler_upkeep.cpp
@@ -322,7 +322,7 @@
     }
     // A VM whose last tasks are being stopped takes its place in the cap.
     ++down;
-    const bool isEmpty = worker == nullptr || worker->runs_.empty();
+    const bool isEmpty = worker == nullptr || HoldsNoRuns(number);
     if (!isEmpty || !vmCalls_.TakeForUpkeep(aNow)) {
       continue;
     }
@@ -358,7 +358,7 @@
       Decide(WaveVmBegun{ aOrder.wave_, aOrder.vm_ }, aNow);
       // All runs of that worker have ended. The answer may be about an earlier
       // order, after which the VM is back with a worker that has runs.
-      DropWorker(aOrder.worker_, "upkeep", aNow);
+      EndIncarnation(aOrder.worker_, "upkeep", aNow);
       return;
     case VmOutcome::NotInWave:
     case VmOutcome::NoSuchVm:
--- a/packages/workload/scheduler_worker.cpp
+++ b/packages/workload/scheduler_worker.cpp
@@ -1,6 +1,7 @@
 #include "workload/scheduler_base.h"
 
 #include "kernel/log_func.h"
+#include "workload/lease_time_func.h"
 #include "workload/order_answer_func.h"
 #include "workload/workload_text_func.h"
 
@@ -13,11 +14,6 @@
 
 namespace {
 
-// A worker's clock may be slow by up to this factor, so the scheduler waits
-// longer for a lease to expire.
-constexpr double kMaxClockSlowdown = 1.02;
-// Added to the end of a lease to cover times rounded to milliseconds.
-constexpr Millis kLeaseMargin{ 100 };
 // Ids of ignored workers are kept up to this number to log each one once.
 constexpr std::size_t kMaxIgnoredWorkers = 1000;
 // Bits of a fence below the term: the worker's number, then its unclear
@@ -42,10 +38,11 @@
   view.nextRenewalAt_ = aNow;
   view.committedEnds_ = aWorker.notedEnds_;
   // A former leader may have granted a whole lease just now.
+  view.leaseSentAt_ = aNow;
   view.leaseExpiresAt_ =
-    aNow + kLeaseMargin +
-    Millis(static_cast<std::int64_t>(
-      static_cast<double>(settings_.lease_.count()) * kMaxClockSlowdown));
+    aNow + (MayHoldFormerLease(aWorker, aNow)
+              ? LongestLease()
+              : detail::TimeUntilExpired(settings_.lease_));
 }
 
 std::uint32_t
@@ -94,12 +91,10 @@
   const auto sinceRead = aNow - view.clockAt_;
   target.leaseEndMs_ =
     view.clockMs_ + sinceRead.count() + settings_.lease_.count();
-  const auto workerTimeMs =
-    static_cast<double>((sinceRead + settings_.lease_).count());
   const auto expiresAt =
-    view.clockAt_ + kLeaseMargin +
-    Millis(static_cast<std::int64_t>(workerTimeMs * kMaxClockSlowdown));
+    view.clockAt_ + detail::TimeUntilExpired(sinceRead + settings_.lease_);
   view.leaseExpiresAt_ = std::max(view.leaseExpiresAt_, expiresAt);
+  view.leaseSentAt_ = aNow;
   return target;
 }
 
@@ -122,14 +117,16 @@
 {
   const auto number = FindWorkerById(aReport.worker_.id_);
   const auto* known = state_.FindWorker(number);
-  if (known != nullptr &&
-      aReport.worker_.processStartMs_ < known->processStartMs_) {
+  const auto processStartMs = aReport.worker_.processStartMs_;
+  const bool isNext = known != nullptr &&
+                      (processStartMs > known->processStartMs_ ||
+                       views_.at(number).nextProcessStartMs_ == processStartMs);
+  if (known != nullptr && !isNext && processStartMs < known->processStartMs_) {
     // A delayed report of a former incarnation.
     Answer(aToken, RequestOutcome::Accepted);
     return;
   }
-  if (known != nullptr &&
-      aReport.worker_.processStartMs_ > known->processStartMs_) {
+  if (isNext) {
     known = nullptr;
   }
   if (number == 0 && config_.version_ > 0 &&
@@ -146,6 +143,12 @@
   auto entry = aReport.worker_;
   if (known == nullptr) {
     entry.number_ = state_.NextWorkerNumber();
+    // A new leader does not know which workers were removed before it.
+    const bool mayBeBack =
+      baseMs_ > 0 && aNow - startedAt_ <= settings_.maxOrderDelay_;
+    if (number != 0 || removedIds_.contains(entry.id_) || mayBeBack) {
+      entry.returnedAtMs_ = LogicalNow(aNow);
+    }
     LogInfo("worker registered",
             { { "worker", entry.id_ },
               { "number", entry.number_ },
@@ -153,7 +156,8 @@
               { "address", entry.address_ },
               { "rack", entry.rack_ },
               { "draining", entry.draining_ },
-              { "former", number } });
+              { "former", number },
+              { "clock_ms", aReport.clockMs_ } });
     Decide(WorkerJoined{ entry }, aNow);
     AddView(entry, aNow);
     NotePoolOfVm(entry.vm_, entry.pool_, aNow);
@@ -170,6 +174,8 @@
     }
     entry.number_ = number;
     entry.notedEnds_ = known->notedEnds_;
+    entry.boundUntilMs_ = known->boundUntilMs_;
+    entry.returnedAtMs_ = known->returnedAtMs_;
     entry.draining_ = entry.draining_ || known->draining_;
     if (entry.draining_ && !known->draining_) {
       LogInfo("worker is draining",
@@ -196,33 +202,6 @@
   placementDue_ = true;
 }
 
-// The new incarnation may still carry out an unanswered order to the former one
-// until it has seen its own, higher fence. Only then are the runs of the former
-// incarnation closed.
-void
-Scheduler::Supersede(std::uint32_t aFormer, std::uint32_t aNew)
-{
-  auto& former = views_.at(aFormer);
-  former.isSuperseded_ = true;
-  former.missedRenewals_ = std::max(former.missedRenewals_, 1);
-  superseded_[aNew] = aFormer;
-}
-
-// Numbers increase with each incarnation, so that each entry of an id
-// supersedes the one before it.
-void
-Scheduler::RestoreSuperseded()
-{
-  std::map<std::string, std::uint32_t> lastById;
-  for (const auto& [number, worker] : state_.Workers()) {
-    const auto [last, isFirst] = lastById.try_emplace(worker.id_, number);
-    if (!isFirst) {
-      Supersede(last->second, number);
-      last->second = number;
-    }
-  }
-}
-
 // A request that names no incarnation may be a delayed one of a former
 // incarnation. It proves nothing about runs that are assigned now: they are
 // closed by the worker's own lists, or once its lease has certainly expired.
@@ -241,7 +220,7 @@
   }
   auto& view = views_.at(number);
   if (aProcessStartMs || (known->draining_ && HoldsNoRuns(number))) {
-    DropWorker(number, "left", aNow);
+    EndIncarnation(number, "left", aNow);
     return;
   }
   LogInfo("a leave that names no incarnation does not close runs",
@@ -255,12 +234,6 @@
   }
 }
 
-bool
-Scheduler::HoldsNoRuns(std::uint32_t aWorker) const
-{
-  return views_.at(aWorker).runs_.empty() && !superseded_.contains(aWorker);
-}
-
 void
 Scheduler::DropWorker(std::uint32_t aWorker,
                       std::string_view aReason,
@@ -279,6 +252,10 @@
     DropWorker(former.mapped(), "restarted", aNow);
   }
   CloseRunsOfWorker(aWorker, RunEnd::Lost, aNow);
+  std::erase_if(superseded_, [aWorker](const auto& aEntry) {
+    return aEntry.second == aWorker;
+  });
+  removedIds_[worker->id_] = aNow;
   views_.erase(aWorker);
   Decide(WorkerLeft{ aWorker }, aNow);
   placementDue_ = true;
--- a/packages/workload/test/gang_end_test.cpp
+++ b/packages/workload/test/gang_end_test.cpp
@@ -28,6 +28,7 @@
   scheduler.SubmitJob(2, GangJob(), kStart);
   const auto actions = TakeCommitted(scheduler);
   REQUIRE(scheduler.State().FindJob(1)->assigned_ == 2);
+  AnswerStarts(scheduler, actions);
   const auto* renewal = Find<RenewLease>(actions);
   REQUIRE(renewal != nullptr);
   if (aHasLapsed) {
--- a/packages/workload/test/scheduler_driver.h
+++ b/packages/workload/test/scheduler_driver.h
@@ -19,6 +19,8 @@
 /// Capacity of each fake worker.
 inline constexpr std::int64_t kWorkerMilliCores = 4000;
 inline constexpr std::int64_t kWorkerMemoryMb = 4000;
+/// Longest lease that a fake worker grants, in ms.
+inline constexpr std::int64_t kWorkerMaxLeaseMs = 10000;
 /// VMs in this pool are switched off and have no worker.
 inline constexpr const char* kOffPool = "off";
 
@@ -45,6 +47,8 @@
 
   std::string id_;
   std::uint64_t processStartMs_ = 1;
+  /// When the worker's clock was 0: it begins anew with each process.
+  MonotonicTime clockStart_{};
   bool up_ = true;
   bool draining_ = false;
   /// Down for upkeep.
@@ -169,6 +173,9 @@
   Millis listDelay_{ 0 };
   /// Requests for the list fail.
   bool losesLists_ = false;
+  /// A worker that is back also carries out late orders that its former process
+  /// would have refused for a newer one.
+  bool carriesOutOvertaken_ = false;
   void SetFaults(FaultRates aFaults) { faults_ = aFaults; }
   /// The pool of a worker, also while it is not up.
   const std::string& PoolOf(const std::string& aWorker) const
@@ -230,6 +237,8 @@
   void CheckStart(const StartRun& aOrder, const FakeWorker& aWorker);
   FakeWorker* FindReachable(const OrderTarget& aTarget);
   std::int64_t ClockOf(const FakeWorker& aWorker) const;
+  /// Extends the worker's lease; a longer one is shortened.
+  void ExtendLease(FakeWorker& aWorker, std::int64_t aLeaseEndMs);
   void Report(const FakeWorker& aWorker);
 
   std::mt19937 random_;
@@ -240,6 +249,8 @@
   std::map<std::string, std::string> pools_;
   std::map<std::string, FakeWorker> workers_;
   std::map<std::string, MonotonicTime> unavailableUntil_;
+  /// Highest fence that the former processes of each worker have seen.
+  std::map<std::string, std::uint64_t> formerFences_;
   std::map<std::string, std::uint64_t> reports_;
   Workload committed_;
   std::unique_ptr<Scheduler> scheduler_;
--- a/packages/workload/test/single_worker.h
+++ b/packages/workload/test/single_worker.h
@@ -56,6 +56,18 @@
   return found == aActions.end() ? nullptr : std::get_if<Action>(&*found);
 }
 
+/// The worker, whose clock is 5000, carries out all starts in aActions.
+inline void
+AnswerStarts(Scheduler& aScheduler,
+             const std::vector<SchedulerAction>& aActions)
+{
+  for (const auto& action : aActions) {
+    if (const auto* start = std::get_if<StartRun>(&action)) {
+      aScheduler.HandleStart(*start, { OrderOutcome::Taken, 5000 }, kStart);
+    }
+  }
+}
+
 /// Answers the first renewal in aActions with empty lists of the incarnation.
 inline void
 ConfirmWorker(Scheduler& aScheduler,
--- a/packages/workload/worker_view_type.h
+++ b/packages/workload/worker_view_type.h
@@ -29,6 +29,8 @@
   RunPhase phase_ = RunPhase::CommitPending;
   /// Start of the current phase.
   MonotonicTime since_{};
+  /// Nothing when a former leader assigned the run.
+  std::optional<MonotonicTime> assignedAt_;
   TaskNeed need_;
   bool isLongRunning_ = false;
   bool usesSpareCores_ = false;
@@ -58,9 +60,11 @@
   std::optional<MonotonicTime> staleStopBarredAt_;
   /// Fence of the start order; 0 when a former leader sent the order.
   std::uint64_t startFence_ = 0;
-  /// A list of this incarnation has shown the run. An answer to the start order
-  /// does not prove that: the next incarnation has the same id and address.
-  bool isListed_ = false;
+  /// This incarnation has carried out the start order, so that no later one
+  /// can: a list has shown the run, or the clock in the answer to the order is
+  /// older than a later incarnation. The answer alone does not prove that, as
+  /// the next incarnation has the same id and address.
+  bool isBound_ = false;
   /// When the worker accepted the stop order; nothing before.
   std::optional<MonotonicTime> stopAcceptedAt_;
 
@@ -77,10 +81,13 @@
   /// By then every lease granted so far has expired on the worker, even if its
   /// clock is slow.
   MonotonicTime leaseExpiresAt_{};
+  /// When the last order that grants a lease was sent to the worker.
+  MonotonicTime leaseSentAt_{};
   /// Starts and withdrawn stops with an unclear outcome so far; part of the
   /// fence.
   std::uint32_t unclearOrders_ = 0;
-  /// A newer incarnation of the worker has registered.
+  /// A newer incarnation of the worker has registered, or this one has ended.
+  /// Kept while a later incarnation may carry out its start orders.
   bool isSuperseded_ = false;
   /// The worker has answered a lease renewal of this leader.
   bool confirmed_ = false;
@@ -94,6 +101,13 @@
   int missedRenewals_ = 0;
   /// Time of the last report or answer.
   MonotonicTime lastContactAt_{};
+  /// When the last renewal was sent that this incarnation has answered with its
+  /// lists: any later one has started since.
+  MonotonicTime provenAt_{};
+  MonotonicTime boundNotedAt_{};
+  /// Start of the process that has answered for an ended incarnation. It may be
+  /// earlier than that of the incarnation when the time of day was set back.
+  std::optional<std::uint64_t> nextProcessStartMs_;
   std::uint64_t sequence_ = 0;
   /// Ended runs up to this number are committed; the worker may drop them.
   std::uint64_t committedEnds_ = 0;
@@ -119,13 +133,13 @@
   bool operator==(const WorkerView&) const = default;
 };
 
-/// Number of the worker's runs that no list of it has shown.
+/// Number of the worker's runs that a later incarnation may be running.
 inline std::size_t
-CountUnlistedRuns(const WorkerView& aView)
+CountUnboundRuns(const WorkerView& aView)
 {
   return static_cast<std::size_t>(std::count_if(
     aView.runs_.begin(), aView.runs_.end(), [](const auto& aEntry) {
-      return !aEntry.second.isListed_;
+      return !aEntry.second.isBound_;
     }));
 }
 
--- a/packages/workload/workload.cpp
+++ b/packages/workload/workload.cpp
@@ -190,10 +190,22 @@
   task->state_ = TaskState::Assigned;
   task->run_ = aEvent.run_;
   task->worker_ = aEvent.worker_;
+  task->assignedAtMs_ = std::max<std::uint64_t>(1, logicalMs_);
   ++job.assigned_;
   job.phase_ = JobPhase::Running;
 }
 
+void
+Workload::ApplyEvent(const RunAdopted& aEvent)
+{
+  auto* task = FindMutableTask(aEvent.task_);
+  if (task != nullptr && task->state_ == TaskState::Assigned &&
+      task->run_ == aEvent.run_) {
+    task->worker_ = aEvent.worker_;
+    task->assignedAtMs_ = 0;
+  }
+}
+
 void
 Workload::ApplyEvent(const RunClosed& aEvent)
 {
@@ -253,8 +265,9 @@
 {
   const auto found = workers_.find(aEvent.worker_);
   if (found != workers_.end()) {
-    found->second.notedEnds_ =
-      std::max(found->second.notedEnds_, aEvent.number_);
+    auto& worker = found->second;
+    worker.notedEnds_ = std::max(worker.notedEnds_, aEvent.number_);
+    worker.boundUntilMs_ = std::max(worker.boundUntilMs_, aEvent.boundUntilMs_);
   }
 }
 
@@ -265,6 +278,7 @@
   auto worker = aEvent.worker_;
   if (const auto* known = FindWorker(number)) {
     worker.notedEnds_ = std::max(worker.notedEnds_, known->notedEnds_);
+    worker.boundUntilMs_ = std::max(worker.boundUntilMs_, known->boundUntilMs_);
     worker.draining_ = worker.draining_ || known->draining_;
   }
   workers_[number] = std::move(worker);
--- a/packages/workload/workload_base.h
+++ b/packages/workload/workload_base.h
@@ -54,6 +54,7 @@
   void ApplyEvent(const OccurrenceBegun& aEvent);
   void ApplyEvent(const RunAssigned& aEvent);
   void ApplyEvent(const RunClosed& aEvent);
+  void ApplyEvent(const RunAdopted& aEvent);
   void ApplyEvent(const EndsNoted& aEvent);
   void ApplyEvent(const WorkerJoined& aEvent);
   void ApplyEvent(const WorkerDraining& aEvent);
--- a/packages/workload/workload_codec.cpp
+++ b/packages/workload/workload_codec.cpp
@@ -19,10 +19,12 @@
 namespace {
 
 // Raised when the format changes; an older program refuses a newer version.
-// Version 1 has no learned load, version 2 no tenants of jobs.
-constexpr std::uint32_t kFormatVersion = 3;
+// Version 1 has no learned load, version 2 no tenants of jobs, version 3
+// nothing of orders that the next incarnation of a worker may carry out.
+constexpr std::uint32_t kFormatVersion = 4;
 constexpr std::uint32_t kFormatWithoutLearnedLoad = 1;
 constexpr std::uint32_t kFormatWithoutTenants = 2;
+constexpr std::uint32_t kFormatWithoutIncarnations = 3;
 
 /// The version that an archive is read or written in.
 struct FormatVersion
@@ -35,6 +37,14 @@
 using InputArchive =
   cereal::UserDataAdapter<FormatVersion, cereal::PortableBinaryInputArchive>;
 
+template<typename Archive>
+bool
+HasIncarnations(Archive& aArchive)
+{
+  return cereal::get_user_data<FormatVersion>(aArchive).value_ >
+         kFormatWithoutIncarnations;
+}
+
 } // namespace
 
 // NOLINTBEGIN(readability-identifier-naming): cereal looks these names up.
@@ -108,6 +118,9 @@
            aValue.worker_,
            aValue.failures_,
            aValue.checkpoint_);
+  if (HasIncarnations(aArchive)) {
+    aArchive(aValue.assignedAtMs_);
+  }
 }
 
 template<typename Archive>
@@ -147,6 +160,9 @@
            aValue.capacity_,
            aValue.draining_,
            aValue.notedEnds_);
+  if (HasIncarnations(aArchive)) {
+    aArchive(aValue.boundUntilMs_, aValue.returnedAtMs_);
+  }
 }
 
 template<typename Archive>
@@ -252,6 +268,16 @@
 serialize(Archive& aArchive, EndsNoted& aValue)
 {
   aArchive(aValue.worker_, aValue.number_);
+  if (HasIncarnations(aArchive)) {
+    aArchive(aValue.boundUntilMs_);
+  }
+}
+
+template<typename Archive>
+void
+serialize(Archive& aArchive, RunAdopted& aValue)
+{
+  aArchive(aValue.task_, aValue.run_, aValue.worker_);
 }
 
 template<typename Archive>
--- a/packages/workload/workload_event_type.h
+++ b/packages/workload/workload_event_type.h
@@ -73,11 +73,24 @@
   bool operator==(const RunClosed&) const = default;
 };
 
+/// The next incarnation of a worker goes on with a run: it has carried out the
+/// start order of the former one.
+struct RunAdopted
+{
+  TaskKey task_;
+  std::uint32_t run_ = 0;
+  std::uint32_t worker_ = 0;
+
+  bool operator==(const RunAdopted&) const = default;
+};
+
 /// All ends of runs that a worker has listed up to a number are in the state.
 struct EndsNoted
 {
   std::uint32_t worker_ = 0;
   std::uint64_t number_ = 0;
+  /// See WorkerEntry::boundUntilMs_.
+  std::uint64_t boundUntilMs_ = 0;
 
   bool operator==(const EndsNoted&) const = default;
 };
@@ -145,7 +158,8 @@
                                    WorkerLeft,
                                    WaveStarted,
                                    WaveVmBegun,
-                                   LoadLearned>;
+                                   LoadLearned,
+                                   RunAdopted>;
 
 /// Events that are appended to the replicated log together.
 struct WorkloadBatch
--- a/packages/workload/workload_type.h
+++ b/packages/workload/workload_type.h
@@ -211,6 +211,9 @@
   std::uint32_t failures_ = 0;
   /// Checkpoint of the next run; empty to start from the beginning.
   std::string checkpoint_;
+  /// Logical time of the last assignment. 0 when its start order is certainly
+  /// not on its way any more.
+  std::uint64_t assignedAtMs_ = 0;
 
   bool operator==(const TaskEntry&) const = default;
 };
@@ -264,6 +267,12 @@
   bool draining_ = false;
   /// Ends of runs up to this number are in the state.
   std::uint64_t notedEnds_ = 0;
+  /// Runs that were assigned to it up to this logical time cannot be carried
+  /// out by a later incarnation (see RunView::isBound_).
+  std::uint64_t boundUntilMs_ = 0;
+  /// Logical time of the registration when an earlier incarnation had the same
+  /// id; 0 without one.
+  std::uint64_t returnedAtMs_ = 0;
 
   bool operator==(const WorkerEntry&) const = default;
 };
