Fix: A start without an answer is repeated on the same worker

Callers saw a task run twice: a start got no answer, a list under a higher fence denied the run, and the task was started elsewhere; then the worker crashed, and its next incarnation, which knows no fence, carried out the first order. The proof by a fence ends with the incarnation that has seen it.

The run stays on its worker, and its start is sent once more under the new fence. Whatever incarnation carries out the first order then runs the same run, which its lists show.

--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -264,6 +264,8 @@
   bool MayHoldFormerLease(const WorkerEntry& aWorker, MonotonicTime aNow) const;
   /// Time for which a worker holds a lease that it shortens to the longest one.
   Millis LongestLease() const;
+  /// Notes that this incarnation has carried out the start order.
+  static void BindRun(RunView& aRun, MonotonicTime aNow);
   /// Whether the answer carries the clock of this incarnation: the clock of a
   /// later one, which begins anew, cannot have come as far yet.
   static bool IsOwnClock(const WorkerView& aView,
--- a/packages/workload/scheduler_incarnation.cpp
+++ b/packages/workload/scheduler_incarnation.cpp
@@ -194,6 +194,13 @@
   return detail::TimeUntilExpired(settings_.maxLease_);
 }
 
+void
+Scheduler::BindRun(RunView& aRun, MonotonicTime aNow)
+{
+  aRun.isBound_ =
+    aRun.isBound_ || !aRun.strayStartUntil_ || aNow >= *aRun.strayStartUntil_;
+}
+
 void
 Scheduler::BindListedRuns(std::uint32_t aWorker,
                           const WorkerLists& aLists,
--- a/packages/workload/scheduler_lists.cpp
+++ b/packages/workload/scheduler_lists.cpp
@@ -105,7 +105,7 @@
       run->phase_ = RunPhase::Running;
       run->since_ = aNow;
     }
-    run->isBound_ = true;
+    BindRun(*run, aNow);
     CheckStaleStop(*run, aOrder, aNow);
     run->percent_ = running.percent_;
     run->gauge_ = running.gauge_;
@@ -136,7 +136,8 @@
 
 // A run in neither list is not on the worker, provided that the lists were made
 // after the order was answered, or under a higher fence: from then on the
-// worker refuses the order.
+// worker refuses the order. Its next incarnation would not, so that the start
+// is repeated on the same worker, if possible.
 void
 Scheduler::CheckMissingRuns(std::uint32_t aWorker,
                             const WorkerLists& aLists,
@@ -151,6 +152,9 @@
     listed.emplace(running.task_, running.run_);
   }
   std::vector<std::pair<TaskKey, std::uint32_t>> rejected;
+  std::vector<std::pair<TaskKey, std::uint32_t>> repeated;
+  const bool mayRepeat =
+    !state_.FindWorker(aWorker)->draining_ && !views_.at(aWorker).evacuating_;
   for (auto& [task, run] : views_.at(aWorker).runs_) {
     if (listed.contains({ task, run.run_ }) ||
         run.phase_ == RunPhase::CommitPending || run.phase_ == RunPhase::Sent ||
@@ -159,8 +163,12 @@
     }
     const bool isFenced = run.phase_ == RunPhase::Unconfirmed &&
                           aOrder.target_.fence_ > run.startFence_;
-    if (isFenced ||
-        (run.stopAcceptedAt_ && aOrder.sentAt_ > *run.stopAcceptedAt_)) {
+    if (isFenced && mayRepeat && !run.stopRequested_ && !run.strayStartUntil_) {
+      run.strayStartUntil_ = aNow + settings_.maxOrderDelay_;
+      run.phase_ = RunPhase::CommitPending;
+      repeated.emplace_back(task, run.run_);
+    } else if (isFenced ||
+               (run.stopAcceptedAt_ && aOrder.sentAt_ > *run.stopAcceptedAt_)) {
       rejected.emplace_back(task, run.run_);
     } else {
       run.phase_ = RunPhase::Unconfirmed;
@@ -171,6 +179,13 @@
     CloseRun(aWorker, task, run, RunEnd::Rejected, {}, aNow);
     placementDue_ = true;
   }
+  for (const auto& [task, run] : repeated) {
+    LogInfo("repeating a start order that got no answer",
+            { { "task", TaskText(task) },
+              { "run", run },
+              { "worker", state_.FindWorker(aWorker)->id_ } });
+    SendStart({ task, run, aWorker }, aNow);
+  }
 }
 
 } // namespace acaciahill
--- a/packages/workload/scheduler_run.cpp
+++ b/packages/workload/scheduler_run.cpp
@@ -247,7 +247,9 @@
         run->phase_ = RunPhase::Running;
         run->since_ = aNow;
       }
-      run->isBound_ = run->isBound_ || IsOwnClock(view, aAnswer, aNow);
+      if (IsOwnClock(view, aAnswer, aNow)) {
+        BindRun(*run, aNow);
+      }
       return;
     case OrderOutcome::Unknown:
     case OrderOutcome::TooOld:
--- a/packages/workload/worker_view_type.h
+++ b/packages/workload/worker_view_type.h
@@ -60,6 +60,9 @@
   std::optional<MonotonicTime> staleStopBarredAt_;
   /// Fence of the start order; 0 when a former leader sent the order.
   std::uint64_t startFence_ = 0;
+  /// The start order was sent a second time. Until then a later incarnation may
+  /// carry out the first one, which got no answer.
+  std::optional<MonotonicTime> strayStartUntil_;
   /// This incarnation has carried out the start order, so that no later one
   /// can: a list has shown the run, or the clock in the answer to the order is
   /// older than a later incarnation. The answer alone does not prove that, as
