Fix: a run of a gang in which several members fail is one attempt

Cause: CountFailures added up the failed ends of all members, so that members which fail together in one run used up as many attempts.

Change: the members of a gang begin a run with the same count of failures, the highest of them, and each that fails in it has one more. A run counts once, however many of its members fail and whichever they are, and a failed end is the last by the member's own count. The count derives from the events of the log (RunAssigned, RunClosed); no field and no format changed.

--- a/packages/workload/scheduler_attempts.cpp
+++ b/packages/workload/scheduler_attempts.cpp
@@ -3,29 +3,10 @@
 #include "kernel/log_func.h"
 #include "workload/workload_text_func.h"
 
-#include <numeric>
-
 // Attempts of tasks: how many runs may fail before a job fails.
 
 namespace acaciahill {
 
-std::uint32_t
-Scheduler::CountFailures(const TaskKey& aTask) const
-{
-  const auto& job = *state_.FindJob(aTask.job_);
-  if (!job.spec_.steps_[aTask.step_].gang_) {
-    return state_.FindTask(aTask)->failures_;
-  }
-  const auto& tasks =
-    job.occurrences_.at(aTask.occurrence_).steps_[aTask.step_];
-  return std::accumulate(tasks.begin(),
-                         tasks.end(),
-                         0U,
-                         [](std::uint32_t aSum, const auto& aMember) {
-                           return aSum + aMember.failures_;
-                         });
-}
-
 // The configuration may change while a job waits. As long as its queue is not
 // in it, no run can start, and whether the budget is spent stays open.
 bool
@@ -51,8 +32,7 @@
       for (std::uint32_t index = 0; index < tasks.size(); ++index) {
         const TaskKey task{ aJob.spec_.id_, number, step, index };
         if (tasks[index].state_ == TaskState::Waiting &&
-            tasks[index].failures_ > 0 &&
-            IsBudgetSpent(aJob, CountFailures(task))) {
+            IsBudgetSpent(aJob, tasks[index].failures_)) {
           return task;
         }
       }
--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -312,8 +312,6 @@
   void PaceFillingRuns(std::uint32_t aWorker, MonotonicTime aNow);
 
   // scheduler_attempts.cpp: failed runs of tasks.
-  /// Failed runs of the task; for a gang the sum over its members.
-  std::uint32_t CountFailures(const TaskKey& aTask) const;
   /// Whether a task with that many failed runs must not start again.
   bool IsBudgetSpent(const JobEntry& aJob, std::uint32_t aFailures) const;
   /// A waiting task of the job that must not start again; nullopt without one.
--- a/packages/workload/scheduler_run.cpp
+++ b/packages/workload/scheduler_run.cpp
@@ -67,8 +67,9 @@
 
   const auto phaseBefore = job->phase_;
   const bool isGang = job->spec_.steps_[aTask.step_].gang_;
-  const bool isLast = aEnd == RunEnd::Failed && !lasts &&
-                      IsBudgetSpent(*job, CountFailures(aTask) + 1);
+  const bool isLast =
+    aEnd == RunEnd::Failed && !lasts &&
+    IsBudgetSpent(*job, state_.FindTask(aTask)->failures_ + 1);
   if (aEnd != RunEnd::Done && aEnd != RunEnd::Stopped) {
     LogInfo("run ended before it was done",
             { { "task", TaskText(aTask) },
--- a/packages/workload/test/scheduler_driver.h
+++ b/packages/workload/test/scheduler_driver.h
@@ -65,6 +65,14 @@
   std::vector<EndedRun> ended_;
 };
 
+/// Which members of a gang that fails end as failed; the others as broken.
+enum class FailingMembers : std::uint8_t
+{
+  First,
+  InTurn, ///< One, another one in each run.
+  All,
+};
+
 /// Violations of the platform's rules, in the order of their detection.
 using Violations = std::vector<std::string>;
 
@@ -121,6 +129,9 @@
   std::optional<Millis> stopDelay_;
   /// Tasks of gangs that ended because the other tasks did not start in time.
   std::size_t incompleteGangEnds_ = 0;
+  FailingMembers failingMembers_ = FailingMembers::First;
+  /// Numbers of the runs that ended as failed, by task.
+  std::map<TaskKey, std::set<std::uint32_t>> failedRuns_;
   /// Number of orders sent to workers.
   std::size_t sentOrders_ = 0;
   std::map<std::string, FakeWorker>& Workers() { return workers_; }
--- a/packages/workload/test/scheduler_driver_worker.cpp
+++ b/packages/workload/test/scheduler_driver_worker.cpp
@@ -102,8 +102,12 @@
         run.isGangComplete_ = true;
         // When one task fails, the others end as broken.
         run.end_ = fails ? RunEnd::Failed : RunEnd::Done;
-        run.endsAt_ =
-          fails && task != first ? MonotonicTime::max() : now_ + kRunTime;
+        const bool isBroken =
+          fails &&
+          ((failingMembers_ == FailingMembers::First && task != first) ||
+           (failingMembers_ == FailingMembers::InTurn &&
+            task.index_ != run.run_ % members.size()));
+        run.endsAt_ = isBroken ? MonotonicTime::max() : now_ + kRunTime;
       } else if (!isComplete && run.isGangComplete_) {
         EndRun(*worker, task, RunEnd::Broken);
       } else if (!isComplete && now_ - run.startedAt_ >= kGangTimeout) {
@@ -125,6 +129,9 @@
     const auto members = GangMembers(aTask);
     doneTasks_.insert(members.begin(), members.end());
   }
+  if (aEnd == RunEnd::Failed) {
+    failedRuns_[aTask].insert(run);
+  }
   aWorker.ended_.push_back({ aWorker.nextEnd_++, aTask, run, aEnd, {} });
 }
 
--- a/packages/workload/workload.cpp
+++ b/packages/workload/workload.cpp
@@ -9,6 +9,16 @@
 // Maximum number of waves to keep; completed ones stay readable until then.
 constexpr std::size_t kKeptWaves = 200;
 
+std::uint32_t
+MostFailures(const std::vector<TaskEntry>& aTasks)
+{
+  std::uint32_t most = 0;
+  for (const auto& task : aTasks) {
+    most = std::max(most, task.failures_);
+  }
+  return most;
+}
+
 } // namespace
 
 bool
@@ -187,6 +197,13 @@
   if (IsOver(job.phase_)) {
     return;
   }
+  const auto& [id, occurrence, step, index] = aEvent.task_;
+  if (job.spec_.steps_[step].gang_) {
+    // All members begin a run with the same count, so that any number of them
+    // that fails in it raises the highest one by one.
+    task->failures_ =
+      MostFailures(job.occurrences_.at(occurrence).steps_[step]);
+  }
   task->state_ = TaskState::Assigned;
   task->run_ = aEvent.run_;
   task->worker_ = aEvent.worker_;
--- a/packages/workload/workload_type.h
+++ b/packages/workload/workload_type.h
@@ -207,7 +207,8 @@
   std::uint32_t run_ = 0;
   /// Number of the worker of the last run.
   std::uint32_t worker_ = 0;
-  /// Runs that ended as failed.
+  /// Runs that ended as failed. A member of a gang also counts those in which
+  /// only others failed, from its next run on.
   std::uint32_t failures_ = 0;
   /// Checkpoint of the next run; empty to start from the beginning.
   std::string checkpoint_;
