--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -361,8 +361,6 @@
   void PaceFillingRuns(std::uint32_t aWorker, MonotonicTime aNow);
 
   // scheduler_attempts.cpp: failed runs of tasks.
-  /// Failed runs of the task; for a gang the sum over its members.
-  std::uint32_t CountFailures(const TaskKey& aTask) const;
   /// Whether a task with that many failed runs must not start again.
   bool IsBudgetSpent(const JobEntry& aJob, std::uint32_t aFailures) const;
   /// A waiting task of the job that must not start again; nullopt without one.
@@ -541,7 +539,10 @@
                         UsableByPool& aUsable,
                         bool aNeedsNoPlace);
 
-  // scheduler_evacuation.cpp: the end of evacuations.
+  // scheduler_evacuation.cpp: evacuations whose plan fails.
+  /// Gives up the room that is kept for tasks on workers which are gone, and
+  /// keeps room on another worker, if one has it, for each of them.
+  void ReplaceLostDestinations(MonotonicTime aNow);
   /// An upkeep or a move of the VM may come, or may have been carried out.
   bool IsOrderExpected(const std::string& aVm) const;
   /// An order for the VM has no answer yet, or got none and its worker has not
