Fix: A VM that a list lacks still has its upkeep

Seen: the operator was told that a wave over a VM that had just been added was completed.

Cause: Scheduler::HandleVms took each VM of a wave that the platform's list lacked for one that no longer exists, and logged WaveVmBegun for it, which cannot be taken back. A list lacks a VM that was added after its page was read, an entry that cannot be decoded, and a VM that moved between two pages; a list that was asked for before the wave is only one way.

Change: absence in a list proves nothing. Such a VM is a candidate of its wave like one that is up: it is emptied, counts for the cap and is ordered, and the platform's answer decides (200: its upkeep began; 400: there is no such VM). A VM that was ordered counts as down for 5 s while no list shows it. No state is added, neither replicated nor in the views.

--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -468,6 +468,12 @@
   // scheduler_upkeep.cpp: maintenance waves.
   /// Asks for the platform's list of VMs if the last one is older.
   void RefreshVmList(Millis aMaxAge, MonotonicTime aNow);
+  /// Whether the VM may be down for maintenance, though the list lacks it.
+  static bool IsDownUnlisted(const VmView& aView, const ListVms& aOrder);
+  /// Makes the VMs of waves that the list lacks candidates like those that are
+  /// up, and returns them.
+  std::set<std::string> ExpectUnlistedVms(const ListVms& aOrder,
+                                          const std::set<std::string>& aListed);
   void AdvanceWaves(MonotonicTime aNow);
   void AdvanceWave(const UpkeepWave& aWave,
                    const std::vector<std::string>& aCandidates,
--- a/packages/workload/scheduler_upkeep.cpp
+++ b/packages/workload/scheduler_upkeep.cpp
@@ -24,6 +24,8 @@
 // A VM that is up in a list asked for this long after its order has completed
 // maintenance.
 constexpr Millis kMinUpkeepTime{ 1000 };
+// A VM that lists lack counts as down for this time after its order.
+constexpr Millis kUnlistedUpkeepTime{ 5000 };
 // VMs of a wave that are emptied in advance, beyond the cap.
 constexpr std::size_t kMaxEvacuatedAhead = 1;
 // Time from the order until the VM's worker is back; the platform takes 2 s.
@@ -150,23 +152,48 @@
               { "outdated", outdated },
               { "took_ms", (aNow - aOrder.sentAt_).count() } });
   }
-  std::erase_if(vms_, [&listed](const auto& aEntry) {
-    return !listed.contains(aEntry.first);
+  const auto unlisted = ExpectUnlistedVms(aOrder, listed);
+  std::erase_if(vms_, [&](const auto& aEntry) {
+    const auto& [vm, view] = aEntry;
+    return !listed.contains(vm) && !unlisted.contains(vm) &&
+           !IsDownUnlisted(view, aOrder);
   });
-  // A VM that no longer exists needs no maintenance.
-  std::vector<WaveVmBegun> gone;
+}
+
+bool
+Scheduler::IsDownUnlisted(const VmView& aView, const ListVms& aOrder)
+{
+  return aView.isDown_ &&
+         aOrder.sentAt_ - aView.downSince_ <= kUnlistedUpkeepTime;
+}
+
+// A VM that was added while the list was read, an entry that cannot be decoded
+// and one that moved between two pages are missing as well. So the platform's
+// answer to the order tells whether the VM exists.
+std::set<std::string>
+Scheduler::ExpectUnlistedVms(const ListVms& aOrder,
+                             const std::set<std::string>& aListed)
+{
+  std::set<std::string> unlisted;
   for (const auto& [id, wave] : state_.Waves()) {
     for (const auto& vm : wave.pendingVms_) {
-      if (!listed.contains(vm)) {
-        gone.push_back({ id, vm });
+      if (aListed.contains(vm)) {
+        continue;
+      }
+      unlisted.insert(vm);
+      auto& view = vms_[vm];
+      view.listing_.vm_ = vm;
+      if (!IsDownUnlisted(view, aOrder)) {
+        view.isDown_ = false;
+        view.listing_.state_ = VmState::Up;
       }
     }
   }
-  for (const auto& event : gone) {
-    LogInfo("VM of a maintenance wave no longer exists",
-            { { "wave", event.wave_ }, { "vm", event.vm_ } });
-    Decide(event, aNow);
+  if (!unlisted.empty()) {
+    LogInfo("a list lacks VMs of a maintenance wave; they are ordered",
+            { { "vms", unlisted.size() }, { "first", *unlisted.begin() } });
   }
+  return unlisted;
 }
 
 std::size_t
--- a/packages/workload/test/scheduler_driver.h
+++ b/packages/workload/test/scheduler_driver.h
@@ -169,6 +169,8 @@
   Millis listDelay_{ 0 };
   /// Requests for the list fail.
   bool losesLists_ = false;
+  /// VMs that exist, but that the platform's list lacks.
+  std::set<std::string> unlistedVms_;
   void SetFaults(FaultRates aFaults) { faults_ = aFaults; }
   /// The pool of a worker, also while it is not up.
   const std::string& PoolOf(const std::string& aWorker) const
--- a/packages/workload/test/scheduler_driver_platform.cpp
+++ b/packages/workload/test/scheduler_driver_platform.cpp
@@ -46,6 +46,8 @@
                     "z" });
   }
   vms.insert(vms.end(), spareVms_.begin(), spareVms_.end());
+  std::erase_if(
+    vms, [this](const auto& aVm) { return unlistedVms_.contains(aVm.vm_); });
   delayedLists_.push_back({ now_ + listDelay_, term_, aAction, vms });
   if (listDelay_ == Millis(0)) {
     DeliverLists();
@@ -85,6 +87,10 @@
 {
   ++upkeepOrders_;
   const auto id = WorkerIdOf(aAction.vm_);
+  if (!workers_.contains(id)) {
+    scheduler_->HandleUpkeep(aAction, VmOutcome::NoSuchVm, now_);
+    return;
+  }
   const auto [outcome, isCarriedOut] =
     DrawPlatformAnswer(workers_.at(id), upkeepOutcome_);
   if (isCarriedOut) {
