Fix: A log that is not read blocks no thread that serves

Cause: StartLog made a synchronous spdlog logger, so that each line was a blocking write by the thread that decides. The thread of the Raft log wrote none meanwhile and went on to lead.

Change: spdlog's async logger with a queue of 4,096 lines and a thread that writes with write(2). A full queue drops its oldest lines; the first line after them tells how many, and acaciahill_log_dropped_lines counts them. FlushLog waits for the queue, 1 s at most. The thread and what it uses are never destroyed, and nothing of the log is buffered in stdio, so that no exit waits for a reader. The descriptor stays as it is: O_NONBLOCK would also act on other processes that share the pipe. Values are cut at 1 KiB, to bound the queue.

Other writers on the same pipe, while serving: gRPC's own messages go into the log; the line on the new data folder, errors at the start and exceptions that nothing catches are logged, and no longer written to std::cout and std::cerr.

Lost with it: lines of the last moment before SIGKILL or a crash.

--- a/packages/daemon/admin_service.cpp
+++ b/packages/daemon/admin_service.cpp
@@ -1,6 +1,7 @@
 #include "daemon/admin_service_base.h"
 
 #include "kernel/error_func.h"
+#include "kernel/log_func.h"
 #include "kernel/os_clock_func.h"
 #include "state/json_func.h"
 #include "state/table/column_table.h"
@@ -514,6 +515,9 @@
   const auto control = replica_->Control();
   metrics_.Set("acaciahill_process_cpu_seconds", {}, CpuSeconds());
   metrics_.Set("acaciahill_process_resident_bytes", {}, ResidentBytes());
+  metrics_.Set("acaciahill_log_dropped_lines",
+               {},
+               static_cast<double>(CountDroppedLogLines()));
   metrics_.Set("acaciahill_is_leader", {}, control.isLeader_ ? 1 : 0);
   metrics_.Set("acaciahill_is_stale", {}, control.stale_ ? 1 : 0);
   const auto evidence = directory_->Targets();
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -3,6 +3,7 @@
 #include "daemon/announce_service_base.h"
 #include "daemon/daemon_settings_type.h"
 #include "daemon/directory_service_base.h"
+#include "daemon/grpc_log_func.h"
 #include "daemon/peer_client_base.h"
 #include "daemon/planner_service_base.h"
 #include "daemon/random_func.h"
@@ -17,6 +18,8 @@
 #include <cxxopts.hpp>
 
 #include <csignal>
+#include <cstdlib>
+#include <exception>
 #include <functional>
 #include <iostream>
 
@@ -36,6 +39,48 @@
   return AnswerOf(aError.kind_).exitCode_;
 }
 
+/// Like Fail, once the log has been set up. Writes to the log alone: standard
+/// error may be a log that nobody reads.
+int
+FailServing(const Error& aError)
+{
+  LogError("cannot serve", { { "error", Describe(aError) } });
+  FlushLog();
+  return AnswerOf(aError.kind_).exitCode_;
+}
+
+/// Ends the process for an exception that nothing caught. The default handler
+/// writes to standard error, and a process that waits there does not end.
+[[noreturn]] void
+EndByException()
+{
+  try {
+    if (const auto error = std::current_exception()) {
+      std::rethrow_exception(error);
+    }
+    LogError("the process ends: no exception is active");
+  } catch (const std::exception& error) {
+    LogError("the process ends: an exception was not caught",
+             { { "error", error.what() } });
+  } catch (...) {
+    LogError("the process ends: an exception was not caught");
+  }
+  FlushLog();
+  std::abort();
+}
+
+/// Sets up the logs of a process that serves.
+Result<Done>
+StartServingLog(const LogSettings& aSettings)
+{
+  auto started = StartLog(aSettings);
+  if (IsOk(started)) {
+    LogGrpcMessages();
+    std::set_terminate(EndByException);
+  }
+  return started;
+}
+
 /// The disk id of a voter's first data folder. Each voter can compute it for
 /// all others, so that the first voter set needs no exchange.
 std::string
@@ -75,36 +120,41 @@
 }
 
 /// Creates the data folder of a voter of a new cluster.
-int
-InitFolder(const DaemonSettings& aSettings)
+Result<Done>
+CreateFolder(const DaemonSettings& aSettings)
 {
   if (!aSettings.voter_) {
-    return Fail(
-      { ErrorKind::BadSetting, "--init is for nodes with node.role = voter" });
+    return Error{ ErrorKind::BadSetting,
+                  "--init is for nodes with node.role = voter" };
   }
   if (OsFileSystem().Exists(aSettings.dataDir_ + "/disk_id")) {
-    return Fail({ ErrorKind::InvalidState,
+    return Error{ ErrorKind::InvalidState,
                   "the data folder " + aSettings.dataDir_ +
                     " exists already; a voter that lost its disk is started "
-                    "without --init, and the others admit it" });
+                    "without --init, and the others admit it" };
   }
   if (const auto checked = CheckNoCluster(aSettings); !IsOk(checked)) {
-    return Fail(ErrorOf(checked));
+    return ErrorOf(checked);
   }
   auto opened = OpenFileLog(OsFileSystem(),
                             aSettings.dataDir_,
                             GenesisDisk(aSettings, aSettings.node_));
   if (!IsOk(opened)) {
-    return Fail(ErrorOf(opened));
+    return ErrorOf(opened);
   }
   Snapshot first;
   for (const auto& [node, address] : aSettings.voters_) {
     first.voters_.voters_.push_back({ node, GenesisDisk(aSettings, node) });
   }
-  const auto saved =
-    std::get<0>(opened).store_->Save(SaveSnapshot{ first, true });
-  if (!IsOk(saved)) {
-    return Fail(ErrorOf(saved));
+  return std::get<0>(opened).store_->Save(SaveSnapshot{ first, true });
+}
+
+/// The command --init.
+int
+InitFolder(const DaemonSettings& aSettings)
+{
+  if (const auto created = CreateFolder(aSettings); !IsOk(created)) {
+    return Fail(ErrorOf(created));
   }
   std::cout << "created the data folder " << aSettings.dataDir_ << " of voter "
             << aSettings.node_ << '\n';
@@ -149,7 +199,7 @@
 {
   const auto signals = BlockSignals();
 
-  if (const auto logging = StartLog(aSettings.log_); !IsOk(logging)) {
+  if (const auto logging = StartServingLog(aSettings.log_); !IsOk(logging)) {
     return Fail(ErrorOf(logging));
   }
   Metrics metrics;
@@ -179,8 +229,7 @@
 
   const auto started = registry.StartAll();
   if (!IsOk(started)) {
-    LogError("cannot start", { { "error", Describe(ErrorOf(started)) } });
-    return Fail(ErrorOf(started));
+    return FailServing(ErrorOf(started));
   }
   LogInfo("serving",
           { { "callers", aSettings.relay_.listen_ },
@@ -202,26 +251,32 @@
 /// Creates the data folder of a seed at the first start of a group that forms
 /// itself. A node that is not a seed, or joins later, starts without a vote and
 /// is admitted by the group.
-int
-InitSeededFolder(const DaemonSettings& aSettings)
+Result<Done>
+CreateSeededFolder(const DaemonSettings& aSettings)
 {
   const bool isFounder =
     aSettings.seeded_->isFirstStart_ &&
     aSettings.voters_.contains(aSettings.node_) &&
     !OsFileSystem().Exists(aSettings.dataDir_ + "/disk_id");
-  return isFounder ? InitFolder(aSettings) : 0;
+  if (!isFounder) {
+    return Done{};
+  }
+  LogInfo("creating the data folder", { { "folder", aSettings.dataDir_ } });
+  return CreateFolder(aSettings);
 }
 
 int
 ServeWorkload(const WorkloadSettings& aSettings, const std::string& aPath)
 {
   const auto signals = BlockSignals();
-  if (const auto logging = StartLog(aSettings.control_.log_); !IsOk(logging)) {
+  if (const auto logging = StartServingLog(aSettings.control_.log_);
+      !IsOk(logging)) {
     return Fail(ErrorOf(logging));
   }
   if (aSettings.isControl_) {
-    if (const auto code = InitSeededFolder(aSettings.control_); code != 0) {
-      return code;
+    if (const auto created = CreateSeededFolder(aSettings.control_);
+        !IsOk(created)) {
+      return FailServing(ErrorOf(created));
     }
   }
   Metrics metrics;
@@ -239,9 +294,7 @@
   registry.Add(kWorkloadServiceName, std::move(added));
   const auto started = registry.StartAll();
   if (!IsOk(started)) {
-    LogError("cannot start", { { "error", Describe(ErrorOf(started)) } });
-    FlushLog();
-    return Fail(ErrorOf(started));
+    return FailServing(ErrorOf(started));
   }
   LogInfo("serving jobs",
           { { "role", aSettings.isControl_ ? "control" : "entry" },
@@ -267,6 +320,17 @@
   return 0;
 }
 
+/// Runs a function that serves, and logs the exception that ended it.
+int
+ServeGuarded(const std::function<int()>& aServe)
+{
+  try {
+    return aServe();
+  } catch (const std::exception& error) {
+    return FailServing({ ErrorKind::Internal, error.what() });
+  }
+}
+
 int
 RunWorkload(const std::string& aPath, bool aCheckOnly)
 {
@@ -278,7 +342,7 @@
     std::cout << aPath << ": no faults\n";
     return 0;
   }
-  return ServeWorkload(ValueOf(settings), aPath);
+  return ServeGuarded([&] { return ServeWorkload(ValueOf(settings), aPath); });
 }
 
 int
@@ -325,7 +389,7 @@
   if (parsed.count("init") > 0) {
     return InitFolder(ValueOf(settings));
   }
-  return Serve(ValueOf(settings));
+  return ServeGuarded([&] { return Serve(ValueOf(settings)); });
 }
 
 } // namespace
--- a/packages/daemon/workload_service.cpp
+++ b/packages/daemon/workload_service.cpp
@@ -181,6 +181,9 @@
       settings_.listenMetrics_,
       [this](const HttpRequest&, const AsyncListener::Answer& aAnswer) {
         ExportListeners();
+        metrics_.Set("acaciahill_log_dropped_lines",
+                     {},
+                     static_cast<double>(CountDroppedLogLines()));
         aAnswer(PlainAnswer(kOk, metrics_.PrometheusText()));
       } }
   };
--- a/packages/kernel/log.cpp
+++ b/packages/kernel/log.cpp
@@ -1,18 +1,55 @@
 #include "kernel/log_func.h"
 
+#include "kernel/log_writer_base.h"
 #include "kernel/os_clock_func.h"
 
 #include <nlohmann/json.hpp>
-#include <spdlog/sinks/basic_file_sink.h>
-#include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <filesystem>
+#include <system_error>
+#include <thread>
+#include <vector>
+
 namespace acaciahill {
 
 namespace {
 
-LogFormat gFormat = LogFormat::Text;
-std::string gNode;
+// How long FlushLog waits for a log that is not read.
+constexpr Millis kMaxFlush{ 1000 };
+constexpr Millis kFlushPoll{ 2 };
+// Longer values are cut, as lines that wait are counted and not measured.
+constexpr std::size_t kMaxValueBytes = 1024;
+
+/// What StartLog sets up.
+struct LogState
+{
+  LogFormat format_ = LogFormat::Text;
+  std::string node_;
+  /// Of all calls of StartLog; the last one is in use.
+  std::vector<std::unique_ptr<LogWriter>> writers_;
+};
+
+/// Never destroyed: the thread that writes may hang until the process ends, and
+/// threads of libraries may log until then.
+LogState&
+State()
+{
+  static auto* const kState = std::make_unique<LogState>().release();
+  return *kState;
+}
+
+/// Nothing before StartLog.
+LogWriter*
+Writer()
+{
+  const auto& writers = State().writers_;
+  return writers.empty() ? nullptr : writers.back().get();
+}
 
 spdlog::level::level_enum
 ToSpdlog(LogLevel aLevel)
@@ -53,10 +90,11 @@
 {
   nlohmann::ordered_json line = { { "time", WallClockText() },
                                   { "level", LevelName(aLevel) },
-                                  { "node", gNode },
+                                  { "node", State().node_ },
                                   { "message", aMessage } };
   for (const auto& field : aFields) {
-    line[std::string(field.name_)] = field.value_;
+    line[std::string(field.name_)] =
+      std::string_view(field.value_).substr(0, kMaxValueBytes);
   }
   return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
@@ -81,13 +119,50 @@
          std::initializer_list<LogField> aFields)
 {
   std::string line = WallClockText() + " " + std::string(LevelName(aLevel)) +
-                     " " + gNode + " " + OneLine(aMessage);
+                     " " + State().node_ + " " + OneLine(aMessage);
   for (const auto& field : aFields) {
-    line += " " + std::string(field.name_) + "=" + OneLine(field.value_);
+    line += " " + std::string(field.name_) + "=" +
+            OneLine(std::string_view(field.value_).substr(0, kMaxValueBytes));
   }
   return line;
 }
 
+std::string
+LineOf(LogLevel aLevel,
+       std::string_view aMessage,
+       std::initializer_list<LogField> aFields)
+{
+  return State().format_ == LogFormat::Json
+           ? JsonLine(aLevel, aMessage, aFields)
+           : TextLine(aLevel, aMessage, aFields);
+}
+
+std::string
+DroppedLinesText(std::uint64_t aLines, std::uint64_t aTotal)
+{
+  return LineOf(LogLevel::Warning,
+                "log lines were dropped, as the log was not read",
+                { { "lines", aLines }, { "total", aTotal } });
+}
+
+/// The descriptor to log to; -1 with errno when the file cannot be opened.
+int
+OpenLog(const std::string& aFile)
+{
+  if (aFile == kLogToStdout) {
+    return STDOUT_FILENO;
+  }
+  if (aFile.empty()) {
+    return STDERR_FILENO;
+  }
+  constexpr ::mode_t kMode = 0644;
+  std::error_code ignored;
+  std::filesystem::create_directories(
+    std::filesystem::path(aFile).parent_path(), ignored);
+  return ::open(
+    aFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, kMode);
+}
+
 } // namespace
 
 LogField::LogField(std::string_view aName, std::string_view aValue)
@@ -111,27 +186,17 @@
 Result<Done>
 StartLog(const LogSettings& aSettings)
 {
-  gFormat = aSettings.format_;
-  gNode = aSettings.node_;
-  try {
-    std::shared_ptr<spdlog::logger> logger;
-    if (aSettings.file_ == kLogToStdout) {
-      logger = spdlog::stdout_logger_mt("acaciahill");
-    } else if (aSettings.file_.empty()) {
-      logger = spdlog::stderr_logger_mt("acaciahill");
-    } else {
-      logger = spdlog::basic_logger_mt("acaciahill", aSettings.file_);
-    }
-    // The line already holds time and level, so spdlog must not add them.
-    logger->set_pattern("%v");
-    logger->set_level(ToSpdlog(aSettings.level_));
-    logger->flush_on(spdlog::level::info);
-    spdlog::set_default_logger(logger);
-  } catch (const spdlog::spdlog_ex& error) {
+  State().format_ = aSettings.format_;
+  State().node_ = aSettings.node_;
+  const int descriptor = OpenLog(aSettings.file_);
+  if (descriptor < 0) {
     return Error{ ErrorKind::IoError,
                   "cannot open the log file " + aSettings.file_ + ": " +
-                    error.what() };
+                    std::generic_category().message(errno) };
   }
+  auto writer = std::make_unique<LogWriter>(descriptor, DroppedLinesText);
+  writer->Logger()->set_level(ToSpdlog(aSettings.level_));
+  State().writers_.push_back(std::move(writer));
   return Done{};
 }
 
@@ -140,21 +205,39 @@
     std::string_view aMessage,
     std::initializer_list<LogField> aFields)
 {
-  auto* logger = spdlog::default_logger_raw();
+  auto* writer = Writer();
+  auto* logger =
+    writer == nullptr ? spdlog::default_logger_raw() : writer->Logger().get();
   const auto level = ToSpdlog(aLevel);
   if (!logger->should_log(level)) {
     return;
   }
-  const auto line = gFormat == LogFormat::Json
-                      ? JsonLine(aLevel, aMessage, aFields)
-                      : TextLine(aLevel, aMessage, aFields);
+  const auto line = LineOf(aLevel, aMessage, aFields);
+  if (writer != nullptr) {
+    writer->NoteLine();
+  }
   logger->log(level, spdlog::string_view_t(line));
 }
 
 void
 FlushLog()
 {
-  spdlog::default_logger_raw()->flush();
+  const auto* writer = Writer();
+  if (writer == nullptr) {
+    spdlog::default_logger_raw()->flush();
+    return;
+  }
+  for (Millis waited{ 0 }; writer->CountWaiting() > 0 && waited < kMaxFlush;
+       waited += kFlushPoll) {
+    std::this_thread::sleep_for(kFlushPoll);
+  }
+}
+
+std::uint64_t
+CountDroppedLogLines()
+{
+  const auto* writer = Writer();
+  return writer == nullptr ? 0 : writer->CountDropped();
 }
 
 LogLevel
--- a/packages/kernel/log_func.h
+++ b/packages/kernel/log_func.h
@@ -59,13 +59,15 @@
   std::string value_;
 };
 
-/// Sets up logging; call it once, before any thread starts. Errors: IoError
-/// when the file cannot be opened.
+/// Sets up logging; call it once, before any thread starts but its own, which
+/// writes the lines. Errors: IoError when the file cannot be opened.
 Result<Done>
 StartLog(const LogSettings& aSettings);
 
-/// Writes one line with its fields. Callers must not pass secrets, such as keys
-/// and bodies of requests.
+/// Logs one line with its fields. Never waits for the log to be read: of the
+/// lines that wait the oldest are dropped beyond some thousands, and a line
+/// tells how many. Callers must not pass secrets, such as keys and bodies of
+/// requests.
 void
 Log(LogLevel aLevel,
     std::string_view aMessage,
@@ -91,8 +93,14 @@
   Log(LogLevel::Error, aMessage, aFields);
 }
 
-/// Flushes buffered log lines.
+/// Waits until the lines so far are written; 1 s at most when the log is not
+/// read. To be called before the process ends.
 void
 FlushLog();
 
+/// Lines that were dropped since the start, as the log was not read in time or
+/// could not be written.
+std::uint64_t
+CountDroppedLogLines();
+
 } // namespace acaciahill
