--- a/packages/workload/test/scheduler_driver.h
+++ b/packages/workload/test/scheduler_driver.h
@@ -187,6 +187,8 @@
   /// A worker that is back also carries out late orders that its former process
   /// would have refused for a newer one.
   bool carriesOutOvertaken_ = false;
+  /// VMs that exist, but that the platform's list lacks.
+  std::set<std::string> unlistedVms_;
   void SetFaults(FaultRates aFaults) { faults_ = aFaults; }
   /// The pool of a worker, also while it is not up.
   const std::string& PoolOf(const std::string& aWorker) const
