Fix: Header fields count against the buffers of the relay

512 clients, as many as a node without a workload takes by default, ended it by memory with 15 KB each of header fields of four bytes and an unfinished body: all within its limits.

Cause: as in the listener of packages/http, relay.max_buffered_bytes counted the text that was read; the parser and the request each held the fields a second time, many times their text.

The parser gives its fields up once the request has them, and a request's fields draw on the same buffers with their text and 128 bytes each. Beyond them it is refused as node_overloaded, as for a body; it has not run. No limit is new. The refusal counts in acaciahill_relay_refused_total.

--- a/packages/relay/caller_server.cpp
+++ b/packages/relay/caller_server.cpp
@@ -32,6 +32,7 @@
 constexpr Millis kStopGrace{ 100 };
 constexpr Millis kAcceptPause{ 50 };
 constexpr std::size_t kMaxRejected = 64;
+constexpr std::string_view kNoBuffer = "no buffer is left for the request";
 constexpr std::string_view kContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
 /// The caller has closed its connection, or it must be closed without an
@@ -169,6 +170,10 @@
       return aParser.TakeRequest();
     }
     if (ValueOf(status) == FramingStatus::HeadDone) {
+      if (!aLease.Grow(MemoryOfFields(aParser.Request().headers_))) {
+        server_.handler_.OnRefused(ErrorKind::NodeOverloaded);
+        return Error{ ErrorKind::NodeOverloaded, std::string(kNoBuffer) };
+      }
       if (const auto error = server_.handler_.CheckHead(aParser.Request())) {
         server_.handler_.OnRefused(error->kind_);
         return *error;
@@ -216,8 +221,7 @@
     return CloseWithoutAnswer{};
   }
   if (!aLease.Grow(read.size_)) {
-    return refusal(ErrorKind::NodeOverloaded,
-                   "no buffer is left for the request");
+    return refusal(ErrorKind::NodeOverloaded, std::string(kNoBuffer));
   }
   if (MonotonicNow() >= aReadUntil) {
     return refusal(ErrorKind::BadRequest,
--- a/packages/relay/http_framing.cpp
+++ b/packages/relay/http_framing.cpp
@@ -102,6 +102,8 @@
 CopyHeaders(const Fields& aFields)
 {
   HttpHeaders headers;
+  headers.reserve(
+    static_cast<std::size_t>(std::distance(aFields.begin(), aFields.end())));
   for (const auto& field : aFields) {
     headers.push_back(
       { std::string(field.name_string()), std::string(field.value()) });
@@ -214,7 +216,7 @@
     return Error{ ErrorKind::BadRequest, error.message() };
   }
   aBuffer.erase(0, size);
-  const auto& head = parser_.get();
+  auto& head = parser_.get();
   request_.method_ = std::string(head.method_string());
   request_.target_ = std::string(head.target());
   request_.headers_ = CopyHeaders(head);
@@ -222,6 +224,8 @@
   request_.expectsContinue_ =
     head.version() >= 11 &&
     FindHeader(request_.headers_, "Expect").has_value() && !parser_.is_done();
+  // Trailer fields join the parser's fields; they are dropped with it.
+  head.clear();
   const auto requestError = DescribeRequestError(request_);
   if (!requestError.empty()) {
     return Error{ ErrorKind::BadRequest, std::string(requestError) };
@@ -307,7 +311,7 @@
 std::optional<Error>
 AnswerParser::Impl::TakeHead()
 {
-  const auto& head = parser_->get();
+  auto& head = parser_->get();
   answer_.status_ = static_cast<std::int64_t>(head.result_int());
   answer_.reason_ = std::string(head.reason());
   answer_.headers_ = CopyHeaders(head);
@@ -327,6 +331,7 @@
     return Error{ ErrorKind::AnswerMalformed,
                   "neither a Content-Length nor chunks" };
   }
+  head.clear();
   headDone_ = true;
   parser_->eager(true);
   return std::nullopt;
