Fix: A listener closes who sends a body the longest before it turns others away

As many clients as limits.max_connections that send a body, chunks, a chunk size or extension or trailers a byte at a time kept ordinary callers out: each new connection was closed without an answer.

Cause: only connections that wait for a request counted as idle and gave way. One whose header was read did not, for the 5 s that a body may take, and a client can begin again.

Without an idle connection, the one that has been sending a body the longest gives way. Its request has not reached the handler, so that it has not run. It counts in acaciahill_refused_peers (reason connections) and the log line as before.

--- a/packages/http/async_http_type.h
+++ b/packages/http/async_http_type.h
@@ -38,7 +38,8 @@
 struct ListenerLimits
 {
   /// Open connections. A further one takes the place of the one that has been
-  /// idle the longest, or is closed when none is idle.
+  /// idle the longest or, when none is idle, of the one that has been sending a
+  /// body the longest. It is closed when all have requests in work.
   std::size_t maxConnections_ = 3000;
   /// Bytes of requests that are being read or have no answer yet. A request
   /// beyond it is refused.
@@ -52,8 +53,7 @@
 {
   std::size_t connections_ = 0;
   std::size_t bufferedBytes_ = 0;
-  /// Idle connections that were closed for new ones, and new ones that were
-  /// closed.
+  /// Connections that were closed for new ones, and new ones that were closed.
   std::uint64_t closedConnections_ = 0;
   /// Requests refused for want of buffers.
   std::uint64_t refusedForBuffers_ = 0;
--- a/packages/http/async_listener.cpp
+++ b/packages/http/async_listener.cpp
@@ -58,9 +58,10 @@
   }
 
   void Accept();
-  /// Closes the connection that has been idle the longest; false when none is
-  /// idle.
-  bool CloseLongestIdle();
+  /// Closes the connection that has been idle the longest or, when none is
+  /// idle, the one that has been sending a body the longest. False when there
+  /// is neither.
+  bool CloseLongestWaiting();
   void ReportRefusal(std::string_view aReason);
 
   asio::io_context& context_;
@@ -128,6 +129,7 @@
         }
         self->TakeHead();
         self->parser_->eager(true);
+        self->readingSince_ = MonotonicNow();
         self->stream_.expires_after(self->owner_->timing_.read_);
         self->ReadBody();
       });
@@ -140,9 +142,14 @@
     return idle_ ? std::optional(idleSince_) : std::nullopt;
   }
 
+  /// When the connection began to wait for the rest of a body; nothing while it
+  /// does not. Its request has not reached the handler.
+  std::optional<MonotonicTime> ReadingSince() const { return readingSince_; }
+
   void Abort()
   {
     idle_ = false;
+    readingSince_.reset();
     stream_.close();
   }
 
@@ -196,6 +203,7 @@
   void Handle()
   {
     stream_.expires_never();
+    readingSince_.reset();
     auto request = std::exchange(request_, {});
     keepAlive_ = request.keepAlive_;
     request.body_ = std::move(parser_->get().body());
@@ -285,6 +293,7 @@
   /// of it.
   void AnswerAndClose(HttpAnswer aAnswer)
   {
+    readingSince_.reset();
     parser_.reset();
     request_ = {};
     buffer_.clear();
@@ -298,6 +307,7 @@
 
   void Close()
   {
+    readingSince_.reset();
     beast::error_code ignored;
     stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     stream_.close();
@@ -308,6 +318,7 @@
   beast::flat_buffer buffer_;
   BufferLease lease_;
   MonotonicTime idleSince_{};
+  std::optional<MonotonicTime> readingSince_;
   std::optional<http::request_parser<http::string_body>> parser_;
   /// The header of the request whose body is being read, and its memory.
   HttpRequest request_;
@@ -343,7 +354,7 @@
       if (self->sessions_.size() >= self->total_.maxConnections_) {
         ++self->counts_.closedConnections_;
         self->ReportRefusal("too many connections");
-        if (!self->CloseLongestIdle()) {
+        if (!self->CloseLongestWaiting()) {
           aSocket.close(aError);
           self->Accept();
           return;
@@ -357,19 +368,26 @@
 }
 
 bool
-AsyncListener::Impl::CloseLongestIdle()
+AsyncListener::Impl::CloseLongestWaiting()
 {
-  Session* longest = nullptr;
-  for (auto* session : sessions_) {
-    if (session->IdleSince() &&
-        (longest == nullptr || *session->IdleSince() < *longest->IdleSince())) {
-      longest = session;
+  const auto longest = [this](auto aSince) {
+    Session* found = nullptr;
+    for (auto* session : sessions_) {
+      const auto since = (session->*aSince)();
+      if (since && (found == nullptr || *since < *(found->*aSince)())) {
+        found = session;
+      }
     }
+    return found;
+  };
+  auto* session = longest(&Session::IdleSince);
+  if (session == nullptr) {
+    session = longest(&Session::ReadingSince);
   }
-  if (longest != nullptr) {
-    longest->Abort();
+  if (session != nullptr) {
+    session->Abort();
   }
-  return longest != nullptr;
+  return session != nullptr;
 }
 
 void
