Fix: A control node bounds the memory of messages on its peers' port

Four messages of 60 MB to the peers' port, from who is no peer, took a control node to 439 MB of its machine's 128.

Cause: one message may have 64 MB, and nothing bounded all of them together; client-limits.md named a default of gRPC, 4 MB, that the server overrides.

The server has a gRPC resource quota, limits.peer_buffer_kb (cluster.peer_buffer_kb without a workload), 32 MB by default. What exceeds it fails.

--- a/packages/daemon/daemon_settings.cpp
+++ b/packages/daemon/daemon_settings.cpp
@@ -157,6 +157,9 @@
   made.availableFor_ = timing.Time("availability_ms");
   made.snapshotEntries_ =
     static_cast<std::uint64_t>(cluster.Integer("snapshot_entries"));
+  constexpr std::size_t kBytesPerKb = 1024;
+  made.peerBufferBytes_ =
+    static_cast<std::size_t>(cluster.Integer("peer_buffer_kb")) * kBytesPerKb;
   made.platformUrl_ = settings.Text("platform", "url");
   made.traceFile_ = settings.Text("trace", "file");
   made.log_ = { LogLevelOf(log.Text("level")),
--- a/packages/daemon/daemon_settings_type.h
+++ b/packages/daemon/daemon_settings_type.h
@@ -27,6 +27,9 @@
   bool operator==(const SeededGroup&) const = default;
 };
 
+/// Memory for messages that peers send, unless the settings say otherwise.
+inline constexpr std::size_t kPeerBufferBytes = std::size_t{ 32 } * 1024 * 1024;
+
 /// The settings of acaciahilld, checked and typed.
 struct DaemonSettings
 {
@@ -41,6 +44,8 @@
   std::string listenPeers_;
   std::string advertisePeers_;
   std::string advertiseAdmin_;
+  /// Bytes of peers' messages that are being received.
+  std::size_t peerBufferBytes_ = kPeerBufferBytes;
   /// Peer addresses of all voters by node id.
   std::map<std::string, std::string> voters_;
   /// Set when the voters are discovered and not listed in the settings.
--- a/packages/daemon/peer_server.cpp
+++ b/packages/daemon/peer_server.cpp
@@ -143,7 +143,9 @@
 }
 
 Result<Done>
-PeerServer::Start(const std::string& aAddress, const std::string& aCluster)
+PeerServer::Start(const std::string& aAddress,
+                  const std::string& aCluster,
+                  std::size_t aMaxBufferedBytes)
 {
   impl_->service_ =
     std::make_unique<PeerService>(impl_->handler_, aCluster, impl_->meter_);
@@ -156,6 +158,9 @@
   builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_PERMIT_WITHOUT_CALLS, 1);
   builder.SetMaxReceiveMessageSize(kMaxMessageBytes);
   builder.SetMaxSendMessageSize(kMaxMessageBytes);
+  grpc::ResourceQuota quota("peers");
+  quota.Resize(aMaxBufferedBytes);
+  builder.SetResourceQuota(quota);
   builder.RegisterService(impl_->service_.get());
   impl_->server_ = builder.BuildAndStart();
   if (!impl_->server_ || port == 0) {
--- a/packages/daemon/peer_server_base.h
+++ b/packages/daemon/peer_server_base.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemon/control_meter_base.h"
+#include "daemon/daemon_settings_type.h"
 #include "daemon/peer_type.h"
 
 #include <memory>
@@ -19,8 +20,11 @@
   PeerServer& operator=(const PeerServer&) = delete;
   ~PeerServer();
 
-  /// Errors: IoError when the address cannot be bound.
-  Result<Done> Start(const std::string& aAddress, const std::string& aCluster);
+  /// Messages that are being received hold about that many bytes at most; those
+  /// beyond it fail. Errors: IoError when the address cannot be bound.
+  Result<Done> Start(const std::string& aAddress,
+                     const std::string& aCluster,
+                     std::size_t aMaxBufferedBytes = kPeerBufferBytes);
 
   /// Stops the server; calls that take longer than a second are cancelled.
   void Stop();
--- a/packages/daemon/replica_service.cpp
+++ b/packages/daemon/replica_service.cpp
@@ -101,7 +101,8 @@
     }
   }
   server_ = std::make_unique<PeerServer>(*this, &meter_);
-  auto listening = server_->Start(settings_.listenPeers_, settings_.cluster_);
+  auto listening = server_->Start(
+    settings_.listenPeers_, settings_.cluster_, settings_.peerBufferBytes_);
   if (!IsOk(listening)) {
     return listening;
   }
--- a/packages/daemon/workload_settings.cpp
+++ b/packages/daemon/workload_settings.cpp
@@ -83,6 +83,9 @@
   };
 
   auto& control = made.control_;
+  control.peerBufferBytes_ =
+    static_cast<std::size_t>(settings.Integer("limits", "peer_buffer_kb")) *
+    kBytesPerKb;
   control.node_ = settings.Text("node", "id");
   control.zone_ = settings.Text("node", "zone");
   control.cluster_ = settings.Text("cluster", "name");
