Fix: The relay lets connections without a request give way to new ones

As many clients as relay.max_connections that connect and send nothing, or a request a byte at a time, kept ordinary callers out: each was refused as node_overloaded until the reading time of 10 s or the idle time of 30 s had passed, and the clients can begin again.

Cause: the limit counted connections whatever they did.

A new connection takes the place of the one that has sent nothing the longest, or else of the one that has been sending a request the longest. Neither has reached the handler. It counts in acaciahill_relay_refused_total (node_overloaded). Connections that are idle after a request stay, as the test "connections have a limit" demands; so a crowd that sends one whole request each can still keep others out for the idle time.

--- a/packages/relay/caller_server.cpp
+++ b/packages/relay/caller_server.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <array>
+#include <sys/socket.h>
 #include <variant>
 
 namespace acaciahill {
@@ -63,11 +64,40 @@
     } catch (const std::exception&) {
       // The caller sees its connection end without a complete answer.
     }
-    socket_.close();
+    // Closes the socket once no other thread can find the connection.
     server_.Remove(this);
   }
 
+  /// Since when the connection has waited for bytes of a request that has not
+  /// reached the handler, and whether some of it have arrived; nothing while it
+  /// does not wait.
+  struct Wait
+  {
+    bool reading_ = false;
+    MonotonicTime since_{};
+
+    auto operator<=>(const Wait&) const = default;
+  };
+  std::optional<Wait> Waits() const
+  {
+    const std::lock_guard lock(waitMutex_);
+    return wait_;
+  }
+
+  /// Ends the connection's waits; its thread then closes it.
+  void Shutdown()
+  {
+    SetWait(std::nullopt);
+    shutdown(Fd(), SHUT_RDWR);
+  }
+
 private:
+  void SetWait(std::optional<Wait> aWait)
+  {
+    const std::lock_guard lock(waitMutex_);
+    wait_ = aWait;
+  }
+
   int Fd() const { return socket_.impl()->sockfd(); }
   bool IsStopping() const { return server_.stop_.IsRaised(); }
 
@@ -87,16 +117,26 @@
   CallerLink link_;
   /// Bytes read beyond the current request.
   std::string buffer_;
+  mutable std::mutex waitMutex_;
+  std::optional<Wait> wait_;
+  bool served_ = false;
 };
 
 bool
 CallerServer::Connection::ServeOne()
 {
+  // A caller that was served keeps its connection until it times out.
+  if (!served_) {
+    SetWait(Wait{ false, MonotonicNow() });
+  }
   if (!WaitForRequest()) {
     return false;
   }
+  SetWait(Wait{ true, MonotonicNow() });
   BufferLease lease(server_.budget_, true);
   auto read = ReadRequest(lease);
+  SetWait(std::nullopt);
+  served_ = true;
   if (std::holds_alternative<CloseWithoutAnswer>(read)) {
     return false;
   }
@@ -397,8 +437,12 @@
   try {
     auto socket = listener_.acceptConnection();
     std::unique_lock lock(mutex_);
-    if (static_cast<std::int64_t>(connections_.size()) >=
-        settings_.maxConnections_) {
+    const auto isFull = [this](std::int64_t aSpare) {
+      return static_cast<std::int64_t>(connections_.size()) >=
+             settings_.maxConnections_ + aSpare;
+    };
+    // The threads of connections that were shut down end a little later.
+    if (isFull(0) && (isFull(kSpareThreads) || !ShutLongestWaiting())) {
       lock.unlock();
       Reject(socket);
       return;
@@ -421,6 +465,26 @@
   }
 }
 
+bool
+CallerServer::ShutLongestWaiting()
+{
+  Connection* longest = nullptr;
+  std::optional<Connection::Wait> longestWait;
+  for (const auto& [key, connection] : connections_) {
+    const auto wait = connection->Waits();
+    if (wait && (!longestWait || *wait < *longestWait)) {
+      longest = connection.get();
+      longestWait = wait;
+    }
+  }
+  if (longest == nullptr) {
+    return false;
+  }
+  handler_.OnRefused(ErrorKind::NodeOverloaded);
+  longest->Shutdown();
+  return true;
+}
+
 void
 CallerServer::Reject(StreamSocket& aSocket)
 {
--- a/packages/relay/caller_server_base.h
+++ b/packages/relay/caller_server_base.h
@@ -97,6 +97,10 @@
 
   void AcceptLoop();
   void AcceptOne();
+  /// Shuts the connection down that has sent nothing the longest or, when all
+  /// have, the one that has been sending a request the longest; false when all
+  /// have requests in work or are idle after one. Needs mutex_.
+  bool ShutLongestWaiting();
   void Reject(Poco::Net::StreamSocket& aSocket);
   void DrainRejected();
   void Remove(const Connection* aConnection);
--- a/packages/relay/relay_type.h
+++ b/packages/relay/relay_type.h
@@ -16,8 +16,10 @@
 {
   /// Numeric address and port to listen on; port 0 takes any free one.
   std::string listen_ = "127.0.0.1:0";
-  /// Concurrent caller connections; further ones are answered node_overloaded
-  /// and closed.
+  /// Concurrent caller connections. A further one takes the place of the one
+  /// that has sent nothing the longest or else of the one that has been sending
+  /// a request the longest. It is answered node_overloaded and closed when all
+  /// have requests in work or are idle after one.
   std::int64_t maxConnections_ = 512;
   std::int64_t maxHeaderBytes_ = std::int64_t{ 16 } * 1024;
   std::int64_t maxRequestBytes_ = std::int64_t{ 1024 } * 1024;
