--- a/packages/http/async_listener.cpp
+++ b/packages/http/async_listener.cpp
@@ -2,6 +2,7 @@
 
 #include "http/beast_func.h"
 #include "http/buffer_budget_base.h"
+#include "http/http_message_func.h"
 #include "kernel/log_func.h"
 #include "kernel/os_clock_func.h"
 
@@ -12,6 +13,7 @@
 #include <deque>
 #include <optional>
 #include <set>
+#include <utility>
 
 namespace acaciahill {
 
@@ -56,9 +58,10 @@
   }
 
   void Accept();
-  /// Closes the connection that has been idle the longest; false when none is
-  /// idle.
-  bool CloseLongestIdle();
+  /// Closes the connection that has been idle the longest or, when none is
+  /// idle, the one that has been sending a body the longest. False when there
+  /// is neither.
+  bool CloseLongestWaiting();
   void ReportRefusal(std::string_view aReason);
 
   asio::io_context& context_;
@@ -124,7 +127,9 @@
           self->Refuse(aError);
           return;
         }
+        self->TakeHead();
         self->parser_->eager(true);
+        self->readingSince_ = MonotonicNow();
         self->stream_.expires_after(self->owner_->timing_.read_);
         self->ReadBody();
       });
@@ -137,9 +142,14 @@
     return idle_ ? std::optional(idleSince_) : std::nullopt;
   }
 
+  /// When the connection began to wait for the rest of a body; nothing while it
+  /// does not. Its request has not reached the handler.
+  std::optional<MonotonicTime> ReadingSince() const { return readingSince_; }
+
   void Abort()
   {
     idle_ = false;
+    readingSince_.reset();
     stream_.close();
   }
 
@@ -153,11 +163,23 @@
   }
 
 private:
-  /// Reads the body in parts, each of which must fit into the buffers of all
-  /// connections.
+  /// Takes the header out of the parser, which then holds a copy of no field.
+  /// Trailer fields stay in the parser and are dropped with it.
+  void TakeHead()
+  {
+    auto& head = parser_->get();
+    version_ = head.version();
+    request_ = detail::ToRequestHead(head);
+    fieldBytes_ = MemoryOfFields(request_.headers_);
+    head.clear();
+  }
+
+  /// Reads the body in parts, each of which must fit, with the header, into the
+  /// buffers of all connections.
   void ReadBody()
   {
-    if (!lease_.Resize(buffer_.capacity() + parser_->get().body().capacity())) {
+    if (!lease_.Resize(buffer_.capacity() + fieldBytes_ +
+                       parser_->get().body().capacity())) {
       RefuseForBuffers();
       return;
     }
@@ -181,9 +203,11 @@
   void Handle()
   {
     stream_.expires_never();
-    keepAlive_ = parser_->get().keep_alive();
-    version_ = parser_->get().version();
-    auto request = detail::ToRequest(parser_->release());
+    readingSince_.reset();
+    auto request = std::exchange(request_, {});
+    keepAlive_ = request.keepAlive_;
+    request.body_ = std::move(parser_->get().body());
+    parser_.reset();
     requestInProgress_ = true;
     ++owner_->requestsInProgress_;
     const auto target = request.target_;
@@ -269,7 +293,9 @@
   /// of it.
   void AnswerAndClose(HttpAnswer aAnswer)
   {
+    readingSince_.reset();
     parser_.reset();
+    request_ = {};
     buffer_.clear();
     buffer_.shrink_to_fit();
     lease_.Release();
@@ -281,6 +307,7 @@
 
   void Close()
   {
+    readingSince_.reset();
     beast::error_code ignored;
     stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     stream_.close();
@@ -291,7 +318,11 @@
   beast::flat_buffer buffer_;
   BufferLease lease_;
   MonotonicTime idleSince_{};
+  std::optional<MonotonicTime> readingSince_;
   std::optional<http::request_parser<http::string_body>> parser_;
+  /// The header of the request whose body is being read, and its memory.
+  HttpRequest request_;
+  std::size_t fieldBytes_ = 0;
   std::optional<http::response<http::string_body>> response_;
   unsigned version_ = 11;
   bool keepAlive_ = true;
@@ -323,7 +354,7 @@
       if (self->sessions_.size() >= self->total_.maxConnections_) {
         ++self->counts_.closedConnections_;
         self->ReportRefusal("too many connections");
-        if (!self->CloseLongestIdle()) {
+        if (!self->CloseLongestWaiting()) {
           aSocket.close(aError);
           self->Accept();
           return;
@@ -337,19 +368,26 @@
 }
 
 bool
-AsyncListener::Impl::CloseLongestIdle()
+AsyncListener::Impl::CloseLongestWaiting()
 {
-  Session* longest = nullptr;
-  for (auto* session : sessions_) {
-    if (session->IdleSince() &&
-        (longest == nullptr || *session->IdleSince() < *longest->IdleSince())) {
-      longest = session;
+  const auto longest = [this](auto aSince) {
+    Session* found = nullptr;
+    for (auto* session : sessions_) {
+      const auto since = (session->*aSince)();
+      if (since && (found == nullptr || *since < *(found->*aSince)())) {
+        found = session;
+      }
     }
+    return found;
+  };
+  auto* session = longest(&Session::IdleSince);
+  if (session == nullptr) {
+    session = longest(&Session::ReadingSince);
   }
-  if (longest != nullptr) {
-    longest->Abort();
+  if (session != nullptr) {
+    session->Abort();
   }
-  return longest != nullptr;
+  return session != nullptr;
 }
 
 void
