--- a/packages/daemon/replica_reader.cpp
+++ b/packages/daemon/replica_reader.cpp
@@ -80,10 +80,12 @@
   if (known == nullptr || aReport.worker_.draining_) {
     return false;
   }
-  // Numbers and noted ends are assigned by the leader and are not in reports.
+  // These are assigned by the leader and are not in reports.
   auto reported = aReport.worker_;
   reported.number_ = known->number_;
   reported.notedEnds_ = known->notedEnds_;
+  reported.boundUntilMs_ = known->boundUntilMs_;
+  reported.returnedAtMs_ = known->returnedAtMs_;
   return reported == *known;
 }
 
