Fix: A report of an unknown pool does not replace a worker

Such a report was ignored only for unknown ids. It is ignored now unless it names the pool that the worker has.

--- a/packages/workload/scheduler_worker.cpp
+++ b/packages/workload/scheduler_worker.cpp
@@ -117,6 +117,9 @@
 {
   const auto number = FindWorkerById(aReport.worker_.id_);
   const auto* known = state_.FindWorker(number);
+  // Another writer may report under the id of a worker.
+  const bool namesOtherPool =
+    known == nullptr || known->pool_ != aReport.worker_.pool_;
   const auto processStartMs = aReport.worker_.processStartMs_;
   const bool isNext = known != nullptr &&
                       (processStartMs > known->processStartMs_ ||
@@ -129,7 +132,7 @@
   if (isNext) {
     known = nullptr;
   }
-  if (number == 0 && config_.version_ > 0 &&
+  if (namesOtherPool && config_.version_ > 0 &&
       !config_.pools_.contains(aReport.worker_.pool_)) {
     if (ignoredWorkers_.size() < kMaxIgnoredWorkers &&
         ignoredWorkers_.insert(aReport.worker_.id_).second) {
--- a/packages/workload/test/worker_restart_test.cpp
+++ b/packages/workload/test/worker_restart_test.cpp
@@ -80,3 +80,27 @@
   const auto after = TakeCommitted(scheduler);
   CHECK(Find<StartRun>(after) != nullptr);
 }
+
+// Guards against tasks that run twice (review/6): a report of another writer,
+// with a pool that is not configured, under the id of a worker with runs was
+// taken for a new incarnation.
+TEST_CASE("a report of an unknown pool does not replace a worker")
+{
+  const auto processStartMs = GENERATE(values<std::uint64_t>({ 1, 2 }));
+  INFO("start of the process " << processStartMs);
+  Scheduler scheduler({}, {}, 1, kStart);
+  scheduler.UseConfig(OnePool(), kStart);
+  scheduler.ReportWorker(1, ReportOf(1, 1), kStart);
+  ConfirmWorker(scheduler, TakeCommitted(scheduler), 1);
+  scheduler.SubmitJob(2, TwoStepJob(1), kStart);
+  AnswerStarts(scheduler, TakeCommitted(scheduler));
+  const auto workers = scheduler.State().Workers();
+  auto foreign = ReportOf(processStartMs, 2);
+  foreign.worker_.pool_ = "unknown";
+  scheduler.ReportWorker(3, foreign, kStart);
+  const auto actions = TakeCommitted(scheduler);
+  REQUIRE(Find<AnswerRequest>(actions) != nullptr);
+  CHECK(Find<AnswerRequest>(actions)->outcome_ == RequestOutcome::Accepted);
+  CHECK(scheduler.State().Workers() == workers);
+  CHECK(scheduler.State().FindJob(1)->assigned_ == 3);
+}
