Fix: An answer belongs to an incarnation only if its clock goes on

A start that the next incarnation had answered could pass for one of the former one. The clock has to continue the one of the last lists as well.

--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -266,8 +266,8 @@
   Millis LongestLease() const;
   /// Notes that this incarnation has carried out the start order.
   static void BindRun(RunView& aRun, MonotonicTime aNow);
-  /// Whether the answer carries the clock of this incarnation: the clock of a
-  /// later one, which begins anew, cannot have come as far yet.
+  /// Whether the answer carries the clock of this incarnation, and not that of
+  /// a later one, which begins anew.
   static bool IsOwnClock(const WorkerView& aView,
                          const OrderAnswer& aAnswer,
                          MonotonicTime aNow);
--- a/packages/workload/scheduler_incarnation.cpp
+++ b/packages/workload/scheduler_incarnation.cpp
@@ -18,6 +18,8 @@
 // Time from the assignment of a run to the last order with a lease that is sent
 // to its worker before the worker counts as silent.
 constexpr Millis kMaxSendTime{ 2000 };
+// Answers overtake each other by this time at most, else they prove nothing.
+constexpr Millis kMaxOvertaking{ 1000 };
 // Minimum time between two events that tell later leaders of bound runs.
 constexpr Millis kBoundNoteInterval{ 2000 };
 
@@ -218,9 +220,12 @@
                       const OrderAnswer& aAnswer,
                       MonotonicTime aNow)
 {
-  return aAnswer.clockMs_ &&
-         *aAnswer.clockMs_ >
-           detail::TimeUntilExpired(aNow - aView.provenAt_).count();
+  // A later clock begins anew: near 0 it is behind the time since then, and at
+  // any other value it does not continue this one.
+  const auto since = detail::TimeUntilExpired(aNow - aView.provenAt_);
+  const auto ahead = aAnswer.clockMs_.value_or(0) - aView.provenClockMs_;
+  return aAnswer.clockMs_ && *aAnswer.clockMs_ > since.count() &&
+         ahead >= -kMaxOvertaking.count() && ahead <= since.count();
 }
 
 MonotonicTime
--- a/packages/workload/scheduler_lease.cpp
+++ b/packages/workload/scheduler_lease.cpp
@@ -213,8 +213,9 @@
   }
   TakeOverRuns(number, *aLists, aNow);
   view->confirmed_ = true;
-  if (aLists->processStartMs_) {
-    view->provenAt_ = std::max(view->provenAt_, aOrder.sentAt_);
+  if (aLists->processStartMs_ && aOrder.sentAt_ >= view->provenAt_) {
+    view->provenAt_ = aOrder.sentAt_;
+    view->provenClockMs_ = aLists->clockMs_;
   }
   view->refusesFence_ = false;
   view->missedRenewals_ = 0;
--- a/packages/workload/test/returned_worker_test.cpp
+++ b/packages/workload/test/returned_worker_test.cpp
@@ -16,6 +16,7 @@
 // Clocks of the worker: long before and just after its restart.
 constexpr std::int64_t kOldClockMs = 5000;
 constexpr std::int64_t kNewClockMs = 20;
+constexpr std::int64_t kOtherClockMs = 900000;
 
 SchedulerSettings
 TestSettings()
@@ -308,6 +309,14 @@
       false,
       kUnbound,
       kLatest },
+    { "answered by the next incarnation, another clock",
+      kTaken,
+      kOtherClockMs,
+      false,
+      false,
+      false,
+      kUnbound,
+      kLatest },
     { "unanswered", kUnknown, 0, false, false, false, kUnbound, kLatest },
     { "next incarnation registers",
       kTaken,
--- a/packages/workload/test/scheduler_driver.cpp
+++ b/packages/workload/test/scheduler_driver.cpp
@@ -254,7 +254,9 @@
   worker = {};
   worker.id_ = aId;
   worker.processStartMs_ = born + 1;
-  worker.clockStart_ = now_;
+  // The clock of a new process begins at 0 or at any other value.
+  constexpr Millis kOtherClock{ 700000 };
+  worker.clockStart_ = born % 2 == 0 ? now_ : now_ - kOtherClock;
   worker.up_ = false;
   unavailableUntil_[aId] = now_ + kCrashTime;
 }
--- a/packages/workload/worker_view_type.h
+++ b/packages/workload/worker_view_type.h
@@ -65,7 +65,7 @@
   std::optional<MonotonicTime> strayStartUntil_;
   /// This incarnation has carried out the start order, so that no later one
   /// can: a list has shown the run, or the clock in the answer to the order is
-  /// older than a later incarnation. The answer alone does not prove that, as
+  /// that of this incarnation. The answer alone does not prove that, as
   /// the next incarnation has the same id and address.
   bool isBound_ = false;
   /// When the worker accepted the stop order; nothing before.
@@ -107,6 +107,8 @@
   /// When the last renewal was sent that this incarnation has answered with its
   /// lists: any later one has started since.
   MonotonicTime provenAt_{};
+  /// The clock in that answer.
+  std::int64_t provenClockMs_ = 0;
   MonotonicTime boundNotedAt_{};
   /// Start of the process that has answered for an ended incarnation. It may be
   /// earlier than that of the incarnation when the time of day was set back.
