Change: A start without an answer is repeated for 3 s

One repetition may be lost as well: in restart_overtaken_start both were held back until the worker crashed, the task was started as run 2 on the same worker, and the next incarnation carried out both.

--- a/packages/workload/scheduler_lists.cpp
+++ b/packages/workload/scheduler_lists.cpp
@@ -15,6 +15,9 @@
 
 // Minimum time between two stop orders for the same unexpected run.
 constexpr Millis kUnexpectedStopInterval{ 500 };
+// A start order without an answer is repeated for this time; then the task is
+// placed anew.
+constexpr Millis kMaxRepeatTime{ 3000 };
 // A run ends within this time after its worker has taken the stop order.
 constexpr Millis kMaxStopTime{ 300 };
 
@@ -163,7 +166,10 @@
     }
     const bool isFenced = run.phase_ == RunPhase::Unconfirmed &&
                           aOrder.target_.fence_ > run.startFence_;
-    if (isFenced && mayRepeat && !run.stopRequested_ && !run.strayStartUntil_) {
+    const bool isRecent = run.assignedAt_
+                            ? aNow - *run.assignedAt_ < kMaxRepeatTime
+                            : !run.strayStartUntil_.has_value();
+    if (isFenced && mayRepeat && isRecent && !run.stopRequested_) {
       run.strayStartUntil_ = aNow + settings_.maxOrderDelay_;
       run.phase_ = RunPhase::CommitPending;
       repeated.emplace_back(task, run.run_);
