Fix: The admin and announce interfaces read requests before they take a thread

64 clients that connect and send nothing, or a request a byte at a time, kept the admin interface, with the readiness and metrics pages, and the announce interface from answering anyone for as long as they stayed.

Cause: POCO's server gives each connection one of 16 or 32 threads before its request is read, and its timeout begins again with each byte.

Refusals keep their status and JSON body; chunked bodies are refused as before. The listener tells how long a request waited in the kernel, which dates an announcement read late. "Expect: 100-continue" is no longer answered there.

--- a/packages/daemon/admin_service.cpp
+++ b/packages/daemon/admin_service.cpp
@@ -1,5 +1,6 @@
 #include "daemon/admin_service_base.h"
 
+#include "daemon/listener_metrics_func.h"
 #include "kernel/error_func.h"
 #include "kernel/os_clock_func.h"
 #include "state/json_func.h"
@@ -160,7 +161,8 @@
   , metrics_(aMetrics)
   , server_([this](const ServerCall& aCall) { return Handle(aCall); },
             kMaxThreads,
-            kMaxBodyBytes)
+            kMaxBodyBytes,
+            aSettings.listenerLimits_)
 {
 }
 
@@ -170,6 +172,7 @@
   replica_ = &registry_.Find<ReplicaService>(kReplicaServiceName);
   directory_ = &registry_.Find<DirectoryService>(kDirectoryServiceName);
   relay_ = &registry_.Find<RelayService>(kRelayServiceName);
+  announce_ = &registry_.Find<AnnounceService>(kAnnounceServiceName);
   return server_.Start(settings_.listenAdmin_);
 }
 
@@ -512,6 +515,8 @@
 AdminService::PrintMetrics()
 {
   const auto control = replica_->Control();
+  SetListenerMetrics(metrics_, "admin", server_.Counts());
+  SetListenerMetrics(metrics_, "announce", announce_->Connections());
   metrics_.Set("acaciahill_process_cpu_seconds", {}, CpuSeconds());
   metrics_.Set("acaciahill_process_resident_bytes", {}, ResidentBytes());
   metrics_.Set("acaciahill_is_leader", {}, control.isLeader_ ? 1 : 0);
--- a/packages/daemon/admin_service_base.h
+++ b/packages/daemon/admin_service_base.h
@@ -52,6 +52,7 @@
   ReplicaService* replica_ = nullptr;
   DirectoryService* directory_ = nullptr;
   RelayService* relay_ = nullptr;
+  AnnounceService* announce_ = nullptr;
   std::atomic<bool> stopping_{ false };
   HttpServer server_;
 };
--- a/packages/daemon/announce_service.cpp
+++ b/packages/daemon/announce_service.cpp
@@ -153,7 +153,8 @@
         return answer;
       },
       kMaxThreads,
-      kMaxBodyBytes)
+      kMaxBodyBytes,
+      aSettings.listenerLimits_)
 {
 }
 
--- a/packages/daemon/announce_service_base.h
+++ b/packages/daemon/announce_service_base.h
@@ -45,6 +45,8 @@
   Result<Done> Start() override;
   void Stop() override;
 
+  ListenerCounts Connections() const { return server_.Counts(); }
+
 private:
   ServerAnswer Handle(const ServerCall& aCall);
   /// Records an announcement that the target made at a time, after registering
--- a/packages/daemon/daemon_settings.cpp
+++ b/packages/daemon/daemon_settings.cpp
@@ -158,6 +158,11 @@
   made.snapshotEntries_ =
     static_cast<std::uint64_t>(cluster.Integer("snapshot_entries"));
   constexpr std::size_t kBytesPerKb = 1024;
+  made.listenerLimits_ = {
+    static_cast<std::size_t>(settings.Integer("limits", "max_connections")),
+    static_cast<std::size_t>(settings.Integer("limits", "request_buffer_kb")) *
+      kBytesPerKb
+  };
   made.peerBufferBytes_ =
     static_cast<std::size_t>(cluster.Integer("peer_buffer_kb")) * kBytesPerKb;
   made.platformUrl_ = settings.Text("platform", "url");
--- a/packages/daemon/daemon_settings_type.h
+++ b/packages/daemon/daemon_settings_type.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "consensus/raft_type.h"
+#include "http/async_http_type.h"
 #include "kernel/error_type.h"
 #include "kernel/log_func.h"
 #include "kernel/time_type.h"
@@ -44,6 +45,8 @@
   std::string listenPeers_;
   std::string advertisePeers_;
   std::string advertiseAdmin_;
+  /// Limits of the admin and the announce interface, each.
+  ListenerLimits listenerLimits_;
   /// Bytes of peers' messages that are being received.
   std::size_t peerBufferBytes_ = kPeerBufferBytes;
   /// Peer addresses of all voters by node id.
--- a/packages/daemon/http_server.cpp
+++ b/packages/daemon/http_server.cpp
@@ -1,158 +1,89 @@
 #include "daemon/http_server_base.h"
 
+#include "http/async_listener_base.h"
+#include "http/context_runner_func.h"
+#include "http/http_message_func.h"
 #include "kernel/error_func.h"
 #include "kernel/log_func.h"
+#include "kernel/os_clock_func.h"
 
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
-#include <Poco/Net/HTTPServer.h>
-#include <Poco/Net/HTTPServerParams.h>
-#include <Poco/Net/HTTPServerRequest.h>
-#include <Poco/Net/HTTPServerRequestImpl.h>
-#include <Poco/Net/HTTPServerResponse.h>
-#include <Poco/Net/ServerSocket.h>
-#include <Poco/ThreadPool.h>
 #include <Poco/URI.h>
 
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/thread_pool.hpp>
+
 #include <chrono>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
+#include <future>
 #include <nlohmann/json.hpp>
-#include <sys/socket.h>
+#include <optional>
 #include <thread>
 
 namespace acaciahill {
 
+namespace asio = boost::asio;
+
 namespace {
 
-constexpr int kQueueLength = 256;
-constexpr int kReadTimeoutSeconds = 5;
-constexpr int kStackBytes = 256 * 1024;
+constexpr std::size_t kMaxHeaderBytes = std::size_t{ 16 } * 1024;
+constexpr std::int64_t kBadRequest = 400;
+constexpr std::int64_t kUnavailable = 503;
 constexpr std::chrono::milliseconds kStopPoll{ 10 };
 constexpr std::chrono::seconds kStopLimit{ 5 };
 
-/// Time since the last byte arrived at the kernel, in ms.
-std::int64_t
-WaitedMs(Poco::Net::HTTPServerRequest& aRequest)
+HttpAnswer
+ToAnswer(ServerAnswer aAnswer)
 {
-  auto* request = dynamic_cast<Poco::Net::HTTPServerRequestImpl*>(&aRequest);
-  if (request == nullptr) {
-    return 0;
-  }
-  tcp_info info{};
-  socklen_t size = sizeof info;
-  if (::getsockopt(request->socket().impl()->sockfd(),
-                   IPPROTO_TCP,
-                   TCP_INFO,
-                   &info,
-                   &size) != 0) {
-    return 0;
+  HttpAnswer answer;
+  answer.status_ = aAnswer.status_;
+  answer.headers_ = { { "Content-Type", aAnswer.contentType_ } };
+  for (auto& [name, value] : aAnswer.headers_) {
+    answer.headers_.push_back({ name, value });
   }
-  return info.tcpi_last_data_recv;
+  answer.body_ = std::move(aAnswer.body_);
+  answer.keepAlive_ = false;
+  return answer;
 }
 
-Result<std::string>
-ReadBody(Poco::Net::HTTPServerRequest& aRequest, std::int64_t aMaxBytes)
+HttpAnswer
+RefusalOf(std::int64_t aStatus)
 {
-  const bool hasLength = aRequest.hasContentLength();
-  if (aRequest.getChunkedTransferEncoding()) {
-    return Error{ ErrorKind::BadRequest,
-                  "send the body with a Content-Length, not chunked" };
-  }
-  if (!hasLength) {
-    return std::string();
-  }
-  const auto length = aRequest.getContentLength64();
-  if (length < 0 || length > aMaxBytes) {
-    return Error{ ErrorKind::RequestTooLarge,
-                  "the body is over " + std::to_string(aMaxBytes) + " bytes" };
-  }
-  std::string body(static_cast<std::size_t>(length), '\0');
-  aRequest.stream().read(body.data(), length);
-  // POCO reports no error for a body that ends early.
-  if (aRequest.stream().gcount() != length) {
-    return Error{ ErrorKind::BadRequest, "the body ended early" };
-  }
-  return body;
+  const auto kind = aStatus == kBadRequest    ? ErrorKind::BadRequest
+                    : aStatus == kUnavailable ? ErrorKind::NodeOverloaded
+                                              : ErrorKind::RequestTooLarge;
+  return ToAnswer(ServerErrorOf({ kind, "" }));
 }
 
-class RequestHandler : public Poco::Net::HTTPRequestHandler
+ServerAnswer
+AnswerTo(const HttpServer::Handler& aHandler,
+         HttpRequest aRequest,
+         std::int64_t aWaitedMs)
 {
-public:
-  RequestHandler(const HttpServer::Handler& aHandler, std::int64_t aMaxBytes)
-    : handler_(aHandler)
-    , maxBytes_(aMaxBytes)
-  {
-  }
-
-  void handleRequest(Poco::Net::HTTPServerRequest& aRequest,
-                     Poco::Net::HTTPServerResponse& aResponse) override
-  {
-    const auto answer = AnswerTo(aRequest);
-    aResponse.setStatus(
-      static_cast<Poco::Net::HTTPResponse::HTTPStatus>(answer.status_));
-    aResponse.setContentType(answer.contentType_);
-    aResponse.setKeepAlive(false);
-    for (const auto& [name, value] : answer.headers_) {
-      aResponse.set(name, value);
-    }
-    try {
-      aResponse.sendBuffer(answer.body_.data(), answer.body_.size());
-    } catch (const Poco::Exception&) {
-      // The client has closed the connection.
+  try {
+    const Poco::URI uri(aRequest.target_);
+    ServerCall call;
+    call.method_ = aRequest.method_;
+    call.path_ = uri.getPath();
+    for (const auto& [key, value] : uri.getQueryParameters()) {
+      call.query_[key] = value;
     }
-  }
-
-private:
-  ServerAnswer AnswerTo(Poco::Net::HTTPServerRequest& aRequest) const
-  {
-    try {
-      const Poco::URI uri(aRequest.getURI());
-      ServerCall call;
-      call.method_ = aRequest.getMethod();
-      call.path_ = uri.getPath();
-      for (const auto& [key, value] : uri.getQueryParameters()) {
-        call.query_[key] = value;
-      }
-      auto body = ReadBody(aRequest, maxBytes_);
-      if (!IsOk(body)) {
-        return ServerErrorOf(ErrorOf(body));
-      }
-      call.body_ = ValueOf(std::move(body));
-      call.waitedMs_ = WaitedMs(aRequest);
-      return handler_(call);
-    } catch (const Poco::Exception& error) {
-      return ServerErrorOf({ ErrorKind::BadRequest, error.displayText() });
-    } catch (const std::exception& error) {
-      LogError("a request handler failed", { { "error", error.what() } });
-      return ServerErrorOf({ ErrorKind::Internal, "" });
+    if (FindHeader(aRequest.headers_, "Transfer-Encoding")) {
+      return ServerErrorOf(
+        { ErrorKind::BadRequest,
+          "send the body with a Content-Length, not chunked" });
     }
+    call.body_ = std::move(aRequest.body_);
+    call.waitedMs_ = aWaitedMs;
+    return aHandler(call);
+  } catch (const Poco::Exception& error) {
+    return ServerErrorOf({ ErrorKind::BadRequest, error.displayText() });
+  } catch (const std::exception& error) {
+    LogError("a request handler failed", { { "error", error.what() } });
+    return ServerErrorOf({ ErrorKind::Internal, "" });
   }
-
-  const HttpServer::Handler& handler_;
-  std::int64_t maxBytes_;
-};
-
-class HandlerFactory : public Poco::Net::HTTPRequestHandlerFactory
-{
-public:
-  HandlerFactory(const HttpServer::Handler& aHandler, std::int64_t aMaxBytes)
-    : handler_(aHandler)
-    , maxBytes_(aMaxBytes)
-  {
-  }
-
-  Poco::Net::HTTPRequestHandler* createRequestHandler(
-    const Poco::Net::HTTPServerRequest&) override
-  {
-    return std::make_unique<RequestHandler>(handler_, maxBytes_).release();
-  }
-
-private:
-  const HttpServer::Handler& handler_;
-  std::int64_t maxBytes_;
-};
+}
 
 } // namespace
 
@@ -176,18 +107,72 @@
 
 struct HttpServer::Impl
 {
+  Impl(Handler aHandler,
+       int aMaxThreads,
+       std::int64_t aMaxBodyBytes,
+       ListenerLimits aLimits)
+    : handler_(std::move(aHandler))
+    , maxThreads_(static_cast<std::size_t>(aMaxThreads))
+    , guard_(asio::make_work_guard(context_))
+    , listener_(
+        context_,
+        [this](HttpRequest aRequest, AsyncListener::Answer aAnswer) {
+          Serve(std::move(aRequest), std::move(aAnswer));
+        },
+        { kMaxHeaderBytes, static_cast<std::size_t>(aMaxBodyBytes) },
+        ListenerTiming{},
+        aLimits,
+        RefusalOf)
+  {
+  }
+
+  /// Handlers block, so that they run on threads of their own. The answer is
+  /// sent on the context's thread.
+  void Serve(HttpRequest aRequest, AsyncListener::Answer aAnswer)
+  {
+    asio::post(
+      *workers_,
+      [this,
+       request = std::move(aRequest),
+       answer = std::move(aAnswer),
+       readAt = MonotonicNow()]() mutable {
+        const auto waited = request.waited_ + (MonotonicNow() - readAt);
+        auto made = AnswerTo(handler_, std::move(request), waited.count());
+        asio::post(
+          context_,
+          [answer = std::move(answer), made = std::move(made)]() mutable {
+            answer(ToAnswer(std::move(made)));
+          });
+      });
+  }
+
+  /// Calls a function on the context's thread and returns what it gives.
+  template<typename F>
+  auto OnThread(F aFunction)
+  {
+    std::packaged_task<decltype(aFunction())()> task(std::move(aFunction));
+    auto result = task.get_future();
+    asio::post(context_, std::move(task));
+    return result.get();
+  }
+
   Handler handler_;
-  int maxThreads_;
-  std::int64_t maxBytes_;
-  std::unique_ptr<Poco::ThreadPool> threads_;
-  std::unique_ptr<Poco::Net::HTTPServer> server_;
+  std::size_t maxThreads_;
+  asio::io_context context_{ 1 };
+  asio::executor_work_guard<asio::io_context::executor_type> guard_;
+  AsyncListener listener_;
+  std::optional<asio::thread_pool> workers_;
+  std::thread thread_;
 };
 
 HttpServer::HttpServer(Handler aHandler,
                        int aMaxThreads,
-                       std::int64_t aMaxBodyBytes)
-  : impl_(std::make_unique<Impl>(
-      Impl{ std::move(aHandler), aMaxThreads, aMaxBodyBytes, {}, {} }))
+                       std::int64_t aMaxBodyBytes,
+                       ListenerLimits aLimits)
+  : impl_(std::make_unique<Impl>(std::move(aHandler),
+                                 aMaxThreads,
+                                 aMaxBodyBytes,
+                                 aLimits))
 {
 }
 
@@ -199,47 +184,41 @@
 Result<Done>
 HttpServer::Start(const std::string& aAddress)
 {
-  auto params = Poco::AutoPtr(new Poco::Net::HTTPServerParams);
-  params->setKeepAlive(false);
-  params->setMaxThreads(impl_->maxThreads_);
-  params->setMaxQueued(kQueueLength);
-  params->setTimeout(Poco::Timespan(kReadTimeoutSeconds, 0));
-  try {
-    const Poco::Net::SocketAddress address(aAddress);
-    Poco::Net::ServerSocket socket;
-    socket.bind(address, true, false);
-    socket.listen(kQueueLength);
-    impl_->threads_ = std::make_unique<Poco::ThreadPool>(
-      2, impl_->maxThreads_, 60, kStackBytes);
-    impl_->server_ = std::make_unique<Poco::Net::HTTPServer>(
-      new HandlerFactory(impl_->handler_, impl_->maxBytes_),
-      *impl_->threads_,
-      socket,
-      params);
-    impl_->server_->start();
-  } catch (const Poco::Exception& error) {
-    return Error{ ErrorKind::IoError,
-                  "cannot listen on " + aAddress + ": " + error.displayText() };
+  auto started = impl_->listener_.Start(aAddress);
+  if (!IsOk(started)) {
+    return started;
   }
+  impl_->workers_.emplace(impl_->maxThreads_);
+  impl_->thread_ = std::thread([this] {
+    RunContext(impl_->context_, [](const std::exception& aError) {
+      LogError("exception in a handler", { { "error", aError.what() } });
+    });
+  });
   return Done{};
 }
 
+ListenerCounts
+HttpServer::Counts() const
+{
+  return impl_->OnThread([this] { return impl_->listener_.Counts(); });
+}
+
 void
 HttpServer::Stop()
 {
-  if (!impl_->server_) {
+  if (!impl_->thread_.joinable()) {
     return;
   }
-  impl_->server_->stop();
-  // POCO's stop() returns while requests are still in progress.
+  impl_->OnThread([this] { impl_->listener_.Drain(); });
   const auto limit = std::chrono::steady_clock::now() + kStopLimit;
-  while (impl_->server_->currentConnections() > 0 &&
+  while (impl_->OnThread([this] { return impl_->listener_.InWork(); }) > 0 &&
          std::chrono::steady_clock::now() < limit) {
     std::this_thread::sleep_for(kStopPoll);
   }
-  impl_->server_->stopAll(true);
-  impl_->threads_->joinAll();
-  impl_->server_.reset();
+  impl_->workers_->stop();
+  impl_->workers_->join();
+  impl_->context_.stop();
+  impl_->thread_.join();
 }
 
 } // namespace acaciahill
--- a/packages/daemon/http_server_base.h
+++ b/packages/daemon/http_server_base.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http/async_http_type.h"
 #include "kernel/error_type.h"
 
 #include <cstdint>
@@ -38,13 +39,18 @@
 ServerErrorOf(const Error& aError);
 
 /// A small HTTP server for announcements and operators. It accepts only bodies
-/// with a Content-Length, and one request for each connection.
+/// with a Content-Length, and one request for each connection. A request takes
+/// a thread only once it is complete; connections and requests that are being
+/// read have the limits of an AsyncListener.
 class HttpServer
 {
 public:
   using Handler = std::function<ServerAnswer(const ServerCall&)>;
 
-  HttpServer(Handler aHandler, int aMaxThreads, std::int64_t aMaxBodyBytes);
+  HttpServer(Handler aHandler,
+             int aMaxThreads,
+             std::int64_t aMaxBodyBytes,
+             ListenerLimits aLimits);
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
   ~HttpServer();
@@ -52,6 +58,9 @@
   /// Errors: IoError when the address cannot be bound.
   Result<Done> Start(const std::string& aAddress);
 
+  /// Waits for the server's thread.
+  ListenerCounts Counts() const;
+
   /// Stops listening and waits for the requests in progress, for 5 s at most.
   void Stop();
 
--- a/packages/daemon/workload_service.cpp
+++ b/packages/daemon/workload_service.cpp
@@ -1,3 +1,4 @@
+#include "daemon/listener_metrics_func.h"
 #include "daemon/workload_service_base.h"
 
 #include "http/context_runner_func.h"
@@ -193,22 +194,7 @@
 WorkloadService::ExportListeners()
 {
   for (const auto& [name, listener] : listeners_) {
-    const auto counts = listener->Counts();
-    const auto set = [this, &interface = name](const std::string& aName,
-                                               const std::string& aReason,
-                                               std::uint64_t aValue) {
-      MetricLabels labels{ { "interface", interface } };
-      if (!aReason.empty()) {
-        labels.emplace_back("reason", aReason);
-      }
-      metrics_.Set(aName, labels, static_cast<double>(aValue));
-    };
-    set("acaciahill_connections", "", counts.connections_);
-    set("acaciahill_request_buffer_bytes", "", counts.bufferedBytes_);
-    constexpr const char* kRefused = "acaciahill_refused_peers";
-    set(kRefused, "connections", counts.closedConnections_);
-    set(kRefused, "buffers", counts.refusedForBuffers_);
-    set(kRefused, "size", counts.refusedForSize_);
+    SetListenerMetrics(metrics_, name, listener->Counts());
   }
 }
 
--- a/packages/http/async_listener.cpp
+++ b/packages/http/async_listener.cpp
@@ -10,6 +10,10 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <deque>
 #include <optional>
 #include <set>
@@ -45,9 +49,11 @@
        Handler aHandler,
        HttpLimits aLimits,
        ListenerTiming aTiming,
-       ListenerLimits aTotal)
+       ListenerLimits aTotal,
+       Refusal aRefusal)
     : context_(aContext)
     , handler_(std::move(aHandler))
+    , refusal_(std::move(aRefusal))
     , limits_(aLimits)
     , timing_(aTiming)
     , total_(aTotal)
@@ -66,6 +72,7 @@
 
   asio::io_context& context_;
   Handler handler_;
+  Refusal refusal_;
   HttpLimits limits_;
   ListenerTiming timing_;
   ListenerLimits total_;
@@ -207,6 +214,7 @@
     auto request = std::exchange(request_, {});
     keepAlive_ = request.keepAlive_;
     request.body_ = std::move(parser_->get().body());
+    request.waited_ = SinceLastByte();
     parser_.reset();
     requestInProgress_ = true;
     ++owner_->requestsInProgress_;
@@ -254,6 +262,19 @@
                       });
   }
 
+  /// Time since the last byte arrived at the kernel.
+  Millis SinceLastByte()
+  {
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    const bool isKnown = ::getsockopt(stream_.socket().native_handle(),
+                                      IPPROTO_TCP,
+                                      TCP_INFO,
+                                      &info,
+                                      &size) == 0;
+    return Millis(isKnown ? info.tcpi_last_data_recv : 0);
+  }
+
   /// Answers malformed or oversized requests; closes on other read errors.
   void Refuse(beast::error_code aError)
   {
@@ -270,8 +291,7 @@
       Close();
       return;
     }
-    HttpAnswer answer;
-    answer.status_ = tooLarge ? 413 : (headerTooLarge ? 431 : 400);
+    auto answer = Refusal(tooLarge ? 413 : (headerTooLarge ? 431 : 400));
     if (tooLarge || headerTooLarge) {
       ++owner_->counts_.refusedForSize_;
       owner_->ReportRefusal("a part of a request exceeds its limit");
@@ -279,13 +299,22 @@
     AnswerAndClose(std::move(answer));
   }
 
+  HttpAnswer Refusal(std::int64_t aStatus) const
+  {
+    if (owner_->refusal_) {
+      return owner_->refusal_(aStatus);
+    }
+    HttpAnswer answer;
+    answer.status_ = aStatus;
+    return answer;
+  }
+
   void RefuseForBuffers()
   {
     ++owner_->counts_.refusedForBuffers_;
     owner_->ReportRefusal("no buffer is left for a request");
-    HttpAnswer answer;
-    answer.status_ = kStatusUnavailable;
-    answer.headers_ = { { "Retry-After", "1" } };
+    auto answer = Refusal(kStatusUnavailable);
+    answer.headers_.push_back({ "Retry-After", "1" });
     AnswerAndClose(std::move(answer));
   }
 
@@ -413,12 +442,14 @@
                              Handler aHandler,
                              HttpLimits aLimits,
                              ListenerTiming aTiming,
-                             ListenerLimits aTotal)
+                             ListenerLimits aTotal,
+                             Refusal aRefusal)
   : impl_(std::make_shared<Impl>(aContext,
                                  std::move(aHandler),
                                  aLimits,
                                  aTiming,
-                                 aTotal))
+                                 aTotal,
+                                 std::move(aRefusal)))
 {
 }
 
--- a/packages/http/async_listener_base.h
+++ b/packages/http/async_listener_base.h
@@ -24,11 +24,16 @@
   /// be called from the context's thread only.
   using Handler = std::function<void(HttpRequest, Answer)>;
 
+  /// Makes the answer that refuses a request with the given status.
+  using Refusal = std::function<HttpAnswer(std::int64_t)>;
+
+  /// Without a Refusal, refusals have no body.
   AsyncListener(boost::asio::io_context& aContext,
                 Handler aHandler,
                 HttpLimits aLimits,
                 ListenerTiming aTiming = {},
-                ListenerLimits aTotal = {});
+                ListenerLimits aTotal = {},
+                Refusal aRefusal = {});
   AsyncListener(const AsyncListener&) = delete;
   AsyncListener& operator=(const AsyncListener&) = delete;
   ~AsyncListener();
--- a/packages/http/http_message_type.h
+++ b/packages/http/http_message_type.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "kernel/time_type.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -28,6 +30,10 @@
   /// Whether the connection stays open for further requests.
   bool keepAlive_ = true;
   bool expectsContinue_ = false;
+  /// Time since the kernel received the last byte of the request, when a
+  /// listener passes it to its handler: how long the process was too busy, or
+  /// frozen, to read it.
+  Millis waited_{ 0 };
 
   bool operator==(const HttpRequest&) const = default;
 };
