Fix: The control interface takes bodies of 1 MB

One PUT /config of 4 MB of empty JSON objects took a control node to 176 MB of its machine's 128.

Cause: the interface took 4 MB, and a parsed document takes about forty times its size where its values are small.

Larger bodies are refused with 413, counted and logged as before. Nodes among themselves keep 4 MB.

--- a/packages/daemon/workload_service.cpp
+++ b/packages/daemon/workload_service.cpp
@@ -25,8 +25,8 @@
 constexpr Millis kDrainPoll{ 20 };
 // Customers' requests hold a payload of up to 4,000 bytes and the steps.
 constexpr std::size_t kMaxCallerBodyBytes = std::size_t{ 512 } * 1024;
-// Configurations hold hundreds of queues of about 250 bytes each.
-constexpr std::size_t kMaxControlBodyBytes = std::size_t{ 4 } * 1024 * 1024;
+// Nodes send each other batches of orders.
+constexpr std::size_t kMaxInternalBodyBytes = std::size_t{ 4 } * 1024 * 1024;
 constexpr std::int64_t kOk = 200;
 constexpr std::int64_t kUnavailable = 503;
 
@@ -99,12 +99,15 @@
                    reader_ ? &*reader_ : nullptr,
                    MakeLeaderSource());
   for (auto& port : MakePorts()) {
-    const bool isCallers = port.address_ == settings_.listenCallers_;
+    const auto maxBodyBytes = port.address_ == settings_.listenCallers_
+                                ? kMaxCallerBodyBytes
+                              : port.address_ == settings_.listenControl_
+                                ? settings_.maxControlBodyBytes_
+                                : kMaxInternalBodyBytes;
     auto listener = std::make_unique<AsyncListener>(
       context_,
       std::move(port.handler_),
-      HttpLimits{ std::size_t{ 16 } * 1024,
-                  isCallers ? kMaxCallerBodyBytes : kMaxControlBodyBytes },
+      HttpLimits{ std::size_t{ 16 } * 1024, maxBodyBytes },
       ListenerTiming{},
       settings_.listenerLimits_);
     if (auto started = listener->Start(port.address_); !IsOk(started)) {
--- a/packages/daemon/workload_settings.cpp
+++ b/packages/daemon/workload_settings.cpp
@@ -82,6 +82,10 @@
       kBytesPerKb
   };
 
+  made.maxControlBodyBytes_ = static_cast<std::size_t>(settings.Integer(
+                                "limits", "max_control_body_kb")) *
+                              kBytesPerKb;
+
   auto& control = made.control_;
   control.peerBufferBytes_ =
     static_cast<std::size_t>(settings.Integer("limits", "peer_buffer_kb")) *
--- a/packages/daemon/workload_settings_type.h
+++ b/packages/daemon/workload_settings_type.h
@@ -35,6 +35,10 @@
   Millis stopGrace_{ 5000 };
   /// Limits of each HTTP interface.
   ListenerLimits listenerLimits_;
+  /// Largest body at the control interface. Configurations hold hundreds of
+  /// queues of about 250 bytes each; a parsed one takes about forty times its
+  /// size.
+  std::size_t maxControlBodyBytes_ = std::size_t{ 1024 } * 1024;
 
   bool operator==(const WorkloadSettings&) const = default;
 };
