--- a/packages/relay/caller_server.cpp
+++ b/packages/relay/caller_server.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <array>
 #include <sys/socket.h>
+#include <tuple>
 #include <variant>
 
 namespace acaciahill {
@@ -76,7 +77,12 @@
     bool reading_ = false;
     MonotonicTime since_{};
 
-    auto operator<=>(const Wait&) const = default;
+    bool operator==(const Wait&) const = default;
+    bool operator<(const Wait& aOther) const
+    {
+      return std::tie(reading_, since_) <
+             std::tie(aOther.reading_, aOther.since_);
+    }
   };
   std::optional<Wait> Waits() const
   {
--- a/tests/hostile/relay_slow_test.cpp
+++ b/tests/hostile/relay_slow_test.cpp
@@ -48,6 +48,10 @@
                 door.clients_ + kOwnDescriptors);
         }
         CHECK(node.Process().IsRunning());
+        const auto metrics = HttpCall(
+          node.Door("admin"), { "GET", "/metrics", {}, "" }, kAnswerTimeout);
+        CHECK(metrics.answer_.body_.find("interface=\"announce\"") !=
+              std::string::npos);
         CheckPeak(std::string(door.name_) + ": " + row.name_,
                   node.Process().Pid(),
                   kEntryVmMegabytes);
