--- a/tests/restart/restart_scene.cpp
+++ b/tests/restart/restart_scene.cpp
@@ -57,8 +57,7 @@
                                         "election_max_ms = 1200\n"
                                         "[workload]\n"
                                         "lease_ms = 4000\n"
-                                        "max_lease_ms = 10000\n"
-                                        "max_order_delay_ms = 12000\n";
+                                        "max_lease_ms = 10000\n";
 
 Millis
 RandomTime(std::mt19937_64& aRandom, Millis aMax)
