Fix: One answer that denies a VM does not complete its wave

Seen: by reading, and in tests.

Cause: Scheduler::HandleUpkeep logged WaveVmBegun, which cannot be taken back, for one answer "no such VM" (any 400) or "not in the wave" (409). A VM that was added a moment ago may be unknown to one answer as to one page of the list.

Change: UpkeepDenials collects what confirms or contradicts such an answer. It counts when it is repeated 5 s after the first and, for "no such VM", a list that was asked for since lacks the VM as well; a list or a worker that shows the VM contradicts it. The order is repeated with a growing pause, and the worker gets tasks meanwhile.

--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -11,6 +11,7 @@
 #include "workload/tenant_shares_base.h"
 #include "workload/tenant_usage_base.h"
 #include "workload/turn_forecast_base.h"
+#include "workload/upkeep_denials_base.h"
 #include "workload/usable_worker_type.h"
 #include "workload/vm_call_budget_base.h"
 #include "workload/vm_view_type.h"
@@ -527,6 +528,12 @@
                    UsableByPool& aUsable,
                    MonotonicTime aNow);
   std::size_t CountVmsDown(const UpkeepWave& aWave) const;
+  /// The platform answered that the VM has no part in the wave: the VM's upkeep
+  /// counts as begun once that is proved, and is ordered again before.
+  void HandleUpkeepDenial(const BeginUpkeep& aOrder,
+                          VmOutcome aDenial,
+                          VmView& aView,
+                          MonotonicTime aNow);
   /// The platform did not answer an order of upkeep a short time ago.
   bool IsUpkeepUnavailable(MonotonicTime aNow) const;
   std::vector<std::string> CandidatesOf(const UpkeepWave& aWave,
@@ -626,6 +633,7 @@
   /// When the platform did not answer an order of upkeep; nothing once it has
   /// answered a later one.
   std::optional<MonotonicTime> upkeepUnansweredAt_;
+  UpkeepDenials upkeepDenials_;
   VmCallBudget vmCalls_;
   MonotonicTime demandsLoggedAt_{};
   DemandMeter demand_;
--- a/packages/workload/scheduler_upkeep.cpp
+++ b/packages/workload/scheduler_upkeep.cpp
@@ -131,6 +131,7 @@
   for (const auto& listing : *aVms) {
     auto& view = vms_[listing.vm_];
     listed.insert(listing.vm_);
+    upkeepDenials_.NoteExists(listing.vm_, aOrder.sentAt_);
     if (isNewerThanList(view)) {
       ++outdated;
       continue;
@@ -181,6 +182,7 @@
         continue;
       }
       unlisted.insert(vm);
+      upkeepDenials_.NoteUnlisted(vm, aOrder.sentAt_);
       auto& view = vms_[vm];
       view.listing_.vm_ = vm;
       if (!IsDownUnlisted(view, aOrder)) {
@@ -378,6 +380,7 @@
             { "outcome", static_cast<int>(aOutcome) } });
   switch (aOutcome) {
     case VmOutcome::Begun:
+      upkeepDenials_.Forget(aOrder);
       view.isDown_ = true;
       view.downSince_ = aNow;
       view.changedAt_ = aNow;
@@ -389,7 +392,7 @@
       return;
     case VmOutcome::NotInWave:
     case VmOutcome::NoSuchVm:
-      Decide(WaveVmBegun{ aOrder.wave_, aOrder.vm_ }, aNow);
+      HandleUpkeepDenial(aOrder, aOutcome, view, aNow);
       return;
     case VmOutcome::Fenced:
       DoubtAuthority("platform, maintenance of " + aOrder.vm_, aNow);
@@ -404,12 +407,40 @@
       vmCalls_.NoteRefusal(aNow);
       return;
     case VmOutcome::Busy:
+      upkeepDenials_.NoteExists(aOrder.vm_, aNow);
       // Others of the wave are taken down first.
       view.noUpkeepBefore_ = aNow + kUpkeepRetry;
       return;
   }
 }
 
+void
+Scheduler::HandleUpkeepDenial(const BeginUpkeep& aOrder,
+                              VmOutcome aDenial,
+                              VmView& aView,
+                              MonotonicTime aNow)
+{
+  const auto number = FindWorkerOfVm(aOrder.vm_);
+  const auto* worker = FindView(number);
+  if (worker != nullptr && worker->confirmed_) {
+    upkeepDenials_.NoteExists(aOrder.vm_, worker->lastContactAt_);
+  }
+  if (upkeepDenials_.Confirm(aOrder, aDenial, aNow)) {
+    LogInfo("a VM has no part in a maintenance wave",
+            { { "wave", aOrder.wave_ },
+              { "vm", aOrder.vm_ },
+              { "outcome", static_cast<int>(aDenial) } });
+    Decide(WaveVmBegun{ aOrder.wave_, aOrder.vm_ }, aNow);
+    return;
+  }
+  // Its worker has room for tasks until the order is sent again.
+  if (worker != nullptr && worker->evacuating_) {
+    EndEvacuation(number, "its upkeep was denied", aNow);
+  }
+  aView.noUpkeepBefore_ =
+    std::max(aView.noUpkeepBefore_, aNow + upkeepDenials_.PauseOf(aOrder));
+}
+
 bool
 Scheduler::IsUpkeepUnavailable(MonotonicTime aNow) const
 {
--- a/packages/workload/test/scheduler_driver.h
+++ b/packages/workload/test/scheduler_driver.h
@@ -164,6 +164,14 @@
   VmOutcome moveOutcome_ = VmOutcome::Busy;
   VmOutcome upkeepOutcome_ = VmOutcome::Begun;
   std::size_t upkeepOrders_ = 0;
+  /// Orders of upkeep of a VM get that answer for some time after the first.
+  struct Denial
+  {
+    VmOutcome outcome_ = VmOutcome::NoSuchVm;
+    Millis for_{ 0 };
+    std::optional<MonotonicTime> since_;
+  };
+  std::map<std::string, Denial> deniedVms_;
   /// Time until a long-running task is ready, and maximum time of a stop.
   Millis readyAfter_{ 0 };
   int maxStopMs_ = 0;
--- a/packages/workload/test/scheduler_driver_platform.cpp
+++ b/packages/workload/test/scheduler_driver_platform.cpp
@@ -87,6 +87,15 @@
 {
   ++upkeepOrders_;
   const auto id = WorkerIdOf(aAction.vm_);
+  if (const auto denied = deniedVms_.find(aAction.vm_);
+      denied != deniedVms_.end()) {
+    auto& denial = denied->second;
+    denial.since_ = denial.since_.value_or(now_);
+    if (now_ - *denial.since_ < denial.for_) {
+      scheduler_->HandleUpkeep(aAction, denial.outcome_, now_);
+      return;
+    }
+  }
   if (!workers_.contains(id)) {
     scheduler_->HandleUpkeep(aAction, VmOutcome::NoSuchVm, now_);
     return;
