Fix: A refusal does not end a move whose first call was not answered

On a site without lost answers nothing is seen.

Cause: Scheduler::HandleMove forgot a move after any refusal. After a call without an answer the VM may be moving, and is refused as busy for that.

Change: PendingMove::mayHaveBegun_ keeps such a move until an answer, the VM's registration or a list that was asked for since tells its outcome (SettleUnclearMoves).

--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -511,6 +511,17 @@
   /// Takes a call for a move from the budget; false when none is left.
   bool TakeMoveCall(MonotonicTime aNow);
   void RequestMove(const VmMove& aMove, MonotonicTime aNow);
+  /// The VM's workers in other pools have ended.
+  void NoteMoveBegun(const std::string& aVm,
+                     PendingMove& aMove,
+                     MonotonicTime aNow);
+  /// The move has not begun: the VM's worker gets tasks again.
+  void CancelMove(const std::string& aVm, MonotonicTime aNow);
+  /// Completes or cancels the moves with unanswered calls of which the list
+  /// tells whether they have begun.
+  void SettleUnclearMoves(const ListVms& aOrder,
+                          const std::vector<VmListing>& aListed,
+                          MonotonicTime aNow);
   void RetryMoves(MonotonicTime aNow);
 
   // scheduler_upkeep.cpp: maintenance waves.
--- a/packages/workload/scheduler_pools.cpp
+++ b/packages/workload/scheduler_pools.cpp
@@ -19,6 +19,9 @@
 // A moved VM that does not register counts as supply of its new pool for this
 // time; the platform takes 1.5 s for a move.
 constexpr Millis kMoveTimeout{ 4000 };
+// Age at which the list is read again while it is unclear whether a move has
+// begun.
+constexpr Millis kUnclearListInterval{ 1500 };
 // Moves are planned many times a second; the demands behind them change less.
 constexpr Millis kDemandLogInterval{ 500 };
 // Calls for moves without an answer yet. Each holds a connection.
@@ -26,6 +29,13 @@
 // A VM that could not be moved is not tried again for this time.
 constexpr Millis kFailedMovePause{ 600 };
 
+/// Whether the move has begun is not known, and no call is under way to tell.
+bool
+IsUnclear(const PendingMove& aMove)
+{
+  return aMove.mayHaveBegun_ && !aMove.hasBegun_ && !aMove.isInFlight_;
+}
+
 } // namespace
 
 std::size_t
@@ -129,7 +139,11 @@
   if (sparePool.empty() || !settings_.movesVms_) {
     return;
   }
-  RefreshVmList(kSpareListInterval, aNow);
+  const bool isUnclear =
+    std::any_of(moves_.begin(), moves_.end(), [](const auto& aEntry) {
+      return IsUnclear(aEntry.second);
+    });
+  RefreshVmList(isUnclear ? kUnclearListInterval : kSpareListInterval, aNow);
   ForgetEndedMoves(aNow);
   RetryMoves(aNow);
   ObserveDemand(aNow);
@@ -214,7 +228,10 @@
           { { "vm", aMove.vm_ }, { "pool", aMove.pool_ } });
   const auto pool = config_.pools_.find(aMove.pool_);
   const bool toSpare = pool != config_.pools_.end() && pool->second.spare_;
-  moves_[aMove.vm_] = { aMove.pool_, aNow, true, false, toSpare };
+  moves_[aMove.vm_] = { .pool_ = aMove.pool_,
+                        .requestedAt_ = aNow,
+                        .isInFlight_ = true,
+                        .toSpare_ = toSpare };
   actions_.emplace_back(MoveVm{ aMove.vm_, aMove.pool_, term_ });
 }
 
@@ -246,37 +263,93 @@
   if (aOutcome == VmOutcome::Fenced) {
     DoubtAuthority("platform, move of " + aOrder.vm_, aNow);
   }
+  if (aOutcome == VmOutcome::NotNow) {
+    vmCalls_.NoteRefusal(aNow);
+  }
   switch (aOutcome) {
     case VmOutcome::Begun:
-      move.hasBegun_ = true;
-      NotePoolOfVm(aOrder.vm_, aOrder.pool_, aNow);
-      DropWorkersOfMovedVm(aOrder.vm_, aOrder.pool_, aNow);
+      NoteMoveBegun(aOrder.vm_, move, aNow);
       return;
     case VmOutcome::NoAnswer:
-      // The move may still be carried out: the VM is kept empty, and the move
-      // is requested again until its outcome is known.
+      // The VM is kept empty, and the move is requested again until its outcome
+      // is known.
+      move.mayHaveBegun_ = true;
       return;
     case VmOutcome::NotNow:
-      vmCalls_.NoteRefusal(aNow);
-      [[fallthrough]];
     case VmOutcome::Fenced:
     case VmOutcome::Busy:
     case VmOutcome::NotInWave:
     case VmOutcome::NoSuchVm:
-      LogInfo(
-        "a VM cannot be moved now",
-        { { "vm", aOrder.vm_ }, { "outcome", static_cast<int>(aOutcome) } });
-      moves_.erase(found);
-      for (const auto& [number, worker] : state_.Workers()) {
-        if (worker.vm_ == aOrder.vm_) {
-          views_.at(number).evacuating_ = false;
-        }
-      }
-      if (auto listed = vms_.find(aOrder.vm_); listed != vms_.end()) {
-        listed->second.noMoveBefore_ = aNow + kFailedMovePause;
+      move.isDenied_ = aOutcome == VmOutcome::NoSuchVm;
+      LogInfo("a VM cannot be moved now",
+              { { "vm", aOrder.vm_ },
+                { "outcome", static_cast<int>(aOutcome) },
+                { "may_have_begun", move.mayHaveBegun_ } });
+      // A VM that is being moved is busy.
+      if (!move.mayHaveBegun_) {
+        CancelMove(aOrder.vm_, aNow);
       }
       return;
   }
 }
 
+void
+Scheduler::NoteMoveBegun(const std::string& aVm,
+                         PendingMove& aMove,
+                         MonotonicTime aNow)
+{
+  aMove.hasBegun_ = true;
+  NotePoolOfVm(aVm, aMove.pool_, aNow);
+  DropWorkersOfMovedVm(aVm, aMove.pool_, aNow);
+}
+
+void
+Scheduler::CancelMove(const std::string& aVm, MonotonicTime aNow)
+{
+  moves_.erase(aVm);
+  for (const auto& [number, worker] : state_.Workers()) {
+    if (worker.vm_ == aVm) {
+      views_.at(number).evacuating_ = false;
+    }
+  }
+  if (auto listed = vms_.find(aVm); listed != vms_.end()) {
+    listed->second.noMoveBefore_ = aNow + kFailedMovePause;
+  }
+}
+
+void
+Scheduler::SettleUnclearMoves(const ListVms& aOrder,
+                              const std::vector<VmListing>& aListed,
+                              MonotonicTime aNow)
+{
+  std::map<std::string_view, const VmListing*> unclear;
+  for (const auto& [vm, move] : moves_) {
+    if (IsUnclear(move) && move.requestedAt_ < aOrder.sentAt_) {
+      unclear.emplace(vm, nullptr);
+    }
+  }
+  for (const auto& listing : aListed) {
+    if (const auto found = unclear.find(listing.vm_); found != unclear.end()) {
+      found->second = &listing;
+    }
+  }
+  std::vector<std::string> notBegun;
+  for (const auto& [vm, listing] : unclear) {
+    auto& move = moves_.at(std::string(vm));
+    const bool isGone = listing == nullptr && move.isDenied_;
+    const bool isListed =
+      listing != nullptr && listing->state_ != VmState::Moving;
+    if (isListed && listing->pool_ == move.pool_) {
+      NoteMoveBegun(listing->vm_, move, aNow);
+    } else if (isListed || isGone) {
+      notBegun.emplace_back(vm);
+    }
+  }
+  for (const auto& vm : notBegun) {
+    LogInfo("an unanswered move of a VM has not begun",
+            { { "vm", vm }, { "pool", moves_.at(vm).pool_ } });
+    CancelMove(vm, aNow);
+  }
+}
+
 } // namespace acaciahill
--- a/packages/workload/scheduler_upkeep.cpp
+++ b/packages/workload/scheduler_upkeep.cpp
@@ -153,6 +153,7 @@
               { "outdated", outdated },
               { "took_ms", (aNow - aOrder.sentAt_).count() } });
   }
+  SettleUnclearMoves(aOrder, *aVms, aNow);
   const auto unlisted = ExpectUnlistedVms(aOrder, listed);
   std::erase_if(vms_, [&](const auto& aEntry) {
     const auto& [vm, view] = aEntry;
--- a/packages/workload/test/scheduler_driver.h
+++ b/packages/workload/test/scheduler_driver.h
@@ -179,6 +179,19 @@
   std::map<std::string, std::int64_t> memoryMb_;
   /// Moves are carried out, but the answers are lost.
   bool losesMoveAnswers_ = false;
+  /// The first call for each VM is not answered. Where it is carried out, the
+  /// VM is busy while it moves, and otherwise for good.
+  enum class UnansweredMove : std::uint8_t
+  {
+    None,
+    CarriedOut,
+    Dropped,
+  };
+  UnansweredMove unansweredMoves_ = UnansweredMove::None;
+  /// VMs to which this applies; all of them if it is empty.
+  std::set<std::string> unansweredVms_;
+  /// VMs that do not exist any more: moves are denied after the first call.
+  std::set<std::string> goneVms_;
   /// Runs that ended because their VM was moved.
   std::size_t runsEndedByMoves_ = 0;
   /// Moves are carried out: the VM's worker ends and registers in the new pool
@@ -252,6 +265,7 @@
   std::pair<VmOutcome, bool> DrawPlatformAnswer(const FakeWorker& aWorker,
                                                 VmOutcome aUsual);
   VmState StateOf(const FakeWorker& aWorker) const;
+  bool IsMoving(const std::string& aWorker) const;
   OrderAnswer ExecuteOrder(FakeWorker& aWorker, const StartRun& aOrder);
   OrderAnswer ExecuteOrder(FakeWorker& aWorker, const StopRun& aOrder);
   void EndRun(FakeWorker& aWorker, const TaskKey& aTask, RunEnd aEnd);
@@ -270,6 +284,7 @@
   std::map<std::string, std::string> pools_;
   std::map<std::string, FakeWorker> workers_;
   std::map<std::string, MonotonicTime> unavailableUntil_;
+  std::map<std::string, MonotonicTime> movingUntil_;
   /// Highest fence that the former processes of each worker have seen.
   std::map<std::string, std::uint64_t> formerFences_;
   std::map<std::string, std::uint64_t> reports_;
--- a/packages/workload/test/scheduler_driver_platform.cpp
+++ b/packages/workload/test/scheduler_driver_platform.cpp
@@ -24,6 +24,9 @@
   if (aWorker.inUpkeep_) {
     return VmState::Upkeep;
   }
+  if (unansweredMoves_ != UnansweredMove::None && IsMoving(aWorker.id_)) {
+    return VmState::Moving;
+  }
   const bool isDown = carriesOutMoves_ && !aWorker.up_ &&
                       pools_.at(aWorker.id_) != detail::kOffPool;
   return isDown ? VmState::Down : VmState::Up;
@@ -118,9 +121,19 @@
   scheduler_->HandleUpkeep(aAction, outcome, now_);
 }
 
+bool
+SchedulerDriver::IsMoving(const std::string& aWorker) const
+{
+  const auto moved = movingUntil_.find(aWorker);
+  return moved != movingUntil_.end() && now_ < moved->second;
+}
+
 void
 SchedulerDriver::Execute(const MoveVm& aAction)
 {
+  const bool isFirst =
+    std::find(movedVms_.begin(), movedVms_.end(), aAction.vm_) ==
+    movedVms_.end();
   movedVms_.push_back(aAction.vm_);
   moveTimes_.push_back(now_);
   if (!carriesOutMoves_) {
@@ -132,6 +145,19 @@
     scheduler_->HandleMove(
       aAction, losesMoveAnswers_ ? VmOutcome::NoAnswer : aOutcome, now_);
   };
+  const bool isUnanswered =
+    unansweredMoves_ != UnansweredMove::None &&
+    (unansweredVms_.empty() || unansweredVms_.contains(aAction.vm_));
+  if (isUnanswered && unansweredMoves_ == UnansweredMove::Dropped) {
+    const auto refusal =
+      goneVms_.contains(aAction.vm_) ? VmOutcome::NoSuchVm : VmOutcome::Busy;
+    answer(isFirst ? VmOutcome::NoAnswer : refusal);
+    return;
+  }
+  if (isUnanswered && IsMoving(id)) {
+    answer(VmOutcome::Busy);
+    return;
+  }
   if (pools_.at(id) == aAction.pool_) {
     answer(VmOutcome::Begun);
     return;
@@ -143,8 +169,9 @@
     Crash(id);
     pools_[id] = aAction.pool_;
     unavailableUntil_[id] = now_ + kMoveTime;
+    movingUntil_[id] = now_ + kMoveTime;
   }
-  answer(outcome);
+  answer(isUnanswered && isFirst ? VmOutcome::NoAnswer : outcome);
 }
 
 } // namespace acaciahill::test
--- a/packages/workload/vm_view_type.h
+++ b/packages/workload/vm_view_type.h
@@ -35,6 +35,11 @@
   MonotonicTime requestedAt_{};
   bool isInFlight_ = false;
   bool hasBegun_ = false;
+  /// A call was not answered and may have been carried out: a refusal of a
+  /// later one does not tell that the move has not begun.
+  bool mayHaveBegun_ = false;
+  /// The platform's last answer was that there is no such VM.
+  bool isDenied_ = false;
   /// The VM is switched off in the spare pool, so that no worker registers.
   bool toSpare_ = false;
 
