--- a/packages/daemon/workload_orders.cpp
+++ b/packages/daemon/workload_orders.cpp
@@ -250,6 +250,11 @@
            scheduler_->HandleVms(aAction, std::nullopt, MonotonicNow());
            return;
          }
+         if (!page->unreadVms_.empty()) {
+           LogWarning("entries of the platform's list of VMs cannot be read",
+                      { { "vms", page->unreadVms_.size() },
+                        { "first", page->unreadVms_.front() } });
+         }
          soFar->insert(soFar->end(), page->vms_.begin(), page->vms_.end());
          if (page->next_.empty()) {
            scheduler_->HandleVms(aAction, *soFar, MonotonicNow());
