Fix: A wave under a number in use is refused, not acknowledged

The operator's wave is acknowledged and shown as completed, and its VMs have no upkeep (MIXED), as its number belongs to an earlier wave.

Cause: Scheduler::StartWave took any request with a known number for the same order sent again.

Change: the order is the same if it names the same VMs, begun or not; with other VMs it is answered 409 and logged. Orders that were accepted are acknowledged again as before.

--- a/packages/workload/scheduler.cpp
+++ b/packages/workload/scheduler.cpp
@@ -228,7 +228,17 @@
                      const UpkeepWave& aWave,
                      MonotonicTime aNow)
 {
-  if (!state_.Waves().contains(aWave.id_)) {
+  const auto known = state_.Waves().find(aWave.id_);
+  if (known != state_.Waves().end() && !HasSameVms(known->second, aWave)) {
+    LogWarning("refusing a maintenance wave: its number is in use",
+               { { "wave", aWave.id_ },
+                 { "vms", aWave.pendingVms_.size() },
+                 { "known_pending", known->second.pendingVms_.size() },
+                 { "known_begun", known->second.begunVms_.size() } });
+    Answer(aToken, RequestOutcome::NumberInUse);
+    return;
+  }
+  if (known == state_.Waves().end()) {
     auto wave = aWave;
     wave.startedAtMs_ = LogicalNow(aNow);
     wave.dueAtMs_ += wave.startedAtMs_;
--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -527,6 +527,8 @@
   void RetryMoves(MonotonicTime aNow);
 
   // scheduler_upkeep.cpp: maintenance waves.
+  /// Whether both waves are over the same VMs, begun or not.
+  static bool HasSameVms(const UpkeepWave& aOne, const UpkeepWave& aOther);
   /// Asks for the platform's list of VMs if the last one is older.
   void RefreshVmList(Millis aMaxAge, MonotonicTime aNow);
   /// Whether the VM may be down for maintenance, though the list lacks it.
--- a/packages/workload/scheduler_type.h
+++ b/packages/workload/scheduler_type.h
@@ -265,6 +265,8 @@
   Unclear,
   UnknownQueue,
   UnknownJob,
+  /// Another request was accepted under the same number.
+  NumberInUse,
 };
 
 /// Answers a request.
