Fix: An entry VM denies only pools that a current table lacks

Callers do not send such a request again.

Cause: RouterCore::Precheck answered unknown_pool for each pool that its table lacks, also before the node had a table and while it is cut off.

Change: PoolsChanged::isCurrent_, from the replica's staleness. While it is false an unlisted pool is refused with control_unreachable: 503, not run. Listed pools are served as before.

--- a/packages/daemon/relay_service.cpp
+++ b/packages/daemon/relay_service.cpp
@@ -129,11 +129,14 @@
   std::map<std::string, std::uint32_t> drainingVms;
 
   const auto evidence = directory_->Targets();
+  const bool isCurrent = !replica_->Control().stale_;
   replica_->Read([&](const Fleet& aFleet) {
     status.appliedIndex_ = aFleet.AppliedIndex();
     status.tableVersion_ = aFleet.Table().version_;
-    if (refreshedIndex_ != aFleet.AppliedIndex()) {
+    if (refreshedIndex_ != aFleet.AppliedIndex() || !pools_ ||
+        pools_->isCurrent_ != isCurrent) {
       pools = PoolsOf(aFleet, settings_.zone_);
+      pools->isCurrent_ = isCurrent;
     }
     for (const auto& [id, vm] : aFleet.Vms()) {
       const auto vmEvidence = FindEvidence(evidence, vm.number_);
--- a/packages/relay/relay_call.cpp
+++ b/packages/relay/relay_call.cpp
@@ -415,7 +415,10 @@
 Relay::Impl::Refuse(const Call& aCall, ErrorKind aKind, Millis aRetryAfter)
 {
   const auto& pool = aCall.spec_.pool_;
-  const bool isKnown = aKind != ErrorKind::UnknownPool;
+  // The name of a pool that may not exist is the caller's: as a label it would
+  // let callers make any number of series.
+  const bool isKnown =
+    aKind != ErrorKind::UnknownPool && aKind != ErrorKind::ControlUnreachable;
   metrics_.Count("acaciahill_relay_refused_total",
                  { { "pool", isKnown ? pool : "" },
                    { "kind", std::string(AnswerOf(aKind).name_) } });
--- a/packages/routing/router.cpp
+++ b/packages/routing/router.cpp
@@ -76,7 +76,8 @@
   }
   const auto pool = pools_.find(aPool);
   if (pool == pools_.end() || !pool->second.listed_) {
-    return ErrorKind::UnknownPool;
+    return hasCurrentPools_ ? ErrorKind::UnknownPool
+                            : ErrorKind::ControlUnreachable;
   }
   const auto caller = pool->second.requestsByCaller_.find(aCaller);
   if (caller != pool->second.requestsByCaller_.end() &&
@@ -286,6 +287,7 @@
                    MonotonicTime aNow,
                    Actions& aOut)
 {
+  hasCurrentPools_ = aInput.isCurrent_;
   entryNodes_ = aInput.entryNodes_;
   entryNodesInZone_ = aInput.entryNodesInZone_;
   for (auto& [name, pool] : pools_) {
--- a/packages/routing/router_base.h
+++ b/packages/routing/router_base.h
@@ -315,6 +315,8 @@
   std::mt19937_64 random_;
   std::map<std::string, detail::RoutedTarget> targets_;
   std::map<std::string, detail::RoutedPool> pools_;
+  /// Whether a pool that is not in pools_ does not exist.
+  bool hasCurrentPools_ = false;
   std::unordered_map<RequestId, detail::RoutedRequest> requests_;
   std::int64_t inFlight_ = 0;
   std::int64_t entryNodes_ = 1;
--- a/packages/routing/router_type.h
+++ b/packages/routing/router_type.h
@@ -99,6 +99,9 @@
   /// availability zones, and in this node's availability zone.
   std::int64_t entryNodes_ = 1;
   std::int64_t entryNodesInZone_ = 1;
+  /// False while the node may not have seen the newest table, as it has just
+  /// started or is cut off: then a pool that is not in rows_ may exist.
+  bool isCurrent_ = true;
 
   bool operator==(const PoolsChanged&) const = default;
 };
--- a/packages/routing/test/router_test.cpp
+++ b/packages/routing/test/router_test.cpp
@@ -377,6 +377,52 @@
 }
 
 // Guards against unbounded queues and one caller using all of a pool.
+// Guards against an entry VM that has just started, or is cut off, and answers
+// that a pool does not exist which it has not heard of (issues 21, 60): callers
+// do not send such a request again.
+TEST_CASE("only a current table tells that a pool does not exist")
+{
+  struct Row
+  {
+    const char* name_;
+    std::optional<PoolsChanged> pools_;
+    const char* result_;
+  };
+  PoolRow other;
+  other.pool_ = "other";
+  const auto row = GENERATE_COPY(
+    values<Row>({ { "no table yet", std::nullopt, "control_unreachable" },
+                  { "an empty table of a node that has just started",
+                    PoolsChanged{ {}, 1, 1, false },
+                    "control_unreachable" },
+                  { "the table of a node that is cut off",
+                    PoolsChanged{ { other }, 1, 1, false },
+                    "control_unreachable" },
+                  { "the newest table",
+                    PoolsChanged{ { other }, 1, 1 },
+                    "unknown_pool" } }));
+  INFO(row.name_);
+  RouterCore core(Settings());
+  const MonotonicTime now{ 1h };
+  if (row.pools_) {
+    core.Step(*row.pools_, now);
+  }
+  const auto actions =
+    core.Step(RequestArrived{ 1, "rota", "c", now + 5s, true, false }, now);
+  REQUIRE(actions.size() == 1);
+  const auto* refusal = std::get_if<RefuseRequest>(&actions[0]);
+  REQUIRE(refusal != nullptr);
+  CHECK(std::string(AnswerOf(refusal->kind_).name_) == row.result_);
+}
+
+TEST_CASE("a node that is cut off serves the pools that it knows")
+{
+  RouterHarness router;
+  router.AddTarget("a");
+  router.Feed(PoolsChanged{ { router.row_ }, 1, 1, false });
+  CHECK(router.SentTo(router.Arrive()) == "a");
+}
+
 TEST_CASE("queues and callers have limits")
 {
   RouterHarness router;
