Fix: A relaying node returns the memory of large answers when it frees them

Seen: hostile_target_answers, row "chunks" (KNOWN-RED.txt): a node of 160 MB peaks at 138 to 179 MB under 16 callers whose target answers in chunks without end.

Cause: glibc raises the size from which it maps blocks once such a block is freed; later ones come from the heaps of the threads, which keep up to twice that size each. The budget of buffers counts only what is in use.

Change: M_MMAP_THRESHOLD is set to 256 KiB before the node relays, which also ends its automatic rise.

--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -17,6 +17,8 @@
 
 #include <cxxopts.hpp>
 
+#include <malloc.h>
+
 #include <csignal>
 #include <cstdlib>
 #include <exception>
@@ -29,6 +31,9 @@
 
 // How long --init waits for each of the other voters.
 constexpr Millis kStatusTimeout{ 1000 };
+// Allocations of this size or more are mapped one by one. Larger than the usual
+// buffers, so that those are not mapped anew for each request.
+constexpr int kMappedBytes = 256 * 1024;
 // The settings file may change without a signal; it is read again this often.
 constexpr std::chrono::seconds kReloadInterval{ 2 };
 
@@ -69,6 +74,15 @@
   std::abort();
 }
 
+/// Lets the memory of large bodies go back to the system as soon as they are
+/// freed. By default the allocator stops to map blocks of a size once it has
+/// freed one, and each thread's heap then keeps up to twice that size.
+void
+ReturnLargeBuffers()
+{
+  ::mallopt(M_MMAP_THRESHOLD, kMappedBytes);
+}
+
 /// Sets up the logs of a process that serves.
 Result<Done>
 StartServingLog(const LogSettings& aSettings)
@@ -197,6 +211,7 @@
 int
 Serve(const DaemonSettings& aSettings)
 {
+  ReturnLargeBuffers();
   const auto signals = BlockSignals();
 
   if (const auto logging = StartServingLog(aSettings.log_); !IsOk(logging)) {
