--- a/packages/workload/scheduler_pools.cpp
+++ b/packages/workload/scheduler_pools.cpp
@@ -14,7 +14,8 @@
 
 // Age at which the platform's list is read again for switched-off VMs.
 constexpr Millis kSpareListInterval{ 10000 };
-// The same while the next list settles what the last one leaves open.
+// The same while known VMs are missing in the last list, or a move may have
+// begun since.
 constexpr Millis kDoubtedListInterval{ 1500 };
 // A move without an answer is requested again after this time.
 constexpr Millis kMoveRetry{ 1000 };
--- a/packages/workload/upkeep_denials.cpp
+++ b/packages/workload/upkeep_denials.cpp
@@ -23,7 +23,8 @@
                        MonotonicTime aNow)
 {
   auto& denial = denials_[{ aOrder.vm_, aOrder.wave_ }];
-  // The two denials contradict each other, as the second one knows the VM.
+  // "Not in the wave" comes from a platform that knows the VM, so that the two
+  // denials contradict each other.
   if (denial.count_ == 0 || denial.outcome_ != aDenial) {
     denial = { aDenial, aNow, denial.count_, false };
   }
--- a/packages/workload/upkeep_denials_base.h
+++ b/packages/workload/upkeep_denials_base.h
@@ -26,7 +26,7 @@
                VmOutcome aDenial,
                MonotonicTime aNow);
 
-  /// Pause before the order may be sent again, in ms.
+  /// Pause before the order may be sent again; 0 if it was not denied.
   Millis PauseOf(const BeginUpkeep& aOrder) const;
 
   /// The platform treats the VM as a part of the wave.
