--- a/packages/workload/vm_view_type.h
+++ b/packages/workload/vm_view_type.h
@@ -15,7 +15,7 @@
   /// When the answer to an order last changed this view. Lists that were asked
   /// for before do not count.
   std::optional<MonotonicTime> changedAt_;
-  /// The last list lacks the VM. The view is dropped when the next one does too.
+  /// The last list lacks the VM. The view is dropped if the next one does too.
   bool isUnlisted_ = false;
   /// The VM must not be moved before that time.
   MonotonicTime noMoveBefore_{};
