--- a/review/standin-3/late_upkeep.cpp
+++ b/review/standin-3/late_upkeep.cpp
@@ -38,7 +38,8 @@
         deployment.Address(50 + aMachine * 10 + aLife);
       options.service_ = "rosters";
       options.zone_ = Deployment::ZoneOf(aMachine);
-      options.labels_ = { "a", "r" + std::to_string(aMachine / 4) };
+      options.labels_ = { aMachine == 0 ? "b" : "a",
+                          "r" + std::to_string(aMachine / 4) };
       return options;
     },
     names);
@@ -62,22 +63,33 @@
       !WaitUntil([&] { return platform.AllConfirmed(); }, 15000)) {
     return 2;
   }
-  // One task on each machine but one, which is the first to be empty.
-  const json job{ { "spec", "1500" },
-                  { "steps",
-                    { { { "count", kMachines - 1 },
-                        { "cpu", 3000 },
-                        { "memMb", 1024 },
-                        { "antiAffinity", 1 },
-                        { "estimatedMs", 1500 } } } } };
+  // A task on the first machine, the only one of its kind, and on all of the
+  // others but one, which is the first to be empty.
+  const auto jobOn = [](const char* aKind, int aTasks) {
+    return json{ { "spec", "1500" },
+                 { "steps",
+                   { { { "count", aTasks },
+                       { "cpu", 3000 },
+                       { "memMb", 1024 },
+                       { "requirements", aKind },
+                       { "antiAffinity", 1 },
+                       { "estimatedMs", 1500 } } } } }
+      .dump();
+  };
   if (!SendUntilTaken(log,
                       deployment.Edges(),
                       "POST",
                       "/q/00000000000000b1",
-                      job.dump(),
+                      jobOn("b", 1),
+                      5000) ||
+      !SendUntilTaken(log,
+                      deployment.Edges(),
+                      "POST",
+                      "/q/00000000000000b2",
+                      jobOn("a", kMachines - 2),
                       5000) ||
       !WaitUntil(
-        [&] { return platform.RunningTasks() == kMachines - 1; }, 2000)) {
+        [&] { return platform.RunningTasks() == kMachines - 1; }, 1000)) {
     return 2;
   }
   platform.SetWave(1, 1);
--- a/review/standin-3/net.h
+++ b/review/standin-3/net.h
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <functional>
 #include <map>
+#include <set>
 #include <mutex>
 #include <optional>
 #include <string>
