--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -5,4 +5,4 @@
 cd "$folder/../.." || exit 2
 test -x target/packages/daemon/acaciahilld || exit 2
 test -x target/review-3/scene || exit 2
-exec target/review-3/scene removed-route "$folder"
+exec target/review-3/scene late-start "$folder"
--- a/review/standin-3/main.cpp
+++ b/review/standin-3/main.cpp
@@ -18,6 +18,7 @@
     { "late-end-of-gang", PlayLateEndOfGang },
     { "removed-route", PlayRemovedRoute },
     { "late-upkeep", PlayLateUpkeep },
+    { "late-start", PlayLateStart },
   };
   const auto found = cases.find(aArguments[1]);
   if (found == cases.end()) {
--- a/review/standin-3/scene.h
+++ b/review/standin-3/scene.h
@@ -21,6 +21,8 @@
 PlayRemovedRoute(Scene& aScene);
 int
 PlayLateUpkeep(Scene& aScene);
+int
+PlayLateStart(Scene& aScene);
 
 /// Sends a request of a client or of the operator and records it with its
 /// answer.
--- a/review/standin-3/worker.h
+++ b/review/standin-3/worker.h
@@ -37,9 +37,7 @@
     , control_(std::move(aControl))
     , log_(aLog)
     , startedAt_(NowMs())
-    , born_(std::chrono::duration_cast<std::chrono::milliseconds>(
-              std::chrono::system_clock::now().time_since_epoch())
-              .count())
+    , born_(UnixMs())
     , server_(options_.address_,
               [this](const Request& aRequest) { return Handle(aRequest); })
     , heartbeat_([this] { Report(); })
@@ -69,8 +67,50 @@
     cut_ = false;
   }
 
-  /// From now on the worker reports that it is about to leave.
-  void Drain() { draining_ = true; }
+  /// The next start gets no answer. It is carried out by the next life, which
+  /// takes calls that were meant for its former one.
+  void HoldNextStart(bool aHolds) { holdsNextStart_ = aHolds; }
+  bool HasHeldStart()
+  {
+    const std::lock_guard lock(mutex_);
+    return heldStart_.has_value();
+  }
+
+  /// Loses all that runs, and is dark.
+  void Crash()
+  {
+    const std::lock_guard lock(mutex_);
+    log_.Line(options_.id_ + " crashes");
+    dark_ = true;
+    runs_.clear();
+    over_.clear();
+    ended_.clear();
+    changed_.notify_all();
+  }
+
+  /// Starts again under the same id and address: its fence, its lease and all
+  /// its counts start anew. The call that was held back is carried out first.
+  void Restart()
+  {
+    std::optional<json> held;
+    {
+      const std::lock_guard lock(mutex_);
+      startedAt_ = NowMs();
+      born_ = UnixMs();
+      clockStart_ = kLaterClockStart;
+      fence_ = 0;
+      leaseEnd_ = 0;
+      lastEnd_ = 0;
+      ++life_;
+      held = std::exchange(heldStart_, std::nullopt);
+      log_.Line(options_.id_ + " is back under its id");
+    }
+    if (held) {
+      log_.Line(options_.id_ + " carries out the call that was held back");
+      Start(*held);
+    }
+    dark_ = false;
+  }
 
   bool IsOpen() const { return server_.IsOpen(); }
   std::size_t Renewals() const { return renewals_; }
@@ -109,25 +149,42 @@
     std::string how_;
   };
 
-  std::int64_t Now() const { return kClockStart + NowMs() - startedAt_; }
+  std::int64_t Now() const { return clockStart_ + NowMs() - startedAt_; }
+
+  static std::int64_t UnixMs()
+  {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+  }
 
   std::optional<Answer> Handle(const Request& aRequest)
   {
-    if (cut_) {
+    if (cut_ || dark_) {
       return std::nullopt;
     }
+    const int life = life_;
     const auto body = json::parse(aRequest.body_, nullptr, false);
     const auto wanted = aRequest.headers_.find("x-expect-instance");
     if (wanted != aRequest.headers_.end() && wanted->second != options_.id_) {
       return Answer{ 421, "{}", {} };
     }
+    if (aRequest.path_ == "/run-start" && holdsNextStart_.exchange(false)) {
+      const std::lock_guard lock(mutex_);
+      log_.Line(options_.id_ + " gets the start of " +
+                body.value("task", std::string()) + " run " +
+                std::to_string(body.value("runId", 0)) + ": no answer yet");
+      heldStart_ = body;
+      return std::nullopt;
+    }
     auto answer = aRequest.path_ == "/run-start"  ? Start(body)
                   : aRequest.path_ == "/run-stop" ? Stop(body)
                   : aRequest.path_ == "/hold"     ? Hold(body)
                   : aRequest.path_ == "/pace"     ? Pace(body)
                                                   : Answer{ 200, "{}", {} };
     // The answer is lost when the worker was cut off meanwhile.
-    return cut_ ? std::nullopt : std::optional(answer);
+    return cut_ || dark_ || life != life_ ? std::nullopt
+                                          : std::optional(answer);
   }
 
   Answer Conflict(const char* aReason) const
@@ -233,12 +290,12 @@
       return aEnd.number_ <= seen;
     });
     const auto until = NowMs() + aBody.value("waitMs", std::int64_t{ 0 });
-    while (ended_.empty() && !stop_ && !cut_ && NowMs() < until) {
+    while (ended_.empty() && !stop_ && !cut_ && !dark_ && NowMs() < until) {
       changed_.wait_for(lock, std::chrono::milliseconds(20));
     }
     ++renewals_;
     json lists{ { "wallClockMs", Now() },
-                { "born", born_ },
+                { "born", born_.load() },
                 { "running", json::array() },
                 { "endedRuns", json::array() } };
     for (const auto& [key, run] : runs_) {
@@ -290,19 +347,23 @@
   void Report()
   {
     std::int64_t sequence = 0;
+    int reportedLife = life_;
     std::size_t node = 0;
-    bool isKnownToLeave = false;
     while (!stop_) {
-      if (cut_) {
-        SleepMs(50);
+      if (cut_ || dark_) {
+        SleepMs(10);
         continue;
       }
+      if (reportedLife != life_) {
+        reportedLife = life_;
+        sequence = 0;
+      }
       json report{ { "service", options_.service_ },
                    { "address", options_.address_ },
                    { "zone", options_.zone_ },
                    { "version", "v1" },
                    { "slots", 8 },
-                   { "state", draining_ ? "draining" : "ready" },
+                   { "state", "ready" },
                    { "coldRemainingMs", 0 },
                    { "capacity",
                      { { "cpu", options_.cpu_ },
@@ -310,15 +371,11 @@
                        { "gpu", 0 } } },
                    { "labels", options_.labels_ },
                    { "wallClockMs", Now() },
-                   { "born", born_ },
+                   { "born", born_.load() },
                    { "sequence", ++sequence } };
       if (!options_.machine_.empty()) {
         report["machine"] = options_.machine_;
       }
-      if (draining_) {
-        report["drainRemainingMs"] = 2000;
-      }
-      const bool leaves = draining_;
       const auto answer = Call(control_[node % control_.size()],
                                "PUT",
                                "/instances/" + options_.id_,
@@ -330,12 +387,8 @@
         SleepMs(100);
         continue;
       }
-      if (leaves && !isKnownToLeave) {
-        isKnownToLeave = true;
-        log_.Line(options_.id_ + " has its draining acknowledged");
-      }
       for (std::int64_t slept = 0;
-           slept < options_.heartbeatMs_ && !stop_ && leaves == draining_;
+           slept < options_.heartbeatMs_ && !stop_ && reportedLife == life_;
            slept += 20) {
         SleepMs(20);
       }
@@ -343,15 +396,20 @@
   }
 
   static constexpr std::int64_t kClockStart = 600000;
+  static constexpr std::int64_t kLaterClockStart = 150000;
 
   const WorkerOptions options_;
   const std::vector<std::string> control_;
   Record& log_;
-  const std::int64_t startedAt_;
-  const std::int64_t born_;
+  std::atomic<std::int64_t> startedAt_;
+  std::atomic<std::int64_t> born_;
+  std::atomic<std::int64_t> clockStart_{ kClockStart };
+  std::atomic<int> life_{ 1 };
   std::atomic<bool> stop_{ false };
   std::atomic<bool> cut_{ false };
-  std::atomic<bool> draining_{ false };
+  std::atomic<bool> dark_{ false };
+  std::atomic<bool> holdsNextStart_{ false };
+  std::optional<json> heldStart_;
   std::atomic<std::size_t> renewals_{ 0 };
   std::mutex mutex_;
   std::condition_variable changed_;
