--- a/review/standin-3/removed_route.cpp
+++ b/review/standin-3/removed_route.cpp
@@ -8,9 +8,17 @@
 namespace {
 
 constexpr int kWorkers = 4;
-constexpr std::int64_t kWatchMs = 25000;
+// The jobs are looked at this long after the end of the traffic (finish_s).
+constexpr std::int64_t kFinishMs = 14000;
+constexpr std::int64_t kWatchMs = 6000;
 // "for 3 s, a job has nothing running while a task's turn has come".
 constexpr std::int64_t kNothingRunningMs = 3000;
+// All tasks of the case have one size; a step of the job has two.
+constexpr std::int64_t kTaskCores = 1000;
+constexpr std::int64_t kTaskMemoryMb = 512;
+constexpr std::int64_t kStepTasks = 2;
+constexpr std::int64_t kWorkerCores = 16000;
+constexpr std::int64_t kWorkerMemoryMb = 32768;
 
 json
 RouteOf(const std::string& aName, const std::string& aPrefix)
@@ -95,35 +103,63 @@
         log, deployment.Edges(), "POST", other, jobWith("1000"), 5000)) {
     return 2;
   }
-  std::string otherState;
+  const auto endOfTraffic = NowMs();
   std::set<std::string> secondStep;
-  std::int64_t idleSince = 0;
-  std::int64_t longestIdle = 0;
-  const auto until = NowMs() + kWatchMs;
-  while (NowMs() < until && secondStep.size() < 2) {
+  const auto look = [&] {
+    std::int64_t running = 0;
     bool runs = false;
     for (auto& worker : workers) {
       for (const auto& task : worker->Running()) {
-        const bool isOfJob = task.starts_with("00000000000000c1.");
-        runs |= isOfJob;
+        ++running;
+        runs |= task.starts_with("00000000000000c1.");
         if (task.starts_with("00000000000000c1.0.1.")) {
           secondStep.insert(task);
         }
       }
     }
-    idleSince = runs ? 0 : idleSince == 0 ? NowMs() : idleSince;
-    longestIdle =
-      std::max(longestIdle, idleSince == 0 ? 0 : NowMs() - idleSince);
+    return std::pair(running, runs);
+  };
+  while (NowMs() < endOfTraffic + kFinishMs) {
+    look();
+    SleepMs(20);
+  }
+  // The turn of the second step has come: the ends of the first were noted.
+  bool hasTurn = true;
+  for (int index = 0; index < kStepTasks; ++index) {
+    const auto task = "00000000000000c1.0.0." + std::to_string(index);
+    hasTurn &= std::any_of(
+      workers.begin(), workers.end(), [&task](const auto& aWorker) {
+        return aWorker->HasNotedDone(task);
+      });
+  }
+  std::int64_t since = 0;
+  std::int64_t longest = 0;
+  while (NowMs() < endOfTraffic + kFinishMs + kWatchMs) {
+    const auto [running, runs] = look();
+    const auto cores = kWorkers * kWorkerCores;
+    const auto memory = kWorkers * kWorkerMemoryMb;
+    const auto usedCores = running * kTaskCores;
+    const auto usedMemory = running * kTaskMemoryMb;
+    const bool hasRoomTwice =
+      cores - usedCores >= 2 * kStepTasks * kTaskCores &&
+      memory - usedMemory >= 2 * kStepTasks * kTaskMemoryMb;
+    const bool isHalfFree = 2 * usedCores < cores && 2 * usedMemory < memory;
+    const bool stands = !runs && hasTurn && hasRoomTwice && isHalfFree &&
+                        secondStep.size() < kStepTasks;
+    since = !stands ? 0 : since == 0 ? NowMs() : since;
+    longest = std::max(longest, since == 0 ? 0 : NowMs() - since);
     SleepMs(20);
   }
-  otherState = StateOf(log, deployment.Edges()[0], other);
+  const auto otherState = StateOf(log, deployment.Edges()[0], other);
   Send(log, deployment.Edges()[0], "GET", job);
-  log.Line("tasks of the job's second step that began: " +
+  log.Line("finish_s after the traffic: tasks of the job's second step that "
+           "began: " +
            std::to_string(secondStep.size()) +
-           "; longest time in which nothing of the job ran: " +
-           std::to_string(longestIdle) + " ms; the other job is shown as '" +
+           "; its turn has come: " + (hasTurn ? "yes" : "no") +
+           "; longest time with room and nothing of the job running: " +
+           std::to_string(longest) + " ms; the other job is shown as '" +
            otherState + "'");
-  return secondStep.size() < 2 && longestIdle > kNothingRunningMs ? 1 : 0;
+  return longest > kNothingRunningMs ? 1 : 0;
 }
 
 } // namespace review
--- a/review/standin-3/worker.h
+++ b/review/standin-3/worker.h
@@ -128,11 +128,11 @@
     return tasks;
   }
 
-  /// Starts of tasks so far.
-  std::size_t Starts()
+  /// An end `done` of the task here was taken note of.
+  bool HasNotedDone(const std::string& aTask)
   {
     const std::lock_guard lock(mutex_);
-    return starts_;
+    return notedDone_.contains(aTask);
   }
 
 private:
@@ -241,7 +241,6 @@
     }
     const auto spec = aBody.value("spec", std::string());
     runs_[key] = { Now() + std::atoll(spec.c_str()), 0 };
-    ++starts_;
     log_.Line(options_.id_ + " starts " + text);
     return Taken();
   }
@@ -284,6 +283,9 @@
         log_.Line(options_.id_ + ": end of " + end.key_.first + " run " +
                   std::to_string(end.key_.second) + " (" + end.how_ +
                   ") is taken note of");
+        if (end.how_ == "done") {
+          notedDone_.insert(end.key_.first);
+        }
       }
     }
     std::erase_if(ended_, [seen](const End& aEnd) {
@@ -419,7 +421,7 @@
   std::int64_t lastEnd_ = 0;
   std::int64_t fence_ = 0;
   std::int64_t leaseEnd_ = 0;
-  std::size_t starts_ = 0;
+  std::set<std::string> notedDone_;
   Server server_;
   std::thread heartbeat_;
   std::thread timer_;
