--- a/review/standin-3/deployment.h
+++ b/review/standin-3/deployment.h
@@ -2,6 +2,7 @@
 
 #include "record.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -114,14 +115,18 @@
   /// Host number of the platform's interface.
   static constexpr int kVmApiHost = 200;
 
-  /// How often processes of core machines have ended by themselves, by machine.
-  std::vector<int> OwnEndsOfCores()
+  /// How often processes of core machines have ended by themselves since then,
+  /// by machine.
+  std::vector<int> OwnEndsOfCores(std::int64_t aSinceMs)
   {
     const std::lock_guard lock(mutex_);
     std::vector<int> ends;
     for (const auto& node : nodes_) {
       if (node->isCore_) {
-        ends.push_back(node->ownEnds_);
+        ends.push_back(static_cast<int>(
+          std::count_if(node->ownEnds_.begin(),
+                        node->ownEnds_.end(),
+                        [aSinceMs](auto aAt) { return aAt > aSinceMs; })));
       }
     }
     return ends;
@@ -144,7 +149,8 @@
     std::string name_;
     std::string zone_;
     pid_t pid_ = 0;
-    int ownEnds_ = 0;
+    /// When its processes ended by themselves.
+    std::vector<std::int64_t> ownEnds_;
     bool killed_ = false;
     std::int64_t startAt_ = 0;
   };
@@ -210,7 +216,9 @@
             ::waitpid(node->pid_, &status, WNOHANG) == node->pid_) {
           node->pid_ = 0;
           node->startAt_ = NowMs() + kRestartMs;
-          node->ownEnds_ += node->killed_ ? 0 : 1;
+          if (!node->killed_) {
+            node->ownEnds_.push_back(NowMs());
+          }
           log_.Line(node->name_ + (node->killed_ ? " ended" :
                     " ended by itself") +
                     (WIFSIGNALED(status)
