--- a/packages/daemon/table/workload_setting_table.h
+++ b/packages/daemon/table/workload_setting_table.h
@@ -104,7 +104,7 @@
     "max_order_delay_ms",
     SettingType::Integer,
     false,
-    "2000",
+    "12000",
     0,
     600000 },
   { "workload", "keep_ended_s", SettingType::Integer, false, "120", 1, 86400 },
--- a/packages/workload/scheduler.cpp
+++ b/packages/workload/scheduler.cpp
@@ -89,6 +89,10 @@
           run.usesSpareCores_ = spec.usesSpareCores_;
           run.targetMs_ = spec.targetMs_;
           run.isBound_ = WasBound(task, aNow);
+          if (!run.isBound_) {
+            // The former leader may have sent several orders.
+            run.strayStartUntil_ = LastStartArrival(run);
+          }
           run.stopRequested_ = IsOver(job.phase_);
           if (spec.isLongRunning_) {
             run.staleStopFence_ = 0;
--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -249,13 +249,16 @@
                       std::string_view aReason,
                       MonotonicTime aNow);
   /// Moves the runs that the lists show from the former incarnations to the
-  /// worker. Complete lists prove that the others have ended: they are closed.
+  /// worker, and those that the incarnation after it may still start. Complete
+  /// lists prove that the others have ended: they are closed.
   void TakeOverRuns(std::uint32_t aWorker,
                     const WorkerLists& aLists,
                     MonotonicTime aNow);
+  /// The lists of the worker show the run, or deny it.
   void AdoptRun(std::uint32_t aFormer,
                 std::uint32_t aWorker,
                 const TaskKey& aTask,
+                bool aIsShown,
                 MonotonicTime aNow);
   /// Logs which runs of a former incarnation the lists of the next one show.
   void LogNextIncarnation(std::uint32_t aFormer,
@@ -275,6 +278,15 @@
   /// By then a run that is not bound (see RunView::isBound_) has ended on any
   /// incarnation of the silent worker.
   MonotonicTime UnboundRunsEndBy(const WorkerView& aView) const;
+  /// Whether the platform's list shows that no incarnation of the silent worker
+  /// runs it or can start it any more.
+  bool IsProvenEnded(const WorkerView& aView, const RunView& aRun) const;
+  /// Some silent worker has runs that wait for its next incarnation: a list of
+  /// VMs may show that none is running.
+  bool AwaitsAbsence(MonotonicTime aNow) const;
+  /// Notes which silent workers the platform's list shows as not running.
+  void NoteAbsentWorkers(const ListVms& aOrder,
+                         const std::vector<VmListing>& aListed);
   /// Whether the state of a former leader shows that the run is bound.
   bool WasBound(const TaskEntry& aTask, MonotonicTime aNow) const;
   /// Binds the worker's runs that the lists show as running.
@@ -314,7 +326,27 @@
                          std::uint32_t aRun,
                          MonotonicTime aNow);
 
-  // scheduler_run.cpp: start, stop and end of runs.
+  // scheduler_start.cpp: start orders.
+  void SendStart(const PendingStart& aStart, MonotonicTime aNow);
+  /// Whether to send the start of a run again that the worker denies.
+  bool MayRepeatStart(std::uint32_t aWorker,
+                      const RunView& aRun,
+                      MonotonicTime aNow) const;
+  void RepeatStart(std::uint32_t aWorker,
+                   const TaskKey& aTask,
+                   std::uint32_t aRun,
+                   MonotonicTime aNow);
+  /// The run is not on the worker. Closes it once no incarnation of the worker
+  /// can carry out an earlier start order of it; until then it is denied.
+  void RejectRun(std::uint32_t aWorker,
+                 const TaskKey& aTask,
+                 std::uint32_t aRun,
+                 MonotonicTime aNow);
+  /// Until then a later incarnation of the worker may carry out a start order
+  /// of the run.
+  MonotonicTime LastStartArrival(const RunView& aRun) const;
+
+  // scheduler_run.cpp: stop and end of runs.
   RunView* FindRun(std::uint32_t aWorker,
                    const TaskKey& aTask,
                    std::uint32_t aRun);
@@ -337,7 +369,6 @@
   void RecordRunEnd(std::uint32_t aWorker,
                     const EndedRun& aEnd,
                     MonotonicTime aNow);
-  void SendStart(const PendingStart& aStart, MonotonicTime aNow);
   /// Stops the run with the next actions. aIsEviction as RunView::isEviction_.
   void RequestStop(std::uint32_t aWorker, RunView& aRun, bool aIsEviction);
   void SendRequestedStops(MonotonicTime aNow);
--- a/packages/workload/scheduler_incarnation.cpp
+++ b/packages/workload/scheduler_incarnation.cpp
@@ -98,15 +98,18 @@
        each = superseded_.find(each->second)) {
     const auto former = each->second;
     LogNextIncarnation(former, aLists);
-    std::vector<TaskKey> shown;
+    std::vector<std::pair<TaskKey, bool>> adopted;
     for (const auto& [task, run] : views_.at(former).runs_) {
-      if (detail::ShowsRunning(aLists, task, run.run_) ||
-          detail::ShowsEnded(aLists, task, run.run_)) {
-        shown.push_back(task);
+      const bool isShown = detail::ShowsRunning(aLists, task, run.run_) ||
+                           detail::ShowsEnded(aLists, task, run.run_);
+      const bool mayStartLate = LastStartArrival(run) > aNow &&
+                                !IsOver(state_.FindJob(task.job_)->phase_);
+      if (isShown || (mayStartLate && detail::IsComplete(aLists))) {
+        adopted.emplace_back(task, isShown);
       }
     }
-    for (const auto& task : shown) {
-      AdoptRun(former, aWorker, task, aNow);
+    for (const auto& [task, isShown] : adopted) {
+      AdoptRun(former, aWorker, task, isShown, aNow);
     }
   }
   if (const auto former = superseded_.find(aWorker);
@@ -121,6 +124,7 @@
 Scheduler::AdoptRun(std::uint32_t aFormer,
                     std::uint32_t aWorker,
                     const TaskKey& aTask,
+                    bool aIsShown,
                     MonotonicTime aNow)
 {
   auto& former = views_.at(aFormer);
@@ -129,8 +133,10 @@
   const auto& before = former.runs_.at(aTask);
   RunView run;
   run.run_ = before.run_;
-  run.phase_ = RunPhase::Running;
-  run.since_ = before.since_;
+  run.phase_ = aIsShown ? RunPhase::Running : RunPhase::Denied;
+  // The lists that deny a run also let its start be repeated.
+  run.since_ = aIsShown ? before.since_ : MonotonicTime{};
+  run.assignedAt_ = before.assignedAt_;
   run.need_ = before.need_;
   run.isLongRunning_ = before.isLongRunning_;
   run.usesSpareCores_ = before.usesSpareCores_;
@@ -141,7 +147,12 @@
   run.destination_ = before.stopRequested_ ? before.destination_ : 0;
   run.staleStopFence_ = before.staleStopFence_;
   run.startFence_ = FenceOf(worker);
-  run.isBound_ = true;
+  // An order that the lists show was the last one.
+  run.strayStartUntil_ =
+    aIsShown ? before.strayStartUntil_ : LastStartArrival(before);
+  if (aIsShown) {
+    BindRun(run, aNow);
+  }
   former.used_ = Difference(former.used_, ReservedBy(run));
   former.runs_.erase(aTask);
   view.used_ = Sum(view.used_, ReservedBy(run));
@@ -236,6 +247,60 @@
                     LongestLease());
 }
 
+bool
+Scheduler::IsProvenEnded(const WorkerView& aView, const RunView& aRun) const
+{
+  return aView.absentAt_ && aRun.phase_ != RunPhase::Sent &&
+         *aView.absentAt_ >= LastStartArrival(aRun);
+}
+
+bool
+Scheduler::AwaitsAbsence(MonotonicTime aNow) const
+{
+  return std::any_of(views_.begin(), views_.end(), [aNow](const auto& aEntry) {
+    const auto& view = aEntry.second;
+    return view.missedRenewals_ > 0 && aNow >= view.leaseExpiresAt_ &&
+           CountUnboundRuns(view) > 0;
+  });
+}
+
+// An entry that is missing or has no id proves nothing: a list may lack VMs
+// that exist, and entries that cannot be decoded.
+void
+Scheduler::NoteAbsentWorkers(const ListVms& aOrder,
+                             const std::vector<VmListing>& aListed)
+{
+  std::map<std::string_view, const VmListing*> byVm;
+  for (const auto& listing : aListed) {
+    byVm.emplace(listing.vm_, &listing);
+  }
+  for (auto& [number, view] : views_) {
+    if (view.missedRenewals_ == 0) {
+      view.absentAt_.reset();
+      continue;
+    }
+    const auto& worker = *state_.FindWorker(number);
+    const auto found = byVm.find(worker.vm_);
+    if (worker.vm_.empty() || found == byVm.end()) {
+      continue;
+    }
+    const auto& listing = *found->second;
+    const bool isOther =
+      !listing.workerId_.empty() && listing.workerId_ != worker.id_;
+    const bool isAbsent = listing.state_ != VmState::Up || isOther;
+    if (isAbsent != view.absentAt_.has_value()) {
+      LogInfo("the list of VMs shows a silent worker",
+              { { "worker", worker.id_ },
+                { "vm", worker.vm_ },
+                { "absent", isAbsent },
+                { "state", static_cast<int>(listing.state_) },
+                { "listed_worker", listing.workerId_ },
+                { "unbound", CountUnboundRuns(view) } });
+    }
+    view.absentAt_ = isAbsent ? std::optional(aOrder.sentAt_) : std::nullopt;
+  }
+}
+
 bool
 Scheduler::WasBound(const TaskEntry& aTask, MonotonicTime aNow) const
 {
--- a/packages/workload/scheduler_lease.cpp
+++ b/packages/workload/scheduler_lease.cpp
@@ -123,7 +123,7 @@
   const auto unboundEndBy = UnboundRunsEndBy(view);
   std::vector<std::tuple<TaskKey, std::uint32_t, std::string>> expired;
   for (const auto& [task, run] : view.runs_) {
-    if (run.isBound_ || aNow >= unboundEndBy) {
+    if (run.isBound_ || aNow >= unboundEndBy || IsProvenEnded(view, run)) {
       expired.emplace_back(task, run.run_, run.checkpoint_);
     }
   }
@@ -138,6 +138,7 @@
       { "runs", expired.size() },
       { "unbound", CountUnboundRuns(view) },
       { "unbound_wait_ms", std::max(Millis(0), unboundEndBy - aNow).count() },
+      { "absent", view.absentAt_.has_value() },
       { "superseded", view.isSuperseded_ } });
   for (const auto& [task, run, checkpoint] : expired) {
     CloseRun(aWorker, task, run, RunEnd::Lapsed, checkpoint, aNow);
--- a/packages/workload/scheduler_lists.cpp
+++ b/packages/workload/scheduler_lists.cpp
@@ -15,9 +15,6 @@
 
 // Minimum time between two stop orders for the same unexpected run.
 constexpr Millis kUnexpectedStopInterval{ 500 };
-// A start order without an answer is repeated for this time; then the task is
-// placed anew.
-constexpr Millis kMaxRepeatTime{ 3000 };
 // A run ends within this time after its worker has taken the stop order.
 constexpr Millis kMaxStopTime{ 300 };
 
@@ -140,7 +137,8 @@
 // A run in neither list is not on the worker, provided that the lists were made
 // after the order was answered, or under a higher fence: from then on the
 // worker refuses the order. Its next incarnation would not, so that the start
-// is repeated on the same worker, if possible.
+// is repeated on the same worker, if possible, and the task is started nowhere
+// else before the order can have been carried out.
 void
 Scheduler::CheckMissingRuns(std::uint32_t aWorker,
                             const WorkerLists& aLists,
@@ -156,8 +154,6 @@
   }
   std::vector<std::pair<TaskKey, std::uint32_t>> rejected;
   std::vector<std::pair<TaskKey, std::uint32_t>> repeated;
-  const bool mayRepeat =
-    !state_.FindWorker(aWorker)->draining_ && !views_.at(aWorker).evacuating_;
   for (auto& [task, run] : views_.at(aWorker).runs_) {
     if (listed.contains({ task, run.run_ }) ||
         run.phase_ == RunPhase::CommitPending || run.phase_ == RunPhase::Sent ||
@@ -166,31 +162,23 @@
     }
     const bool isFenced = run.phase_ == RunPhase::Unconfirmed &&
                           aOrder.target_.fence_ > run.startFence_;
-    const bool isRecent = run.assignedAt_
-                            ? aNow - *run.assignedAt_ < kMaxRepeatTime
-                            : !run.strayStartUntil_.has_value();
-    if (isFenced && mayRepeat && isRecent && !run.stopRequested_) {
-      run.strayStartUntil_ = aNow + settings_.maxOrderDelay_;
-      run.phase_ = RunPhase::CommitPending;
-      repeated.emplace_back(task, run.run_);
-    } else if (isFenced ||
-               (run.stopAcceptedAt_ && aOrder.sentAt_ > *run.stopAcceptedAt_)) {
-      rejected.emplace_back(task, run.run_);
+    const bool isBarred =
+      run.stopAcceptedAt_ && aOrder.sentAt_ > *run.stopAcceptedAt_;
+    if (isFenced || isBarred || run.phase_ == RunPhase::Denied) {
+      run.strayStartUntil_ = LastStartArrival(run);
+      run.phase_ = RunPhase::Denied;
+      (MayRepeatStart(aWorker, run, aNow) ? repeated : rejected)
+        .emplace_back(task, run.run_);
     } else {
       run.phase_ = RunPhase::Unconfirmed;
       RequestStop(aWorker, run, false);
     }
   }
   for (const auto& [task, run] : rejected) {
-    CloseRun(aWorker, task, run, RunEnd::Rejected, {}, aNow);
-    placementDue_ = true;
+    RejectRun(aWorker, task, run, aNow);
   }
   for (const auto& [task, run] : repeated) {
-    LogInfo("repeating a start order that got no answer",
-            { { "task", TaskText(task) },
-              { "run", run },
-              { "worker", state_.FindWorker(aWorker)->id_ } });
-    SendStart({ task, run, aWorker }, aNow);
+    RepeatStart(aWorker, task, run, aNow);
   }
 }
 
--- a/packages/workload/scheduler_pools.cpp
+++ b/packages/workload/scheduler_pools.cpp
@@ -148,7 +148,8 @@
   if (sparePool.empty() || !settings_.movesVms_) {
     return;
   }
-  RefreshVmList(IsVmListDoubted() ? kDoubtedListInterval : kSpareListInterval,
+  RefreshVmList(IsVmListDoubted() || AwaitsAbsence(aNow) ? kDoubtedListInterval
+                                                         : kSpareListInterval,
                 aNow);
   ForgetEndedMoves(aNow);
   RetryMoves(aNow);
--- a/packages/workload/scheduler_run.cpp
+++ b/packages/workload/scheduler_run.cpp
@@ -6,7 +6,7 @@
 #include <algorithm>
 #include <numeric>
 
-// Start, stop and end of runs; draining workers.
+// Stop and end of runs; draining workers.
 
 namespace acaciahill {
 
@@ -16,11 +16,8 @@
 constexpr Millis kStopRetry{ 100 };
 // Failed runs since the last success after which a worker is avoided.
 constexpr int kFailuresToAvoid = 3;
-// Time for which a worker is avoided after failures, or after it refused an
-// order because it was unavailable or full.
+// Time for which a worker is avoided after failures.
 constexpr Millis kAvoidFailing{ 4000 };
-constexpr Millis kAvoidUnavailable{ 1000 };
-constexpr Millis kAvoidFull{ 200 };
 // Tasks that can be resumed are stopped this long before a draining worker
 // exits, which leaves time for the stop, the next list and a new start.
 constexpr Millis kDrainStopMargin{ 700 };
@@ -200,88 +197,6 @@
   }
 }
 
-void
-Scheduler::SendStart(const PendingStart& aStart, MonotonicTime aNow)
-{
-  auto* run = FindRun(aStart.worker_, aStart.task_, aStart.run_);
-  if (run == nullptr || run->phase_ != RunPhase::CommitPending) {
-    return;
-  }
-  const auto* worker = state_.FindWorker(aStart.worker_);
-  if (run->stopRequested_ || worker->draining_ ||
-      views_.at(aStart.worker_).isSuperseded_) {
-    // No order was sent, so the run can never start.
-    CloseRun(
-      aStart.worker_, aStart.task_, aStart.run_, RunEnd::Rejected, {}, aNow);
-    placementDue_ = true;
-    return;
-  }
-  run->phase_ = RunPhase::Sent;
-  run->since_ = aNow;
-  const auto* job = state_.FindJob(aStart.task_.job_);
-  auto target = MakeTarget(aStart.worker_, aNow);
-  run->startFence_ = target.fence_;
-  actions_.emplace_back(StartRun{ std::move(target),
-                                  aStart.task_,
-                                  aStart.run_,
-                                  job->spec_.payload_,
-                                  CheckpointOf(aStart.task_) });
-}
-
-void
-Scheduler::HandleStart(const StartRun& aOrder,
-                       const OrderAnswer& aAnswer,
-                       MonotonicTime aNow)
-{
-  const auto worker = aOrder.target_.worker_;
-  if (HandleCommonOutcome(aOrder.target_, aAnswer, aNow)) {
-    return;
-  }
-  auto* run = FindRun(worker, aOrder.task_, aOrder.run_);
-  if (run == nullptr) {
-    return;
-  }
-  auto& view = views_.at(worker);
-  switch (aAnswer.outcome_) {
-    case OrderOutcome::Taken:
-      if (run->phase_ == RunPhase::Sent) {
-        run->phase_ = RunPhase::Running;
-        run->since_ = aNow;
-      }
-      if (IsOwnClock(view, aAnswer, aNow)) {
-        BindRun(*run, aNow);
-      }
-      return;
-    case OrderOutcome::Unknown:
-    case OrderOutcome::TooOld:
-      // The order may be carried out seconds later. A renewal under a higher
-      // fence prevents that, and its lists tell whether the run has started: a
-      // run in progress goes on.
-      if (run->phase_ == RunPhase::Sent) {
-        ++view.unclearOrders_;
-        run->phase_ = RunPhase::Unconfirmed;
-        run->since_ = aNow;
-        unsettledWorkers_.insert(worker);
-      }
-      return;
-    case OrderOutcome::NoRoom:
-      view.avoidUntil_ = std::max(view.avoidUntil_, aNow + kAvoidFull);
-      break;
-    case OrderOutcome::WorkerUnavailable:
-      view.avoidUntil_ = std::max(view.avoidUntil_, aNow + kAvoidUnavailable);
-      break;
-    default:
-      break;
-  }
-  LogInfo("worker refused a start",
-          { { "task", TaskText(aOrder.task_) },
-            { "run", aOrder.run_ },
-            { "worker", aOrder.target_.id_ },
-            { "outcome", static_cast<int>(aAnswer.outcome_) } });
-  CloseRun(worker, aOrder.task_, aOrder.run_, RunEnd::Rejected, {}, aNow);
-  placementDue_ = true;
-}
-
 void
 Scheduler::HandleStop(const StopRun& aOrder,
                       const OrderAnswer& aAnswer,
--- a/packages/workload/scheduler_upkeep.cpp
+++ b/packages/workload/scheduler_upkeep.cpp
@@ -166,6 +166,7 @@
               { "outdated", outdated },
               { "took_ms", (aNow - aOrder.sentAt_).count() } });
   }
+  NoteAbsentWorkers(aOrder, *aVms);
   SettleUnclearMoves(aOrder, *aVms, aNow);
   const auto unlisted = ExpectUnlistedVms(aOrder, listed);
   DropUnlistedVms(aOrder, listed, unlisted);
--- a/packages/workload/test/returned_worker_test.cpp
+++ b/packages/workload/test/returned_worker_test.cpp
@@ -1,10 +1,7 @@
-#include "workload/test/single_worker.h"
+#include "workload/test/returned_worker.h"
 
 #include <catch2/catch.hpp>
 
-#include <algorithm>
-#include <memory>
-
 using namespace acaciahill;
 using namespace acaciahill::test;
 
@@ -28,203 +25,6 @@
   return settings;
 }
 
-/// A worker "w" that crashes and comes back, and a worker "spare" that always
-/// answers with what it was told to start.
-class ReturnedWorker
-{
-public:
-  ReturnedWorker()
-    : scheduler_(
-        std::make_unique<Scheduler>(Workload{}, TestSettings(), term_, now_))
-  {
-    scheduler_->UseConfig(OnePool(), now_);
-    Report("w", 1);
-    Exchange();
-    AnswerRenewalsOf("w", 1, {});
-    auto spec = OneStepJob(1);
-    spec.steps_[0].tasks_ = 1;
-    scheduler_->SubmitJob(nextToken_++, spec, now_);
-    Exchange();
-    REQUIRE(starts_.size() == 1);
-    Report("spare", 1);
-    RunFor(Scheduler::kTick);
-  }
-
-  void Report(const std::string& aId, std::uint64_t aProcessStartMs)
-  {
-    auto report = ReportOf(aProcessStartMs, ++reports_);
-    report.worker_.id_ = aId;
-    report.worker_.address_ = aId;
-    scheduler_->ReportWorker(nextToken_++, report, now_);
-  }
-
-  /// Advances the time; the spare worker answers all along.
-  void RunFor(Millis aTime)
-  {
-    for (const auto until = now_ + aTime; now_ < until;) {
-      now_ += Scheduler::kTick;
-      scheduler_->ConfirmAuthority(now_);
-      AnswerRenewalsOfSpare();
-      scheduler_->Tick(now_, 0);
-      Exchange();
-    }
-  }
-
-  /// The worker answers the open renewals of its number. A restarted one has
-  /// another start of its process.
-  void AnswerRenewalsOf(const std::string& aId,
-                        std::uint64_t aProcessStartMs,
-                        const std::vector<RunningTask>& aRunning,
-                        const std::vector<EndedRun>& aEnded = {})
-  {
-    const auto renewals = TakeRenewals(aId);
-    REQUIRE_FALSE(renewals.empty());
-    for (const auto& renewal : renewals) {
-      scheduler_->HandleRenewal(
-        renewal,
-        { OrderOutcome::Taken, 5000 },
-        WorkerLists{ 5000, aProcessStartMs, aRunning, aEnded, 0 },
-        now_);
-    }
-    Exchange();
-  }
-
-  void LoseRenewalsOf(const std::string& aId)
-  {
-    for (const auto& renewal : TakeRenewals(aId)) {
-      scheduler_->HandleRenewal(renewal, {}, std::nullopt, now_);
-    }
-    Exchange();
-  }
-
-  /// The clock in the answer tells which incarnation has carried out the order.
-  void AnswerStart(OrderOutcome aOutcome, std::int64_t aClockMs)
-  {
-    scheduler_->HandleStart(starts_.front(), { aOutcome, aClockMs }, now_);
-    Exchange();
-  }
-
-  /// An earlier renewal is answered only now.
-  void AnswerLate(const RenewLease& aRenewal,
-                  std::uint64_t aProcessStartMs,
-                  const std::vector<RunningTask>& aRunning)
-  {
-    scheduler_->HandleRenewal(
-      aRenewal,
-      { OrderOutcome::Taken, 5000 },
-      WorkerLists{ 5000, aProcessStartMs, aRunning, {}, 0 },
-      now_);
-    Exchange();
-  }
-  RenewLease TakeRenewal(const std::string& aId)
-  {
-    const auto taken = TakeRenewals(aId);
-    REQUIRE_FALSE(taken.empty());
-    return taken.front();
-  }
-  void Leave(const std::string& aId, std::uint64_t aProcessStartMs)
-  {
-    scheduler_->RemoveWorker(nextToken_++, aId, aProcessStartMs, now_);
-    Exchange();
-  }
-  /// Another job, which advances the logical time of the state.
-  void SubmitJob(JobId aJob)
-  {
-    auto spec = OneStepJob(aJob);
-    spec.steps_[0].tasks_ = 1;
-    scheduler_->SubmitJob(nextToken_++, spec, now_);
-    Exchange();
-  }
-
-  /// The next leader starts from the committed state.
-  void ChangeLeader()
-  {
-    const auto state = scheduler_->State();
-    scheduler_ =
-      std::make_unique<Scheduler>(state, TestSettings(), ++term_, now_);
-    scheduler_->UseConfig(OnePool(), now_);
-    renewals_.clear();
-    Exchange();
-  }
-
-  RunningTask FirstRun() const
-  {
-    return { starts_.front().task_, starts_.front().run_, {}, 50, {} };
-  }
-  EndedRun EndOfFirstRun(RunEnd aEnd) const
-  {
-    return { 1, starts_.front().task_, starts_.front().run_, aEnd, {} };
-  }
-  /// Number of starts of the task on any worker.
-  std::size_t Starts() const
-  {
-    return static_cast<std::size_t>(
-      std::count_if(starts_.begin(), starts_.end(), [](const auto& aStart) {
-        return aStart.task_.job_ == 1;
-      }));
-  }
-  std::size_t Stops() const { return stops_; }
-  std::size_t Orders() const { return starts_.size() + stops_; }
-  JobPhase Phase() const { return scheduler_->State().FindJob(1)->phase_; }
-  MonotonicTime Now() const { return now_; }
-
-private:
-  std::vector<RenewLease> TakeRenewals(const std::string& aId)
-  {
-    std::vector<RenewLease> taken;
-    std::erase_if(renewals_, [&](const auto& aRenewal) {
-      const bool isOfWorker = aRenewal.target_.id_ == aId;
-      if (isOfWorker) {
-        taken.push_back(aRenewal);
-      }
-      return isOfWorker;
-    });
-    return taken;
-  }
-
-  void Exchange()
-  {
-    for (auto actions = scheduler_->TakeActions(now_); !actions.empty();
-         actions = scheduler_->TakeActions(now_)) {
-      for (const auto& action : actions) {
-        if (const auto* batch = std::get_if<AppendBatch>(&action)) {
-          scheduler_->HandleCommit(batch->batch_, now_);
-        } else if (const auto* start = std::get_if<StartRun>(&action)) {
-          starts_.push_back(*start);
-        } else if (const auto* renewal = std::get_if<RenewLease>(&action)) {
-          renewals_.push_back(*renewal);
-        } else if (std::holds_alternative<StopRun>(action)) {
-          ++stops_;
-        }
-      }
-    }
-  }
-
-  /// The spare worker runs all that it was told to start.
-  void AnswerRenewalsOfSpare()
-  {
-    WorkerLists lists{ 5000, 1, {}, {}, 0 };
-    for (const auto& start : starts_) {
-      if (start.target_.id_ == "spare") {
-        lists.running_.push_back({ start.task_, start.run_, {}, 50, {} });
-      }
-    }
-    for (const auto& renewal : TakeRenewals("spare")) {
-      scheduler_->HandleRenewal(
-        renewal, { OrderOutcome::Taken, 5000 }, lists, now_);
-    }
-  }
-
-  MonotonicTime now_ = kStart;
-  std::uint64_t term_ = 1;
-  std::uint64_t reports_ = 0;
-  RequestToken nextToken_ = 1;
-  std::unique_ptr<Scheduler> scheduler_;
-  std::vector<StartRun> starts_;
-  std::vector<RenewLease> renewals_;
-  std::size_t stops_ = 0;
-};
-
 } // namespace
 
 // Guards against a task that runs twice (TWICE, issue 57): the next incarnation
@@ -243,7 +43,7 @@
                   { "the start got no answer", OrderOutcome::Unknown, false },
                   { "under a new leader", OrderOutcome::Unknown, true } }));
   INFO(row.name_);
-  ReturnedWorker test;
+  ReturnedWorker test(TestSettings());
   test.AnswerStart(row.startOutcome_, kNewClockMs);
   test.LoseRenewalsOf("w");
   if (row.changesLeader_) {
@@ -267,7 +67,7 @@
 TEST_CASE("a run that the next incarnation denies starts again at once")
 {
   const auto outcome = GENERATE(OrderOutcome::Taken, OrderOutcome::Unknown);
-  ReturnedWorker test;
+  ReturnedWorker test(TestSettings());
   test.AnswerStart(outcome, kNewClockMs);
   test.LoseRenewalsOf("w");
   test.Report("w", 2);
@@ -337,7 +137,7 @@
       kLatest },
   }));
   INFO(row.name_);
-  ReturnedWorker test;
+  ReturnedWorker test(TestSettings());
   test.AnswerStart(row.startOutcome_, row.answerClockMs_);
   if (row.isListed_) {
     test.RunFor(Scheduler::kTick);
@@ -366,7 +166,7 @@
 TEST_CASE("a worker that is back and falls silent may hold a long lease")
 {
   const bool changesLeader = GENERATE(false, true);
-  ReturnedWorker test;
+  ReturnedWorker test(TestSettings());
   test.AnswerStart(OrderOutcome::Taken, kNewClockMs);
   test.LoseRenewalsOf("w");
   test.Report("w", 2);
@@ -404,7 +204,7 @@
     { "left, run not shown", true, false },
   }));
   INFO(row.name_);
-  ReturnedWorker test;
+  ReturnedWorker test(TestSettings());
   test.AnswerStart(OrderOutcome::Taken, kNewClockMs);
   const auto late = test.TakeRenewal("w");
   if (row.leaves_) {
@@ -429,7 +229,7 @@
 // changes.
 TEST_CASE("a run that was started late outlives a change of leader")
 {
-  ReturnedWorker test;
+  ReturnedWorker test(TestSettings());
   test.AnswerStart(OrderOutcome::Unknown, 0);
   test.LoseRenewalsOf("w");
   const auto silentSince = test.Now();
@@ -452,7 +252,7 @@
 // that its new process seems to have started before the former one.
 TEST_CASE("a worker whose process seems to start earlier registers")
 {
-  ReturnedWorker test;
+  ReturnedWorker test(TestSettings());
   test.AnswerStart(OrderOutcome::Taken, kNewClockMs);
   test.AnswerRenewalsOf("w", 0, { test.FirstRun() });
   test.Report("w", 0);
--- a/packages/workload/test/scheduler_driver.cpp
+++ b/packages/workload/test/scheduler_driver.cpp
@@ -20,7 +20,6 @@
 
 constexpr Millis kStep{ 10 };
 constexpr Millis kCommitTime{ 20 };
-constexpr Millis kCrashTime{ 3000 };
 constexpr Millis kDrainTime{ 2000 };
 constexpr Millis kPlannedRestartTime{ 600 };
 constexpr Millis kPartitionTime{ 9000 };
@@ -258,7 +257,7 @@
   constexpr Millis kOtherClock{ 700000 };
   worker.clockStart_ = born % 2 == 0 ? now_ : now_ - kOtherClock;
   worker.up_ = false;
-  unavailableUntil_[aId] = now_ + kCrashTime;
+  unavailableUntil_[aId] = now_ + crashTime_;
 }
 
 void
--- a/packages/workload/test/scheduler_driver.h
+++ b/packages/workload/test/scheduler_driver.h
@@ -208,6 +208,8 @@
   /// A worker that is back also carries out late orders that its former process
   /// would have refused for a newer one.
   bool carriesOutOvertaken_ = false;
+  /// Time until a crashed worker is back.
+  Millis crashTime_{ 3000 };
   /// VMs that exist, but that the platform's list lacks.
   std::set<std::string> unlistedVms_;
   void SetFaults(FaultRates aFaults) { faults_ = aFaults; }
--- a/packages/workload/worker_view_type.h
+++ b/packages/workload/worker_view_type.h
@@ -18,6 +18,8 @@
   CommitPending, ///< The assignment is not committed; no order was sent.
   Sent,          ///< The start order was sent and has no answer yet.
   Unconfirmed,   ///< The order got no answer, or no list has the run.
+  Denied,        ///< Not on the worker. An earlier order may still start it on
+                 ///< a later incarnation, so that it is started nowhere else.
   Running,       ///< The worker confirmed the run.
 };
 
@@ -60,9 +62,11 @@
   std::optional<MonotonicTime> staleStopBarredAt_;
   /// Fence of the start order; 0 when a former leader sent the order.
   std::uint64_t startFence_ = 0;
-  /// The start order was sent a second time. Until then a later incarnation may
-  /// carry out the first one, which got no answer.
+  /// Until then a later incarnation may carry out a start order that got no
+  /// answer and was sent again since.
   std::optional<MonotonicTime> strayStartUntil_;
+  /// When the worker first denied the run; its start is repeated since.
+  std::optional<MonotonicTime> repeatedSince_;
   /// This incarnation has carried out the start order, so that no later one
   /// can: a list has shown the run, or the clock in the answer to the order is
   /// that of this incarnation. The answer alone does not prove that, as
@@ -109,6 +113,9 @@
   MonotonicTime provenAt_{};
   /// The clock in that answer.
   std::int64_t provenClockMs_ = 0;
+  /// While the worker is silent: send time of the last list of VMs by which no
+  /// incarnation of it was running. Nothing once a list shows its VM as up.
+  std::optional<MonotonicTime> absentAt_;
   MonotonicTime boundNotedAt_{};
   /// Start of the process that has answered for an ended incarnation. It may be
   /// earlier than that of the incarnation when the time of day was set back.
--- a/packages/workload/workload.cpp
+++ b/packages/workload/workload.cpp
@@ -218,8 +218,10 @@
   auto* task = FindMutableTask(aEvent.task_);
   if (task != nullptr && task->state_ == TaskState::Assigned &&
       task->run_ == aEvent.run_) {
+    if (task->worker_ == aEvent.worker_) {
+      task->assignedAtMs_ = std::max<std::uint64_t>(1, logicalMs_);
+    }
     task->worker_ = aEvent.worker_;
-    task->assignedAtMs_ = 0;
   }
 }
 
--- a/packages/workload/workload_event_type.h
+++ b/packages/workload/workload_event_type.h
@@ -73,8 +73,8 @@
   bool operator==(const RunClosed&) const = default;
 };
 
-/// The next incarnation of a worker goes on with a run: it has carried out the
-/// start order of the former one.
+/// A run goes on with the next incarnation of its worker, or on the same one,
+/// where its start order is sent again after the commit.
 struct RunAdopted
 {
   TaskKey task_;
--- a/packages/workload/workload_type.h
+++ b/packages/workload/workload_type.h
@@ -212,8 +212,8 @@
   std::uint32_t failures_ = 0;
   /// Checkpoint of the next run; empty to start from the beginning.
   std::string checkpoint_;
-  /// Logical time of the last assignment. 0 when its start order is certainly
-  /// not on its way any more.
+  /// Logical time of the assignment, or when its start order was last sent
+  /// again; 0 in states of an older format.
   std::uint64_t assignedAtMs_ = 0;
 
   bool operator==(const TaskEntry&) const = default;
