--- a/packages/workload/scheduler.cpp
+++ b/packages/workload/scheduler.cpp
@@ -79,7 +79,7 @@
           if (task.state_ != TaskState::Assigned || view == nullptr) {
             continue;
           }
-          const auto& spec = job.spec_.steps_[step];
+          const auto& spec = StepOf(job, step);
           RunView run;
           run.run_ = task.run_;
           run.phase_ = RunPhase::Unconfirmed;
--- a/packages/workload/scheduler_attempts.cpp
+++ b/packages/workload/scheduler_attempts.cpp
@@ -26,7 +26,7 @@
   for (const auto& [number, occurrence] : aJob.occurrences_) {
     for (std::uint32_t step = 0; step < occurrence.steps_.size(); ++step) {
       const auto& tasks = occurrence.steps_[step];
-      if (aJob.spec_.steps_[step].isLongRunning_) {
+      if (StepOf(aJob, step).isLongRunning_) {
         continue;
       }
       for (std::uint32_t index = 0; index < tasks.size(); ++index) {
--- a/packages/workload/scheduler_evacuation.cpp
+++ b/packages/workload/scheduler_evacuation.cpp
@@ -176,9 +176,9 @@
   MonotonicTime aNow) const
 {
   const auto& job = *state_.FindJob(aTask.job_);
-  const auto& step = job.spec_.steps_[aTask.step_];
-  const auto peers = CountTasksByWorker(
-    job.occurrences_.at(aTask.occurrence_).steps_[aTask.step_]);
+  const auto& step = StepOf(job, aTask.step_);
+  const auto peers =
+    CountTasksByWorker(TasksOf(job, aTask.occurrence_, aTask.step_));
   const auto hasPlace = [&](std::uint32_t aNumber) {
     const auto& view = views_.at(aNumber);
     const auto& worker = *state_.FindWorker(aNumber);
--- a/packages/workload/scheduler_incarnation.cpp
+++ b/packages/workload/scheduler_incarnation.cpp
@@ -160,7 +160,7 @@
   unsettledWorkers_.insert(aWorker);
   Decide(RunAdopted{ aTask, run.run_, aWorker }, aNow);
 
-  const auto& step = state_.FindJob(aTask.job_)->spec_.steps_[aTask.step_];
+  const auto& step = StepOf(*state_.FindJob(aTask.job_), aTask.step_);
   const auto& labels = worker.labels_;
   const bool isFit =
     worker.pool_ == state_.FindWorker(aFormer)->pool_ &&
--- a/packages/workload/scheduler_lists.cpp
+++ b/packages/workload/scheduler_lists.cpp
@@ -78,10 +78,10 @@
   const auto* job = state_.FindJob(aEnd.task_.job_);
   if (task == nullptr || task->state_ != TaskState::Waiting ||
       task->run_ != aEnd.run_ || IsOver(job->phase_) ||
-      job->spec_.steps_[aEnd.task_.step_].isLongRunning_) {
+      StepOf(*job, aEnd.task_.step_).isLongRunning_) {
     return;
   }
-  const bool isGang = job->spec_.steps_[aEnd.task_.step_].gang_;
+  const bool isGang = StepOf(*job, aEnd.task_.step_).gang_;
   Decide(RunClosed{ aEnd.task_, aEnd.run_, RunEnd::Done, {}, false }, aNow);
   if (isGang) {
     EndGang(aEnd.task_, aEnd.run_, RunEnd::Done, aNow);
--- a/packages/workload/scheduler_lookahead.cpp
+++ b/packages/workload/scheduler_lookahead.cpp
@@ -74,13 +74,13 @@
                        MonotonicTime aNow)
 {
   const auto& job = *state_.FindJob(aReady.job_);
-  const auto& step = job.spec_.steps_[aReady.step_];
+  const auto& step = StepOf(job, aReady.step_);
   if (aReserved.IsFull() || step.gang_) {
     return;
   }
   const auto& need = aReady.need_.perTask_;
-  const auto peers = CountTasksByWorker(
-    job.occurrences_.at(aReady.occurrence_).steps_[aReady.step_]);
+  const auto peers =
+    CountTasksByWorker(TasksOf(job, aReady.occurrence_, aReady.step_));
   const TaskKey key{ aReady.job_, aReady.occurrence_, aReady.step_, 0 };
   const auto reservedWorker = reservedSteps_.WorkerOf(key);
   std::vector<const UsableWorker*> candidates;
--- a/packages/workload/scheduler_place.cpp
+++ b/packages/workload/scheduler_place.cpp
@@ -108,10 +108,10 @@
       return aTask.state_ == TaskState::Waiting;
     });
   if (!hasWaiting ||
-      !AreDependenciesDone(occurrence->second, aJob.spec_.steps_[aStep])) {
+      !AreDependenciesDone(occurrence->second, StepOf(aJob, aStep))) {
     return;
   }
-  const auto& spec = aJob.spec_.steps_[aStep];
+  const auto& spec = StepOf(aJob, aStep);
   const bool hasStarted = !spec.after_.empty() || HasStarted(tasks);
   ready_[queue->second.pool_].insert(
     { queue->second.priority_,
@@ -226,9 +226,8 @@
 bool
 Scheduler::HasStartedTasks(const ReadyStep& aReady) const
 {
-  return HasStarted(state_.FindJob(aReady.job_)
-                      ->occurrences_.at(aReady.occurrence_)
-                      .steps_[aReady.step_]);
+  return HasStarted(
+    TasksOf(*state_.FindJob(aReady.job_), aReady.occurrence_, aReady.step_));
 }
 
 void
@@ -325,7 +324,7 @@
   if (occurrence == job->occurrences_.end()) {
     return true;
   }
-  const auto& step = job->spec_.steps_[aReady.step_];
+  const auto& step = StepOf(*job, aReady.step_);
   if (step.gang_) {
     return PlaceGang(aReady, aWorkers, aShortage, aNow);
   }
@@ -374,9 +373,8 @@
                      MonotonicTime aNow)
 {
   const auto* job = state_.FindJob(aReady.job_);
-  const auto& step = job->spec_.steps_[aReady.step_];
-  const auto& tasks =
-    job->occurrences_.at(aReady.occurrence_).steps_[aReady.step_];
+  const auto& step = StepOf(*job, aReady.step_);
+  const auto& tasks = TasksOf(*job, aReady.occurrence_, aReady.step_);
   std::uint32_t run = 0;
   for (const auto& task : tasks) {
     if (task.state_ != TaskState::Waiting) {
--- a/packages/workload/scheduler_room.cpp
+++ b/packages/workload/scheduler_room.cpp
@@ -25,9 +25,9 @@
                                UsableWorkers& aWorkers) const
 {
   const auto& job = *state_.FindJob(aReady.job_);
-  const auto& step = job.spec_.steps_[aReady.step_];
-  const auto tasksByWorker = CountTasksByWorker(
-    job.occurrences_.at(aReady.occurrence_).steps_[aReady.step_]);
+  const auto& step = StepOf(job, aReady.step_);
+  const auto tasksByWorker =
+    CountTasksByWorker(TasksOf(job, aReady.occurrence_, aReady.step_));
   auto best = aWorkers.end();
   for (auto worker = aWorkers.begin(); worker != aWorkers.end(); ++worker) {
     const auto onWorker = tasksByWorker.find(worker->number_);
@@ -82,8 +82,7 @@
       if (job == nullptr || IsOver(job->phase_)) {
         continue;
       }
-      const auto& tasks =
-        job->occurrences_.at(step.occurrence_).steps_[step.step_];
+      const auto& tasks = TasksOf(*job, step.occurrence_, step.step_);
       pools[pool][{ step.job_, step.occurrence_, step.step_, 0 }] +=
         static_cast<std::uint32_t>(
           std::count_if(tasks.begin(), tasks.end(), [](const auto& aTask) {
@@ -110,7 +109,7 @@
 {
   std::size_t spread = 0;
   for (const auto& [first, count] : aTasks) {
-    const auto& step = state_.FindJob(first.job_)->spec_.steps_[first.step_];
+    const auto& step = StepOf(*state_.FindJob(first.job_), first.step_);
     if (step.maxPerWorker_ > 0) {
       spread = std::max<std::size_t>(
         spread, (step.tasks_ + step.maxPerWorker_ - 1) / step.maxPerWorker_);
@@ -162,10 +161,10 @@
   const WorkerView addedView;
   for (const auto& [first, count] : aTasks) {
     const auto& job = *state_.FindJob(first.job_);
-    const auto& step = job.spec_.steps_[first.step_];
+    const auto& step = StepOf(job, first.step_);
     const auto need = ReservedBy(step.need_, step.usesSpareCores_);
-    const auto peers = CountTasksByWorker(
-      job.occurrences_.at(first.occurrence_).steps_[first.step_]);
+    const auto peers =
+      CountTasksByWorker(TasksOf(job, first.occurrence_, first.step_));
     auto left = count;
     const auto placeOn = [&](UsableWorker& aWorker) {
       const auto onWorker = peers.find(aWorker.number_);
--- a/packages/workload/scheduler_run.cpp
+++ b/packages/workload/scheduler_run.cpp
@@ -63,10 +63,10 @@
   view.idleSince_.reset();
 
   const auto phaseBefore = job->phase_;
-  const bool isGang = job->spec_.steps_[aTask.step_].gang_;
-  const bool isLast =
-    aEnd == RunEnd::Failed && !lasts &&
-    IsBudgetSpent(*job, state_.FindTask(aTask)->failures_ + 1);
+  const bool isGang = StepOf(*job, aTask.step_).gang_;
+  const auto* task = state_.FindTask(aTask);
+  const bool isLast = aEnd == RunEnd::Failed && !lasts && task != nullptr &&
+                      IsBudgetSpent(*job, task->failures_ + 1);
   if (aEnd != RunEnd::Done && aEnd != RunEnd::Stopped) {
     LogInfo("run ended before it was done",
             { { "task", TaskText(aTask) },
@@ -110,8 +110,7 @@
                    RunEnd aEnd,
                    MonotonicTime aNow)
 {
-  const auto members =
-    state_.FindJob(aTask.job_)->spec_.steps_[aTask.step_].tasks_;
+  const auto members = StepOf(*state_.FindJob(aTask.job_), aTask.step_).tasks_;
   for (std::uint32_t index = 0; index < members; ++index) {
     const TaskKey peer{ aTask.job_, aTask.occurrence_, aTask.step_, index };
     const auto* task = state_.FindTask(peer);
@@ -140,11 +139,10 @@
 {
   const auto& job = *state_.FindJob(aTask.job_);
   const auto& own = state_.FindTask(aTask)->checkpoint_;
-  if (!job.spec_.steps_[aTask.step_].gang_) {
+  if (!StepOf(job, aTask.step_).gang_) {
     return own;
   }
-  const auto& tasks =
-    job.occurrences_.at(aTask.occurrence_).steps_[aTask.step_];
+  const auto& tasks = TasksOf(job, aTask.occurrence_, aTask.step_);
   const auto saved =
     std::find_if(tasks.begin(), tasks.end(), [](const auto& aMember) {
       return !aMember.checkpoint_.empty();
@@ -162,7 +160,7 @@
   }
   // A completed task may make dependent steps ready; otherwise the task itself
   // waits again.
-  if (aEnd == RunEnd::Done && !job->spec_.steps_[aTask.step_].isLongRunning_) {
+  if (aEnd == RunEnd::Done && !StepOf(*job, aTask.step_).isLongRunning_) {
     for (std::uint32_t step = 0; step < job->spec_.steps_.size(); ++step) {
       QueueStep(*job, aTask.occurrence_, step);
     }
@@ -310,7 +308,7 @@
       if (IsOver(job->phase_) || run.stopRequested_) {
         continue;
       }
-      const auto& step = job->spec_.steps_[task.step_];
+      const auto& step = StepOf(*job, task.step_);
       if (run.isLongRunning_) {
         run.destination_ = FindDestination(task, number, usable);
       }
@@ -326,8 +324,7 @@
 Scheduler::CountUnavailablePeers(const TaskKey& aTask) const
 {
   const auto& job = *state_.FindJob(aTask.job_);
-  const auto& tasks =
-    job.occurrences_.at(aTask.occurrence_).steps_[aTask.step_];
+  const auto& tasks = TasksOf(job, aTask.occurrence_, aTask.step_);
   std::uint32_t unavailable = 0;
   for (std::uint32_t index = 0; index < tasks.size(); ++index) {
     if (index == aTask.index_) {
@@ -352,7 +349,7 @@
 std::uint32_t
 Scheduler::AbsenceBudgetOf(const TaskKey& aTask) const
 {
-  const auto& step = state_.FindJob(aTask.job_)->spec_.steps_[aTask.step_];
+  const auto& step = StepOf(*state_.FindJob(aTask.job_), aTask.step_);
   // Without a budget one task of the step is moved at a time.
   return std::max(1U, step.absenceBudget_);
 }
@@ -369,9 +366,8 @@
                            UsableByPool& aUsable)
 {
   const auto& job = *state_.FindJob(aTask.job_);
-  const auto& step = job.spec_.steps_[aTask.step_];
-  const auto& tasks =
-    job.occurrences_.at(aTask.occurrence_).steps_[aTask.step_];
+  const auto& step = StepOf(job, aTask.step_);
+  const auto& tasks = TasksOf(job, aTask.occurrence_, aTask.step_);
   const auto usable = aUsable.find(state_.FindWorker(aWorker)->pool_);
   if (usable == aUsable.end()) {
     return 0;
--- a/packages/workload/scheduler_waits.cpp
+++ b/packages/workload/scheduler_waits.cpp
@@ -33,8 +33,7 @@
     if (job == nullptr || IsOver(job->phase_)) {
       continue;
     }
-    const auto& tasks =
-      job->occurrences_.at(step.occurrence_).steps_[step.step_];
+    const auto& tasks = TasksOf(*job, step.occurrence_, step.step_);
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
       if (tasks[index].state_ == TaskState::Waiting) {
         waitingSince_.try_emplace(
@@ -101,9 +100,8 @@
                              MonotonicTime aNow) const
 {
   const auto& job = *state_.FindJob(aReady.job_);
-  const auto& step = job.spec_.steps_[aReady.step_];
-  const auto& tasks =
-    job.occurrences_.at(aReady.occurrence_).steps_[aReady.step_];
+  const auto& step = StepOf(job, aReady.step_);
+  const auto& tasks = TasksOf(job, aReady.occurrence_, aReady.step_);
   const auto peers = CountTasksByWorker(tasks);
   std::array<std::size_t, kObstacles> workers{};
   for (const auto& [number, view] : views_) {
--- a/packages/workload/test/scheduler_driver.cpp
+++ b/packages/workload/test/scheduler_driver.cpp
@@ -93,6 +93,7 @@
                                  : memory->second,
                                0 };
   report.worker_.zone_ = zones_[aWorker.id_];
+  report.worker_.labels_ = labels_[aWorker.id_];
   report.worker_.vm_ = "vm-" + aWorker.id_;
   report.worker_.draining_ = aWorker.draining_;
   report.leavesInMs_ = aWorker.draining_ ? kDrainTime.count() : 0;
--- a/packages/workload/test/scheduler_driver.h
+++ b/packages/workload/test/scheduler_driver.h
@@ -153,6 +153,8 @@
   /// Settings of later leaders; availability zones of workers by id.
   SchedulerSettings settings_;
   std::map<std::string, std::string> zones_;
+  /// Labels of workers by id.
+  std::map<std::string, std::vector<std::string>> labels_;
   /// VMs without a worker, and the VMs that the platform was asked to move.
   std::vector<VmListing> spareVms_;
   std::vector<std::string> movedVms_;
--- a/packages/workload/workload.cpp
+++ b/packages/workload/workload.cpp
@@ -38,6 +38,30 @@
          aPhase == JobPhase::Cancelled;
 }
 
+const StepSpec&
+StepOf(const JobEntry& aJob, std::uint32_t aStep)
+{
+  static const StepSpec kFreed = [] {
+    StepSpec step;
+    step.tasks_ = 0;
+    return step;
+  }();
+  const auto& steps = aJob.spec_.steps_;
+  return aStep < steps.size() ? steps[aStep] : kFreed;
+}
+
+const std::vector<TaskEntry>&
+TasksOf(const JobEntry& aJob, std::uint32_t aOccurrence, std::uint32_t aStep)
+{
+  static const std::vector<TaskEntry> kNone;
+  const auto occurrence = aJob.occurrences_.find(aOccurrence);
+  if (occurrence == aJob.occurrences_.end()) {
+    return kNone;
+  }
+  const auto& steps = occurrence->second.steps_;
+  return aStep < steps.size() ? steps[aStep] : kNone;
+}
+
 void
 Workload::Apply(const WorkloadBatch& aBatch)
 {
@@ -198,11 +222,10 @@
     return;
   }
   const auto& [id, occurrence, step, index] = aEvent.task_;
-  if (job.spec_.steps_[step].gang_) {
+  if (StepOf(job, step).gang_) {
     // All members begin a run with the same count, so that any number of them
     // that fails in it raises the highest one by one.
-    task->failures_ =
-      MostFailures(job.occurrences_.at(occurrence).steps_[step]);
+    task->failures_ = MostFailures(TasksOf(job, occurrence, step));
   }
   task->state_ = TaskState::Assigned;
   task->run_ = aEvent.run_;
@@ -248,7 +271,7 @@
   if (!aEvent.checkpoint_.empty()) {
     task->checkpoint_ = aEvent.checkpoint_;
   }
-  const bool lasts = job.spec_.steps_[aEvent.task_.step_].isLongRunning_;
+  const bool lasts = StepOf(job, aEvent.task_.step_).isLongRunning_;
   if (aEvent.end_ == RunEnd::Failed) {
     ++task->failures_;
     if (aEvent.isLast_ && !IsOver(job.phase_)) {
--- a/packages/workload/workload_base.h
+++ b/packages/workload/workload_base.h
@@ -89,6 +89,15 @@
 bool
 IsOver(JobPhase aPhase);
 
+/// A step of the job. The steps of an ended job are freed with the end of its
+/// last run, which any decision may bring: then it is a step without tasks.
+const StepSpec&
+StepOf(const JobEntry& aJob, std::uint32_t aStep);
+
+/// The tasks of a step; none once its occurrence has ended.
+const std::vector<TaskEntry>&
+TasksOf(const JobEntry& aJob, std::uint32_t aOccurrence, std::uint32_t aStep);
+
 /// Encodes a batch in the versioned binary format of log entries.
 std::string
 EncodeBatch(const WorkloadBatch& aBatch);
