Fix: A request whose call times out is sent again at any moment

Callers would see no answer until their own time is up.

Cause: the gateway looks for another leader every 50 ms while a call is open. Where the call timed out just as such a wait was over, the handler of that wait, which could not be cancelled any more, set the timer anew and so cancelled the retry.

Change: the wait knows the number of its call and ends with it; a retry is not sent once the request was answered.

--- a/packages/daemon/gateway.cpp
+++ b/packages/daemon/gateway.cpp
@@ -88,7 +88,7 @@
   /// A leader may have accepted the request.
   bool maybeAccepted_ = false;
   bool isAnswered_ = false;
-  /// Number of the last call to a leader.
+  /// Number of the last call to a leader, or of the pause after it.
   std::uint64_t call_ = 0;
 };
 
@@ -276,22 +276,25 @@
         RetryOrRefuse(pending);
       }
     });
-  WatchLeader(aPending, aLeader);
+  WatchLeader(aPending, aLeader, call);
 }
 
 void
-Gateway::WatchLeader(const PendingPtr& aPending, const std::string& aSentTo)
+Gateway::WatchLeader(const PendingPtr& aPending,
+                     const std::string& aSentTo,
+                     std::uint64_t aCall)
 {
   aPending->timer_.expires_after(kLeaderCheckInterval);
-  aPending->timer_.async_wait([this, pending = aPending, aSentTo](
+  aPending->timer_.async_wait([this, pending = aPending, aSentTo, aCall](
                                 const boost::system::error_code& aError) {
-    if (aError || pending->isAnswered_) {
+    // A wait that is over can't be cancelled; the call may have ended since.
+    if (aError || pending->isAnswered_ || pending->call_ != aCall) {
       return;
     }
     const bool leadsHere = host_ != nullptr && host_->IsActive();
     const auto leader = leader_.leader_();
     if (!leadsHere && (leader.empty() || leader == aSentTo)) {
-      WatchLeader(pending, aSentTo);
+      WatchLeader(pending, aSentTo, aCall);
       return;
     }
     LogInfo(
@@ -336,10 +339,11 @@
     Refuse(aPending);
     return;
   }
+  ++aPending->call_;
   aPending->timer_.expires_after(kRetryInterval);
   aPending->timer_.async_wait(
     [this, pending = aPending](const boost::system::error_code& aError) {
-      if (!aError) {
+      if (!aError && !pending->isAnswered_) {
         SendToLeader(pending);
       }
     });
--- a/packages/daemon/gateway_base.h
+++ b/packages/daemon/gateway_base.h
@@ -113,8 +113,11 @@
   /// Asks a control node that need not lead; the leader if that fails.
   void Read(const PendingPtr& aPending, const std::string& aReader);
   void Forward(const PendingPtr& aPending, const std::string& aLeader);
-  /// Resends the request when another leader is found before the answer.
-  void WatchLeader(const PendingPtr& aPending, const std::string& aSentTo);
+  /// Resends the request when another leader is found before the answer to the
+  /// call.
+  void WatchLeader(const PendingPtr& aPending,
+                   const std::string& aSentTo,
+                   std::uint64_t aCall);
   void Refuse(const PendingPtr& aPending);
   /// Answers the request unless it has been answered already.
   static void Finish(const PendingPtr& aPending, HttpAnswer aAnswer);
--- a/packages/daemon/test/gateway_test.cpp
+++ b/packages/daemon/test/gateway_test.cpp
@@ -33,6 +33,7 @@
   Hangs,
   LostLeadership,
   Refuses, ///< Answers that it does not lead and has not accepted the request.
+  AnswersLater, ///< Hangs for the first request and answers later ones.
 };
 
 /// Fake nodes, any of which may lead, and a gateway in front of them.
@@ -129,6 +130,13 @@
         answer.status_ = 503;
         answer.headers_ = { { kNotLeaderHeader, "yes" } };
         break;
+      case NodeBehavior::AnswersLater:
+        if (hanging_.empty()) {
+          hanging_.push_back(std::move(aAnswer));
+          return;
+        }
+        answer.body_ = aNode;
+        break;
       case NodeBehavior::Answers:
         answer.body_ = aNode;
         break;
@@ -245,6 +253,23 @@
   }
 }
 
+// Guards against a request that is neither answered nor sent again: its call
+// timed out just as the gateway looked for another leader, which it does every
+// 50 ms.
+TEST_CASE("a call that times out is sent again")
+{
+  const auto timeout = GENERATE(Millis(50), Millis(100), Millis(150));
+  for (int repeat = 0; repeat < 10; ++repeat) {
+    INFO("time-out of calls " << timeout.count() << " ms, repeat " << repeat);
+    GatewayBench bench({ { kOne, NodeBehavior::AnswersLater } });
+    bench.leader_ = kOne;
+    const auto answer = bench.SendRequest(
+      Plane::Callers, { kNever, kNever, kNever, kNever, timeout });
+    REQUIRE(answer);
+    CHECK(answer->body_ == kOne);
+  }
+}
+
 // Guards against reads of jobs that are all sent to the leader.
 TEST_CASE("reads are answered by control nodes that need not lead")
 {
