Fix: An upkeep without an answer keeps its place in the cap while it may be late

Cause: an order of upkeep got no answer. A list that was asked for a second later showed its VM as up, which was taken for proof that it would not go down. Another VM was taken down, and the first order was carried out beside it.

Change: the VM keeps its place for max_order_delay_ms, or until a later order is answered as begun, as the platform begins an upkeep once. It is the first candidate, so that the wave goes on. Open, by reading: a new leader does not know of such orders of its predecessor.

--- a/packages/workload/scheduler_base.h
+++ b/packages/workload/scheduler_base.h
@@ -577,7 +577,7 @@
                    const std::vector<std::string>& aCandidates,
                    UsableByPool& aUsable,
                    MonotonicTime aNow);
-  std::size_t CountVmsDown(const UpkeepWave& aWave) const;
+  std::size_t CountVmsDown(const UpkeepWave& aWave, MonotonicTime aNow) const;
   /// The platform answered that the VM has no part in the wave: the VM's upkeep
   /// counts as begun once that is proved, and is ordered again before.
   void HandleUpkeepDenial(const BeginUpkeep& aOrder,
--- a/packages/workload/scheduler_upkeep.cpp
+++ b/packages/workload/scheduler_upkeep.cpp
@@ -64,6 +64,13 @@
     (work + (due - aNowMs) - 1) / (due - aNowMs), 1, maxDown);
 }
 
+/// Whether an order that got no answer may still take the VM down.
+bool
+MayGoDown(const VmView& aVm, MonotonicTime aNow)
+{
+  return aVm.unclearUpkeepUntil_ && aNow < *aVm.unclearUpkeepUntil_;
+}
+
 } // namespace
 
 bool
@@ -237,15 +244,15 @@
 }
 
 std::size_t
-Scheduler::CountVmsDown(const UpkeepWave& aWave) const
+Scheduler::CountVmsDown(const UpkeepWave& aWave, MonotonicTime aNow) const
 {
   std::size_t down = 0;
   const auto count = [&](const std::string& aVm) {
     const auto view = vms_.find(aVm);
     if (view != vms_.end()) {
       const bool isListedDown = view->second.listing_.state_ == VmState::Upkeep;
-      down +=
-        view->second.isDown_ || view->second.orderInFlight_ || isListedDown;
+      down += view->second.isDown_ || view->second.orderInFlight_ ||
+              isListedDown || MayGoDown(view->second, aNow);
     }
   };
   std::for_each(aWave.pendingVms_.begin(), aWave.pendingVms_.end(), count);
@@ -253,7 +260,8 @@
   return down;
 }
 
-// VMs that may be taken down next, those with the fewest runs first.
+// VMs that may be taken down next: those that may go down anyway, then those
+// with the fewest runs.
 std::vector<std::string>
 Scheduler::CandidatesOf(const UpkeepWave& aWave, MonotonicTime aNow) const
 {
@@ -267,7 +275,7 @@
     const auto number = FindWorkerOfVm(vm);
     const auto worker = views_.find(number);
     std::size_t cost = 0;
-    if (worker != views_.end()) {
+    if (worker != views_.end() && !MayGoDown(view->second, aNow)) {
       // A VM that is already being emptied keeps its place.
       cost = worker->second.evacuating_ ? 1 : 2 + worker->second.runs_.size();
     }
@@ -371,12 +379,14 @@
   // A wave past its planned end also takes down VMs whose tasks have no place
   // on another worker; only the absence budgets limit it then.
   const bool isLate = IsPastPlannedEnd(aWave, LogicalNow(aNow));
-  auto down = CountVmsDown(aWave);
+  auto down = CountVmsDown(aWave, aNow);
   for (const auto& vm : aCandidates) {
     auto& view = vms_.at(vm);
     const auto number = FindWorkerOfVm(vm);
     const auto* worker = FindView(number);
-    const bool mayOrder = !view.orderInFlight_ && !view.isDown_ && down < cap &&
+    const bool hasPlace = MayGoDown(view, aNow);
+    const bool mayOrder = !view.orderInFlight_ && !view.isDown_ &&
+                          (hasPlace || down < cap) &&
                           aNow - view.orderedAt_ >= kUpkeepRetry;
     if (worker != nullptr) {
       const bool needsNoPlace = isLate && mayOrder &&
@@ -388,7 +398,7 @@
       continue;
     }
     // A VM whose last tasks are being stopped takes its place in the cap.
-    ++down;
+    down += hasPlace ? 0 : 1;
     const bool isEmpty = worker == nullptr || HoldsNoRuns(number);
     if (!isEmpty || !vmCalls_.TakeForUpkeep(aNow)) {
       continue;
@@ -419,6 +429,7 @@
   switch (aOutcome) {
     case VmOutcome::Begun:
       upkeepDenials_.Forget(aOrder);
+      view.unclearUpkeepUntil_.reset();
       view.isDown_ = true;
       view.downSince_ = aNow;
       view.changedAt_ = aNow;
@@ -436,10 +447,12 @@
       DoubtAuthority("platform, maintenance of " + aOrder.vm_, aNow);
       return;
     case VmOutcome::NoAnswer:
-      // The VM may still go down, and counts as down until it is listed as up.
+      // The VM may still go down. It counts as down until it is listed as up,
+      // and is ordered again then.
       view.isDown_ = true;
       view.downSince_ = aNow;
       view.changedAt_ = aNow;
+      view.unclearUpkeepUntil_ = aNow + settings_.maxOrderDelay_;
       return;
     case VmOutcome::NotNow:
       vmCalls_.NoteRefusal(aNow);
--- a/packages/workload/test/scheduler_driver.cpp
+++ b/packages/workload/test/scheduler_driver.cpp
@@ -175,6 +175,7 @@
       delayed.order_);
   }
   DeliverLists();
+  DeliverUpkeeps();
   StepPlannedRestarts();
   StepWorkers();
   AnswerRenewals();
--- a/packages/workload/test/scheduler_driver.h
+++ b/packages/workload/test/scheduler_driver.h
@@ -166,6 +166,9 @@
   VmOutcome moveOutcome_ = VmOutcome::Busy;
   VmOutcome upkeepOutcome_ = VmOutcome::Begun;
   std::size_t upkeepOrders_ = 0;
+  /// The next order of upkeep is not answered and is carried out after this
+  /// time, unless the VM was down for the wave before.
+  std::optional<Millis> upkeepDelay_;
   /// Orders of upkeep of a VM get that answer for some time after the first.
   struct Denial
   {
@@ -263,6 +266,9 @@
   void Execute(const PaceRun& aAction);
   void Execute(const ListVms& aAction);
   void Execute(const BeginUpkeep& aAction);
+  /// Takes the VM down for upkeep, with all that runs on it.
+  void TakeDown(const std::string& aVm);
+  void DeliverUpkeeps();
   void Execute(const MoveVm& aAction);
   /// The platform's answer to an order for the worker's VM, and whether it is
   /// carried out.
@@ -297,6 +303,8 @@
   std::deque<std::pair<MonotonicTime, AppendBatch>> log_;
   std::deque<DelayedOrder> delayedOrders_;
   std::deque<DelayedList> delayedLists_;
+  /// VMs that go down at these times.
+  std::multimap<MonotonicTime, std::string> delayedUpkeeps_;
   std::multimap<MonotonicTime, std::string> delayedLeaves_;
   /// Lease renewals that wait at their workers: term, due time and order.
   std::vector<std::tuple<std::uint64_t, MonotonicTime, RenewLease>> renewals_;
--- a/packages/workload/test/scheduler_driver_platform.cpp
+++ b/packages/workload/test/scheduler_driver_platform.cpp
@@ -1,6 +1,7 @@
 #include "workload/test/scheduler_driver.h"
 
 #include <algorithm>
+#include <utility>
 
 // The fake platform of the driver: VMs, moves between pools, and upkeep.
 
@@ -103,24 +104,48 @@
     scheduler_->HandleUpkeep(aAction, VmOutcome::NoSuchVm, now_);
     return;
   }
+  if (const auto delay = std::exchange(upkeepDelay_, std::nullopt)) {
+    delayedUpkeeps_.emplace(now_ + *delay, aAction.vm_);
+    scheduler_->HandleUpkeep(aAction, VmOutcome::NoAnswer, now_);
+    return;
+  }
   const auto [outcome, isCarriedOut] =
     DrawPlatformAnswer(workers_.at(id), upkeepOutcome_);
   if (isCarriedOut) {
-    for (const auto& [task, run] : workers_.at(id).runs_) {
-      interruptedLongRuns_ += run.isLongRunning_ ? 1 : 0;
-    }
-    Crash(id);
-    workers_.at(id).inUpkeep_ = true;
-    maintainedVms_.insert(aAction.vm_);
-    std::size_t down = 0;
-    for (const auto& [each, worker] : workers_) {
-      down += worker.inUpkeep_ ? 1 : 0;
-    }
-    maxVmsDown_ = std::max(maxVmsDown_, down);
+    TakeDown(aAction.vm_);
   }
   scheduler_->HandleUpkeep(aAction, outcome, now_);
 }
 
+void
+SchedulerDriver::TakeDown(const std::string& aVm)
+{
+  const auto id = WorkerIdOf(aVm);
+  for (const auto& [task, run] : workers_.at(id).runs_) {
+    interruptedLongRuns_ += run.isLongRunning_ ? 1 : 0;
+  }
+  Crash(id);
+  workers_.at(id).inUpkeep_ = true;
+  maintainedVms_.insert(aVm);
+  std::size_t down = 0;
+  for (const auto& [each, worker] : workers_) {
+    down += worker.inUpkeep_ ? 1 : 0;
+  }
+  maxVmsDown_ = std::max(maxVmsDown_, down);
+}
+
+void
+SchedulerDriver::DeliverUpkeeps()
+{
+  while (!delayedUpkeeps_.empty() && delayedUpkeeps_.begin()->first <= now_) {
+    const auto vm = delayedUpkeeps_.begin()->second;
+    delayedUpkeeps_.erase(delayedUpkeeps_.begin());
+    if (!maintainedVms_.contains(vm)) {
+      TakeDown(vm);
+    }
+  }
+}
+
 bool
 SchedulerDriver::IsMoving(const std::string& aWorker) const
 {
--- a/packages/workload/vm_view_type.h
+++ b/packages/workload/vm_view_type.h
@@ -26,6 +26,11 @@
   /// Taken down for maintenance and not listed as up since.
   bool isDown_ = false;
   MonotonicTime downSince_{};
+  /// An upkeep order got no answer, and the platform may carry it out until
+  /// then: the VM keeps its place in the cap of its wave. Nothing once an
+  /// answer shows that the upkeep has begun, which later orders don't begin
+  /// again.
+  std::optional<MonotonicTime> unclearUpkeepUntil_;
 
   bool operator==(const VmView&) const = default;
 };
