Fix: A rejection says nothing about an earlier call of the same request

Customers saw a 503 for a job that ran a second or two later (REFUSED).

Cause: the gateway sends a request without an answer again after 1.2 s, or when another leader is found, and passed a rejection of the last call on, though an earlier call could still be accepted.

Change: where an earlier call may have been accepted, a rejection is answered as unclear (504), for customers as for workers and operators; the next attempt, by the same id, gets a clear answer.

Ruled out, by reading: a rejection after the job was logged (a leader looks for the job first, with all entries of former leaders applied), and the listener's own 503 (given to what does not reach the handler). Not shown: which node sent the call that came late.

--- a/packages/daemon/gateway.cpp
+++ b/packages/daemon/gateway.cpp
@@ -64,6 +64,16 @@
   return passed;
 }
 
+/// The answer to a request of which an earlier call may have been accepted, or
+/// may still arrive: a rejection of the last call says nothing about that one.
+HttpAnswer
+AnswerAfterCalls(bool aMaybeAccepted, HttpAnswer aAnswer)
+{
+  return aMaybeAccepted && aAnswer.status_ == kUnavailable
+           ? platform::EncodeUnclear()
+           : std::move(aAnswer);
+}
+
 } // namespace
 
 struct Gateway::Pending
@@ -225,16 +235,18 @@
 {
   if (host_ != nullptr && host_->IsActive()) {
     ++aPending->call_;
-    PassToHost(aPending->plane_,
-               aPending->request_,
-               [this, pending = aPending](HttpAnswer aAnswer) {
-                 if (FindHeader(aAnswer.headers_, kNotLeaderHeader)) {
-                   pending->maybeAccepted_ = true;
-                   RetryOrRefuse(pending);
-                 } else {
-                   Finish(pending, std::move(aAnswer));
-                 }
-               });
+    PassToHost(
+      aPending->plane_,
+      aPending->request_,
+      [this, pending = aPending](HttpAnswer aAnswer) {
+        if (FindHeader(aAnswer.headers_, kNotLeaderHeader)) {
+          pending->maybeAccepted_ = true;
+          RetryOrRefuse(pending);
+        } else {
+          Finish(pending,
+                 AnswerAfterCalls(pending->maybeAccepted_, std::move(aAnswer)));
+        }
+      });
     return;
   }
   const auto leader = leader_.leader_();
@@ -263,7 +275,9 @@
         // A server error of an earlier call is ignored: the new leader may know
         // the outcome.
         if (leads && (isLast || answer->status_ < kServerError)) {
-          Finish(pending, ForwardedAnswer(*answer));
+          Finish(pending,
+                 AnswerAfterCalls(pending->maybeAccepted_,
+                                  ForwardedAnswer(*answer)));
           return;
         }
         pending->maybeAccepted_ |= answer->status_ != kUnavailable;
--- a/packages/daemon/test/gateway_test.cpp
+++ b/packages/daemon/test/gateway_test.cpp
@@ -33,6 +33,8 @@
   Hangs,
   LostLeadership,
   Refuses, ///< Answers that it does not lead and has not accepted the request.
+  Rejects, ///< Leads, and does not accept the request.
+  RejectsLater, ///< Hangs for the first request and rejects later ones.
   AnswersLater, ///< Hangs for the first request and answers later ones.
 };
 
@@ -130,6 +132,16 @@
         answer.status_ = 503;
         answer.headers_ = { { kNotLeaderHeader, "yes" } };
         break;
+      case NodeBehavior::Rejects:
+        answer.status_ = 503;
+        break;
+      case NodeBehavior::RejectsLater:
+        if (hanging_.empty()) {
+          hanging_.push_back(std::move(aAnswer));
+          return;
+        }
+        answer.status_ = 503;
+        break;
       case NodeBehavior::AnswersLater:
         if (hanging_.empty()) {
           hanging_.push_back(std::move(aAnswer));
@@ -155,6 +167,8 @@
 
 } // namespace
 
+// Guards against a job that runs though its customer was told that it was
+// rejected (REFUSED): an earlier call was still to arrive, or to be committed.
 TEST_CASE("outcome of a request when the leader is lost")
 {
   struct Row
@@ -168,6 +182,7 @@
     std::int64_t status_;
     std::string body_;
     Plane plane_ = Plane::Callers;
+    NodeBehavior second_ = NodeBehavior::Answers;
   };
   const std::vector<Row> rows{
     { "a leader that answers",
@@ -232,11 +247,46 @@
       503,
       "",
       Plane::Control },
+    { "a leader that rejects",
+      NodeBehavior::Rejects,
+      kOne,
+      Millis(0),
+      { kNever, kNever, kNever, kNever, kNever },
+      false,
+      503,
+      "" },
+    { "the leader hangs and the next one rejects",
+      NodeBehavior::Hangs,
+      kOne,
+      Millis(0),
+      { kNever, kNever, kNever, kNever, kNever },
+      true,
+      504,
+      "",
+      Plane::Callers,
+      NodeBehavior::Rejects },
+    { "the leader hangs and the next one rejects an operator",
+      NodeBehavior::Hangs,
+      kOne,
+      Millis(0),
+      { kNever, kNever, kNever, kNever, kNever },
+      true,
+      504,
+      "",
+      Plane::Control,
+      NodeBehavior::Rejects },
+    { "a call times out and the leader rejects the next one",
+      NodeBehavior::RejectsLater,
+      kOne,
+      Millis(0),
+      { kNever, kNever, kNever, kNever, Millis(100) },
+      false,
+      504,
+      "" },
   };
   for (const auto& row : rows) {
     INFO(row.name_);
-    GatewayBench bench(
-      { { kOne, row.first_ }, { kTwo, NodeBehavior::Answers } });
+    GatewayBench bench({ { kOne, row.first_ }, { kTwo, row.second_ } });
     bench.leader_ = row.leader_;
     bench.silentFor_ = row.silentFor_;
     if (row.elects_) {
